--- /dev/null
+++ b/pondpin/clocks.py
@@ -0,0 +1,6 @@
+"""The two clocks as types: seconds of the steady clock, and seconds since the epoch."""
+
+from collections.abc import Callable
+
+Clock = Callable[[], float]
+WallClock = Callable[[], float]
--- /dev/null
+++ b/pondpin/configuration.py
@@ -0,0 +1,211 @@
+"""The published configuration: upstreams, accounts, classes and rules, checked as a whole."""
+
+import enum
+from typing import Annotated
+
+from pydantic import AfterValidator, Field, TypeAdapter
+from pydantic.dataclasses import dataclass
+
+from pondpin.errors import FieldError, raise_faults
+from pondpin.files import STRICT, decode_document
+from pondpin.network import EndpointText
+from pondpin.selectors import parse_selector
+
+HIGHEST_PRIORITY = 100
+
+
+def _check_selector(text: str) -> str:
+    parse_selector(text)
+    return text
+
+
+SelectorText = Annotated[str, AfterValidator(_check_selector)]
+Name = Annotated[str, Field(pattern="^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+LabelMap = dict[str, str]
+
+
+class UpstreamKind(enum.StrEnum):
+    """What an upstream is."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class PlacementPolicy(enum.StrEnum):
+    """How an engine is chosen; all but PREDICTED are baselines."""
+
+    RANDOM = "random"
+    ROUND_ROBIN = "round_robin"
+    LEAST_OUTSTANDING = "least_outstanding"
+    PREDICTED = "predicted"
+
+
+class AdmissionPolicy(enum.StrEnum):
+    """Whether a request that cannot finish in its allowed time is refused at once."""
+
+    NONE = "none"
+    DEADLINE = "deadline"
+
+
+@dataclass(frozen=True, kw_only=True, config=STRICT)
+class Model:
+    """A model that callers may name."""
+
+    labels: LabelMap = Field(default_factory=dict)
+    chars_per_token: float = Field(default=4.0, gt=0)
+
+
+@dataclass(frozen=True, kw_only=True, config=STRICT)
+class Upstream:
+    """An engine or a plain service.
+
+    checks_fences: the engine refuses orders with an old fence.
+    checks_tokens: the service runs a call token at most once by itself.
+    """
+
+    kind: UpstreamKind
+    address: EndpointText
+    data_center: str
+    model: str = ""
+    service: str = ""
+    role: str = "mixed"
+    labels: LabelMap = Field(default_factory=dict)
+    checks_fences: bool = False
+    checks_tokens: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, config=STRICT)
+class Limits:
+    """Limits of an account over all instances; zero means none. Rates are per second."""
+
+    requests_per_second: float = Field(default=0.0, ge=0)
+    tokens_per_second: float = Field(default=0.0, ge=0)
+    long_prompts: int = Field(default=0, ge=0)
+
+
+@dataclass(frozen=True, kw_only=True, config=STRICT)
+class Account:
+    """A client account; its API keys are kept as SHA-256 hashes."""
+
+    keys_sha256: tuple[Annotated[str, Field(pattern="^[0-9a-f]{64}$")], ...] = Field(min_length=1)
+    labels: LabelMap = Field(default_factory=dict)
+    weight: float = Field(default=1.0, gt=0)
+    limits: Limits = Field(default_factory=lambda: Limits())
+
+
+@dataclass(frozen=True, kw_only=True, config=STRICT)
+class LengthClass:
+    """A named class of requests; the first whose selector matches takes the request."""
+
+    name: Name
+    match: SelectorText
+    long: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, config=STRICT)
+class Rule:
+    """What happens to the requests it matches; the first matching rule counts."""
+
+    name: Name
+    match: SelectorText
+    upstreams: SelectorText
+    priority: int = Field(default=50, ge=0, le=HIGHEST_PRIORITY)
+    allowed_seconds: float = Field(default=60.0, gt=0)
+    repeatable: bool = True
+    token_required: bool = False
+    weight: float = Field(default=1.0, gt=0)
+
+
+@dataclass(frozen=True, kw_only=True, config=STRICT)
+class Policy:
+    """The choice between policies, and the aim between the two measures.
+
+    short_weight: 0 favours time to first token across lengths, 1 the slowdown of short requests.
+    """
+
+    placement: PlacementPolicy = PlacementPolicy.PREDICTED
+    admission: AdmissionPolicy = AdmissionPolicy.DEADLINE
+    short_weight: float = Field(default=0.5, ge=0, le=1)
+    queue_limit: int = Field(default=2000, ge=1)
+    attempts: int = Field(default=3, ge=1)
+    retry_ratio: float = Field(default=0.1, ge=0)
+    prefill_ahead_seconds: float = Field(default=0.25, gt=0)
+
+
+@dataclass(frozen=True, kw_only=True, config=STRICT)
+class Objective:
+    """A service-level objective: the share of requests of a class that meet a bound."""
+
+    name: Name
+    measure: str = Field(pattern="^(ttft|in_time|refused|unknown)$")
+    length_class: str = ""
+    threshold_seconds: float = Field(default=0.0, ge=0)
+    target: float = Field(gt=0, lt=1)
+
+
+@dataclass(frozen=True, kw_only=True, config=STRICT)
+class Configuration:
+    """One accepted document; the platform gives its revision beside it."""
+
+    models: dict[Name, Model]
+    upstreams: dict[Name, Upstream]
+    accounts: dict[Name, Account]
+    rules: tuple[Rule, ...]
+    classes: tuple[LengthClass, ...] = ()
+    policy: Policy = Field(default_factory=lambda: Policy())
+    objectives: tuple[Objective, ...] = ()
+
+
+_ADAPTER: TypeAdapter[Configuration] = TypeAdapter(Configuration)
+
+
+def _repeated(names: list[str]) -> set[str]:
+    return {name for name in names if names.count(name) > 1}
+
+
+def find_faults(configuration: Configuration) -> list[FieldError]:
+    """Faults between the parts of a configuration that decodes."""
+    faults: list[FieldError] = []
+    for name, upstream in configuration.upstreams.items():
+        path = f"upstreams.{name}"
+        if upstream.kind is UpstreamKind.ENGINE and upstream.model not in configuration.models:
+            faults.append(FieldError(f"{path}.model", f"unknown model {upstream.model!r}"))
+        if upstream.kind is UpstreamKind.SERVICE and not upstream.service:
+            faults.append(FieldError(f"{path}.service", "a service upstream names its service"))
+    addresses = [upstream.address for upstream in configuration.upstreams.values()]
+    faults += [
+        FieldError("upstreams", f"address {address} stands twice")
+        for address in sorted(_repeated(addresses))
+    ]
+    owners: dict[str, str] = {}
+    for name, account in configuration.accounts.items():
+        for key in account.keys_sha256:
+            if key in owners:
+                fault = f"the same key as accounts.{owners[key]}"
+                faults.append(FieldError(f"accounts.{name}.keys_sha256", fault))
+            owners[key] = name
+    for part, names in (
+        ("rules", [rule.name for rule in configuration.rules]),
+        ("classes", [item.name for item in configuration.classes]),
+    ):
+        faults += [
+            FieldError(part, f"name {name!r} stands twice") for name in sorted(_repeated(names))
+        ]
+    known = {item.name for item in configuration.classes}
+    for i, objective in enumerate(configuration.objectives):
+        if objective.length_class and objective.length_class not in known:
+            fault = f"unknown class {objective.length_class!r}"
+            faults.append(FieldError(f"objectives[{i}].length_class", fault))
+    return faults
+
+
+def decode_configuration(document: bytes, source: str) -> Configuration:
+    """Decode and check a configuration; raises InvalidFileError with every fault."""
+    configuration = decode_document(_ADAPTER, document, source)
+    raise_faults(source, find_faults(configuration))
+    return configuration
+
+
+def configuration_schema() -> dict[str, object]:
+    """JSON schema of the configuration document."""
+    return _ADAPTER.json_schema()
--- /dev/null
+++ b/pondpin/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers: tasks that keep state current beside the way of requests."""
--- /dev/null
+++ b/pondpin/controllers/housekeeping.py
@@ -0,0 +1,71 @@
+"""Small periodic duties: watchdog, queue, kept answers, gauges."""
+
+from collections import Counter
+from collections.abc import Callable
+
+from pondpin.clocks import Clock
+from pondpin.controllers.base import Controller
+from pondpin.invariants import INVARIANTS
+from pondpin.ledger import Ledger
+from pondpin.metrics import Metrics
+from pondpin.once import OnceTable
+from pondpin.scheduler import PUMP_SECONDS, Scheduler
+from pondpin.stream_attempt import Watchdog
+
+TICK_SECONDS = 0.2
+
+
+class QueueController(Controller):
+    """Tries the queue's heads again as time passes."""
+
+    period = PUMP_SECONDS
+
+    def __init__(self, scheduler: Scheduler) -> None:
+        super().__init__()
+        self._scheduler = scheduler
+
+    async def step(self) -> None:
+        """Pump when anything waits."""
+        if self._scheduler.queue.size:
+            self._scheduler.pump()
+
+
+class HousekeepingController(Controller):
+    """Checks attempts for stalls and keeps gauges current."""
+
+    period = TICK_SECONDS
+
+    def __init__(
+        self,
+        watchdog: Watchdog,
+        once: OnceTable,
+        scheduler: Scheduler,
+        ledger: Ledger,
+        metrics: Metrics,
+        open_calls: Callable[[], int],
+        clock: Clock,
+    ) -> None:
+        super().__init__()
+        self._watchdog = watchdog
+        self._once = once
+        self._scheduler = scheduler
+        self._ledger = ledger
+        self._metrics = metrics
+        self._open_calls = open_calls
+        self._clock = clock
+        self._told_drops: Counter[str] = Counter()
+
+    async def step(self) -> None:
+        """One tick."""
+        now = self._clock()
+        self._watchdog.tick(now)
+        self._once.forget_old(now)
+        metrics = self._metrics
+        metrics.open_requests.set({}, self._open_calls())
+        metrics.queued.set({}, self._scheduler.queue.size)
+        metrics.held_blocks.set({}, self._ledger.held_blocks)
+        for name, count in INVARIANTS.breaches_by_name.items():
+            metrics.breaches.set({"invariant": name}, count)
+        for cause, count in self._watchdog.dropped.items():
+            metrics.frames_dropped.add({"cause": cause}, count - self._told_drops[cause])
+        self._told_drops = Counter(self._watchdog.dropped)
--- /dev/null
+++ b/pondpin/controllers/load.py
@@ -0,0 +1,103 @@
+"""Polls upstreams for their load, cache events and signs of leaving."""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from absl import logging
+
+from pondpin.clocks import Clock
+from pondpin.configuration import UpstreamKind
+from pondpin.controllers.base import Controller
+from pondpin.engine_client import LEAVING, EnginePort
+from pondpin.fleet import Fleet, UpstreamState
+from pondpin.health import note_failure, note_success
+from pondpin.http_client import CallFailedError
+from pondpin.service_client import ServicePort
+
+
+class LoadController(Controller):
+    """Polls each upstream once a period, all at the same time."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        engines: EnginePort,
+        services: ServicePort,
+        clock: Clock,
+        period: float,
+        timeout: float,
+        rng: random.Random,
+        after_poll: Callable[[], None],
+    ) -> None:
+        super().__init__()
+        self.period = 0.0
+        self._mean_period = period
+        self._fleet = fleet
+        self._engines = engines
+        self._services = services
+        self._clock = clock
+        self._timeout = timeout
+        self._random = rng
+        self._after_poll = after_poll
+        self._busy: set[str] = set()
+        self._polls: set[asyncio.Task[None]] = set()
+
+    async def step(self) -> None:
+        """Start a poll of each upstream that has none open; one that hangs delays no other."""
+        for state in list(self._fleet.by_name.values()):
+            if state.name not in self._busy:
+                self._busy.add(state.name)
+                self._spawn(self._poll(state))
+        # Jitter, so that instances started together don't poll together for ever.
+        self.period = self._mean_period * (0.9 + 0.2 * self._random.random())
+
+    async def stop(self) -> None:
+        """Stop, and end open polls."""
+        await super().stop()
+        for task in list(self._polls):
+            task.cancel()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._polls.add(task)
+        task.add_done_callback(self._polls.discard)
+
+    async def _poll(self, state: UpstreamState) -> None:
+        was_leaving, was_ejected = state.leaving, state.health.is_ejected(self._clock())
+        try:
+            if state.upstream.kind is UpstreamKind.ENGINE:
+                await self._poll_engine(state)
+            else:
+                await self._poll_service(state)
+            state.health = note_success(state.health, self._clock())
+        except CallFailedError as error:
+            state.health = note_failure(state.health, self._clock(), certain=not error.sent)
+        finally:
+            self._busy.discard(state.name)
+        if state.leaving and not was_leaving:
+            logging.info("upstream %s leaves", state.name)
+        if state.health.is_ejected(self._clock()) != was_ejected:
+            logging.info("upstream %s %s", state.name, "back" if was_ejected else "ejected")
+        self._after_poll()
+
+    async def _poll_engine(self, state: UpstreamState) -> None:
+        address = state.upstream.address
+        report = await self._engines.load(address, self._timeout)
+        state.take_report(report, self._clock())
+        index = state.prefixes
+        if report.cache_sequence <= index.last_sequence:
+            return
+        events = await self._engines.cache_events(address, index.last_sequence, self._timeout)
+        if events.incarnation != state.incarnation:
+            return
+        for event in events.events:
+            index.note_event(event.sequence, event.kind, event.block)
+
+    async def _poll_service(self, state: UpstreamState) -> None:
+        report = await self._services.load(state.upstream.address, self._timeout)
+        state.incarnation = max(state.incarnation, report.incarnation)
+        state.heard_at = self._clock()
+        if report.state == LEAVING:
+            state.mark_leaving(report.incarnation)
--- /dev/null
+++ b/pondpin/controllers/peers.py
@@ -0,0 +1,335 @@
+"""Heartbeats between entry instances, and the calls that they serve for each other."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from absl import logging
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from pondpin.clocks import Clock
+from pondpin.controllers.base import Controller
+from pondpin.http_client import CallFailedError
+from pondpin.identity import Identity
+from pondpin.membership import (
+    Peer,
+    PeerTable,
+    alive_peers,
+    forget_lost,
+    is_alive,
+    note_heartbeat,
+    note_list,
+)
+from pondpin.metrics import Metrics
+from pondpin.network import parse_endpoint
+from pondpin.platform_client import PlatformPort
+from pondpin.wire.peer_grpc import PeerStub
+from pondpin.wire.peer_pb2 import (
+    AccountUsage,
+    ExplainReply,
+    ExplainRequest,
+    FetchConfigurationReply,
+    FetchConfigurationRequest,
+    ForwardReply,
+    ForwardRequest,
+    HeartbeatReply,
+    HeartbeatRequest,
+)
+
+PROTOCOL_VERSION = 1
+FORGET_SECONDS = 600.0
+ENTRY_KIND = "entry"
+LEAVING = "leaving"
+FAILURES = (GRPCError, StreamTerminatedError, OSError, TimeoutError, asyncio.TimeoutError)
+
+
+class PeerUnreachableError(Exception):
+    """A peer gave no answer; whether it acted is not known."""
+
+
+class PeerPort(Protocol):
+    """Calls to one peer, by its address; they raise PeerUnreachableError."""
+
+    async def heartbeat(
+        self, address: str, request: HeartbeatRequest, timeout: float
+    ) -> HeartbeatReply:
+        """Tell of oneself and hear of the peer."""
+        ...
+
+    async def fetch(
+        self, address: str, request: FetchConfigurationRequest, timeout: float
+    ) -> FetchConfigurationReply:
+        """Read the peer's configuration."""
+        ...
+
+    async def forward(self, address: str, request: ForwardRequest, timeout: float) -> ForwardReply:
+        """Have the peer run a call that carries its token."""
+        ...
+
+    async def explain(self, address: str, request: ExplainRequest, timeout: float) -> ExplainReply:
+        """Read the peer's decision records."""
+        ...
+
+
+class GrpcPeers:
+    """PeerPort over grpclib, one channel for each peer."""
+
+    def __init__(self, metrics: Metrics, ssl_context: Callable[[], object | None]) -> None:
+        self._metrics = metrics
+        self._ssl_context = ssl_context
+        self._channels_by_address: dict[str, Channel] = {}
+
+    def _stub(self, address: str) -> PeerStub:
+        channel = self._channels_by_address.get(address)
+        if channel is None:
+            endpoint = parse_endpoint(address)
+            context = self._ssl_context()
+            channel = Channel(endpoint.host, endpoint.port, ssl=context)  # type: ignore[arg-type]
+            self._channels_by_address[address] = channel
+        return PeerStub(channel)
+
+    def _count(self, sent: int, received: int) -> None:
+        self._metrics.peer_bytes.add({"direction": "out"}, sent)
+        self._metrics.peer_bytes.add({"direction": "in"}, received)
+
+    async def heartbeat(
+        self, address: str, request: HeartbeatRequest, timeout: float
+    ) -> HeartbeatReply:
+        """See PeerPort."""
+        try:
+            reply = await self._stub(address).Heartbeat(request, timeout=timeout)
+        except FAILURES as error:
+            raise PeerUnreachableError(type(error).__name__) from None
+        self._count(request.ByteSize(), reply.ByteSize())
+        return reply
+
+    async def fetch(
+        self, address: str, request: FetchConfigurationRequest, timeout: float
+    ) -> FetchConfigurationReply:
+        """See PeerPort."""
+        try:
+            reply = await self._stub(address).FetchConfiguration(request, timeout=timeout)
+        except FAILURES as error:
+            raise PeerUnreachableError(type(error).__name__) from None
+        self._count(request.ByteSize(), reply.ByteSize())
+        return reply
+
+    async def forward(self, address: str, request: ForwardRequest, timeout: float) -> ForwardReply:
+        """See PeerPort."""
+        try:
+            return await self._stub(address).Forward(request, timeout=timeout)
+        except FAILURES as error:
+            raise PeerUnreachableError(type(error).__name__) from None
+
+    async def explain(self, address: str, request: ExplainRequest, timeout: float) -> ExplainReply:
+        """See PeerPort."""
+        try:
+            return await self._stub(address).Explain(request, timeout=timeout)
+        except FAILURES as error:
+            raise PeerUnreachableError(type(error).__name__) from None
+
+    def close(self) -> None:
+        """Close all channels."""
+        for channel in self._channels_by_address.values():
+            channel.close()
+        self._channels_by_address.clear()
+
+
+@dataclass(frozen=True, slots=True)
+class SelfReport:
+    """What this instance tells of itself."""
+
+    revision: int
+    ready: bool
+    draining: bool
+    leaving_upstreams: tuple[str, ...]
+    usage: tuple[AccountUsage, ...]
+
+
+class PeerBook:
+    """The table of peers, and the building and taking of heartbeats."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        address: str,
+        report: Callable[[], SelfReport],
+        on_heard: Callable[[HeartbeatRequest], None],
+        clock: Clock,
+        lost_after: float,
+    ) -> None:
+        self.identity = identity
+        self._address = address
+        self._report = report
+        self._on_heard = on_heard
+        self._clock = clock
+        self.lost_after = lost_after
+        self.table: PeerTable = {}
+
+    def describe_self(self) -> HeartbeatRequest:
+        """A heartbeat of this instance."""
+        report = self._report()
+        return HeartbeatRequest(
+            protocol_version=PROTOCOL_VERSION,
+            instance=self.identity.instance,
+            incarnation=self.identity.incarnation,
+            data_center=self.identity.data_center,
+            revision=report.revision,
+            ready=report.ready,
+            draining=report.draining,
+            leaving_upstreams=report.leaving_upstreams,
+            usage=report.usage,
+            address=self._address,
+        )
+
+    def take(self, heard: HeartbeatRequest) -> None:
+        """Take a heartbeat of a peer."""
+        if heard.instance == self.identity.instance:
+            return
+        now = self._clock()
+        known = self.table.get(heard.instance)
+        was_alive = known is not None and is_alive(known, now, self.lost_after)
+        peer = Peer(
+            name=heard.instance,
+            address=heard.address,
+            data_center=heard.data_center,
+            incarnation=heard.incarnation,
+            revision=heard.revision,
+            ready=heard.ready,
+            draining=heard.draining,
+            heard_at=now,
+        )
+        self.table = note_heartbeat(self.table, peer)
+        if not was_alive:
+            logging.info("peer %s heard, incarnation %d", heard.instance, heard.incarnation)
+        self._on_heard(heard)
+
+    def take_list(self, listed: Iterable[Peer]) -> None:
+        """Take the platform's list."""
+        others = (peer for peer in listed if peer.name != self.identity.instance)
+        self.table = note_list(self.table, others)
+
+    def newest_incarnation(self, instance: str) -> int:
+        """The newest known incarnation of an instance, 0 when unknown."""
+        if instance == self.identity.instance:
+            return self.identity.incarnation
+        peer = self.table.get(instance)
+        return peer.incarnation if peer is not None else 0
+
+    def alive(self) -> list[Peer]:
+        """Peers heard from lately."""
+        return alive_peers(self.table, self._clock(), self.lost_after)
+
+    def forget(self) -> None:
+        """Drop peers that are long gone."""
+        self.table = forget_lost(self.table, self._clock(), FORGET_SECONDS)
+
+    def addresses(self, known: Iterable[str]) -> list[str]:
+        """Where peers may be: those in the table, and those of the settings."""
+        found = [peer.address for peer in self.table.values() if peer.address]
+        return sorted({*found, *known} - {self._address})
+
+
+class HeartbeatController(Controller):
+    """Sends heartbeats to a random few peers each period, and fetches newer configurations."""
+
+    def __init__(
+        self,
+        book: PeerBook,
+        peers: PeerPort,
+        known: tuple[str, ...],
+        period: float,
+        fan_out: int,
+        rng: random.Random,
+        seen_revision: Callable[[], int],
+        offer: Callable[[int, bytes], bool],
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self.period = period
+        self._book = book
+        self._peers = peers
+        self._known = known
+        self._fan_out = fan_out
+        self._random = rng
+        self._seen_revision = seen_revision
+        self._offer = offer
+        self._metrics = metrics
+        self._fetching = False
+        self._timeout = max(1.0, period)
+
+    async def step(self) -> None:
+        """One round."""
+        addresses = self._book.addresses(self._known)
+        chosen = self._random.sample(addresses, min(self._fan_out, len(addresses)))
+        await asyncio.gather(*(self._beat(address) for address in chosen))
+        self._book.forget()
+        self._metrics.peers_alive.set({}, len(self._book.alive()))
+
+    async def _beat(self, address: str) -> None:
+        try:
+            reply = await self._peers.heartbeat(address, self._book.describe_self(), self._timeout)
+        except PeerUnreachableError:
+            return
+        self._book.take(reply.peer)
+        if reply.peer.revision > self._seen_revision():
+            await self.fetch_from(address)
+
+    async def fetch_from(self, address: str) -> None:
+        """Fetch a peer's configuration, one fetch at a time."""
+        if self._fetching:
+            return
+        self._fetching = True
+        try:
+            request = FetchConfigurationRequest(above_revision=self._seen_revision())
+            reply = await self._peers.fetch(address, request, self._timeout * 3)
+            if reply.revision > self._seen_revision():
+                self._offer(reply.revision, reply.document)
+        except PeerUnreachableError:
+            return
+        finally:
+            self._fetching = False
+
+
+class InstanceListController(Controller):
+    """Reads the platform's list of live and leaving instances."""
+
+    def __init__(
+        self,
+        platform: PlatformPort,
+        book: PeerBook,
+        mark_upstream: Callable[[str, bool], None],
+        period: float,
+    ) -> None:
+        super().__init__()
+        self.period = period
+        self._platform = platform
+        self._book = book
+        self._mark_upstream = mark_upstream
+
+    async def step(self) -> None:
+        """Read the list; when the platform is away, the last one stays."""
+        try:
+            listed = await self._platform.instances(self.period + 1.0)
+        except CallFailedError:
+            return
+        peers = [
+            Peer(item.name, item.address, item.data_center, listed=item.state)
+            for item in listed.instances
+            if item.kind == ENTRY_KIND
+        ]
+        self._book.take_list(peers)
+        for item in listed.instances:
+            if item.kind != ENTRY_KIND:
+                self._mark_upstream(item.name, item.state == LEAVING)
+
+
+def peer_of(book: PeerBook, instance: str, incarnation: int) -> Peer | None:
+    """The peer that is this very incarnation of an instance, None when it is not known."""
+    peer = book.table.get(instance)
+    if peer is None or peer.incarnation != incarnation:
+        return None
+    return replace(peer)
--- /dev/null
+++ b/pondpin/engine_client.py
@@ -0,0 +1,173 @@
+"""The adapter of model engines: only this module knows their URLs and field names."""
+
+from dataclasses import dataclass
+from typing import Protocol, TypeVar
+
+import msgspec
+
+from pondpin.engine_protocol import (
+    CacheEvents,
+    LoadReport,
+    Order,
+    OrderAnswer,
+    ReservationRequest,
+    StreamFrame,
+    StreamRequest,
+)
+from pondpin.http_client import CallFailedError, HttpClient, StreamStart
+
+STATE_HEADER = "pondpin-upstream-state"
+LEAVING = "leaving"
+EVENT_START = b"data: "
+EVENT_END = b"\n\n"
+EVENT_LIMIT = 1 << 20
+OK = 200
+JSON_HEADERS = {"content-type": "application/json"}
+
+
+@dataclass(frozen=True, slots=True)
+class StreamRef:
+    """Names a stream on an engine."""
+
+    address: str
+    request: str
+    attempt: int
+
+
+class EnginePort(Protocol):
+    """What pondpin asks of model engines; all calls raise CallFailedError."""
+
+    async def submit(self, address: str, request: StreamRequest) -> StreamStart:
+        """Start a stream."""
+        ...
+
+    async def resume(self, ref: StreamRef, offset: int) -> StreamStart:
+        """Go on with a stream from an offset."""
+        ...
+
+    async def cancel(self, ref: StreamRef, timeout: float) -> bool:
+        """End a stream and return its memory; False when it was not live."""
+        ...
+
+    async def reserve(self, address: str, wanted: ReservationRequest, timeout: float) -> bool:
+        """Keep memory for a group's prompt."""
+        ...
+
+    async def release(self, address: str, name: str, timeout: float) -> None:
+        """Return memory that was kept."""
+        ...
+
+    async def load(self, address: str, timeout: float) -> LoadReport:
+        """Read the load report."""
+        ...
+
+    async def cache_events(self, address: str, after: int, timeout: float) -> CacheEvents:
+        """Read cache events above a number."""
+        ...
+
+    async def order(self, address: str, order: Order, timeout: float) -> OrderAnswer:
+        """Order a model and role."""
+        ...
+
+    async def last_order(self, address: str, timeout: float) -> OrderAnswer:
+        """Read the last fence."""
+        ...
+
+
+class HttpEngines:
+    """EnginePort over HTTP."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    async def submit(self, address: str, request: StreamRequest) -> StreamStart:
+        """See EnginePort."""
+        url = f"http://{address}/v1/streams"
+        return await self._client.open("POST", url, JSON_HEADERS, msgspec.json.encode(request))
+
+    async def resume(self, ref: StreamRef, offset: int) -> StreamStart:
+        """See EnginePort."""
+        return await self._client.open("GET", f"{_stream_url(ref)}?offset={offset}")
+
+    async def cancel(self, ref: StreamRef, timeout: float) -> bool:
+        """See EnginePort."""
+        answer = await self._client.call("DELETE", _stream_url(ref), timeout=timeout)
+        return answer.status == OK
+
+    async def reserve(self, address: str, wanted: ReservationRequest, timeout: float) -> bool:
+        """See EnginePort."""
+        url = f"http://{address}/v1/reservations"
+        body = msgspec.json.encode(wanted)
+        answer = await self._client.call("POST", url, JSON_HEADERS, body, timeout)
+        return answer.status == OK
+
+    async def release(self, address: str, name: str, timeout: float) -> None:
+        """See EnginePort."""
+        url = f"http://{address}/v1/reservations/{name}"
+        await self._client.call("DELETE", url, timeout=timeout)
+
+    async def load(self, address: str, timeout: float) -> LoadReport:
+        """See EnginePort."""
+        answer = await self._client.call("GET", f"http://{address}/v1/load", timeout=timeout)
+        return _decode(answer.body, LoadReport)
+
+    async def cache_events(self, address: str, after: int, timeout: float) -> CacheEvents:
+        """See EnginePort."""
+        url = f"http://{address}/v1/cache-events?after={after}"
+        answer = await self._client.call("GET", url, timeout=timeout)
+        return _decode(answer.body, CacheEvents)
+
+    async def order(self, address: str, order: Order, timeout: float) -> OrderAnswer:
+        """See EnginePort."""
+        url = f"http://{address}/v1/orders"
+        body = msgspec.json.encode(order)
+        answer = await self._client.call("POST", url, JSON_HEADERS, body, timeout)
+        return _decode(answer.body, OrderAnswer)
+
+    async def last_order(self, address: str, timeout: float) -> OrderAnswer:
+        """See EnginePort."""
+        answer = await self._client.call("GET", f"http://{address}/v1/orders", timeout=timeout)
+        return _decode(answer.body, OrderAnswer)
+
+
+def _stream_url(ref: StreamRef) -> str:
+    return f"http://{ref.address}/v1/streams/{ref.request}/{ref.attempt}"
+
+
+M = TypeVar("M", bound=msgspec.Struct)
+
+
+def _decode(body: bytes, kind: type[M]) -> M:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise CallFailedError(f"answer not understood: {error}", sent=True) from None
+
+
+def says_leaving(start: StreamStart) -> bool:
+    """Whether an answer's header says that the upstream leaves."""
+    return start.headers.get(STATE_HEADER) == LEAVING
+
+
+class FrameReader:
+    """Cuts the bytes of an event stream into frames."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self._decoder = msgspec.json.Decoder(StreamFrame)
+
+    def feed(self, data: bytes) -> list[StreamFrame]:
+        """The frames that are whole now; raises CallFailedError on what is not a frame."""
+        parts = (self._rest + data).split(EVENT_END)
+        self._rest = parts.pop()
+        if len(self._rest) > EVENT_LIMIT:
+            raise CallFailedError("an event is too long", sent=True)
+        return [self._decode_event(part) for part in parts]
+
+    def _decode_event(self, event: bytes) -> StreamFrame:
+        if not event.startswith(EVENT_START):
+            raise CallFailedError("not an event of a stream", sent=True)
+        try:
+            return self._decoder.decode(event[len(EVENT_START) :])
+        except msgspec.MsgspecError as error:
+            raise CallFailedError(f"frame not understood: {error}", sent=True) from None
--- /dev/null
+++ b/pondpin/entry.py
@@ -0,0 +1,381 @@
+"""Puts an entry instance together: clients, state, decisions, filters, controllers, servers."""
+
+import asyncio
+import random
+import time
+from typing import Any
+
+from absl import logging
+
+from pondpin.callers import Callers
+from pondpin.calls import Snapshot, chain_filters
+from pondpin.controllers.base import Controller
+from pondpin.controllers.configuration import ConfigurationController, ConfigurationStore
+from pondpin.controllers.housekeeping import HousekeepingController, QueueController
+from pondpin.controllers.load import LoadController
+from pondpin.controllers.orphans import OrphanController
+from pondpin.controllers.peers import (
+    GrpcPeers,
+    HeartbeatController,
+    InstanceListController,
+    PeerBook,
+    SelfReport,
+)
+from pondpin.decisions import DecisionLog
+from pondpin.engine_client import HttpEngines
+from pondpin.filters.complete import CompleteFilter
+from pondpin.filters.describe import DescribeFilter
+from pondpin.filters.identify import IdentifyFilter
+from pondpin.filters.limit import LimitFilter
+from pondpin.filters.once import OnceFilter, SpendFilter, TokenIssuer
+from pondpin.filters.route import RouteFilter
+from pondpin.filters.rule import RuleFilter
+from pondpin.filters.serve import ServeFilter
+from pondpin.fleet import Fleet
+from pondpin.forwarding import ForwardedCalls, PeerForwarder
+from pondpin.http_client import HttpClient
+from pondpin.http_server import ServerLimits, WebServer
+from pondpin.identity import Identity
+from pondpin.ledger import Ledger
+from pondpin.metrics import Metrics
+from pondpin.network import Endpoint, parse_endpoint
+from pondpin.once import OnceTable
+from pondpin.operators import OperatorGate, Operators
+from pondpin.peer_server import PeerListener, PeerServer
+from pondpin.platform_client import HttpPlatform
+from pondpin.resumes import Resumer
+from pondpin.runtime import steady_now, wall_now
+from pondpin.scheduler import Scheduler
+from pondpin.service_client import HttpServices
+from pondpin.settings import Settings
+from pondpin.signing import make_signer
+from pondpin.stream_attempt import Watchdog
+from pondpin.tls import PeerTls, twisted_tls
+from pondpin.usage_shares import UsageShares
+from pondpin.wire.peer_pb2 import HeartbeatRequest
+
+CALL_SECONDS = 2.0
+DRAIN_POLL_SECONDS = 0.1
+# The balancer goes on sending calls for a while after /readyz says no.
+BALANCER_SECONDS = 1.0
+
+
+class Entry:
+    """One entry instance."""
+
+    def __init__(self, reactor: Any, settings: Settings) -> None:
+        self.settings = settings
+        self.reactor = reactor
+        self.identity = Identity(settings.instance, time.time_ns(), settings.data_center)
+        self.draining = False
+        self.random = random.Random()
+        self._make_state()
+        self._make_clients()
+        self._make_decisions()
+        self._make_chain()
+        self._make_servers()
+        self._make_controllers()
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send calls."""
+        return self.store.snapshot is not None and not self.draining
+
+    def _make_state(self) -> None:
+        settings = self.settings
+        self.metrics = Metrics(settings.instance, settings.data_center)
+        self.fleet = Fleet(settings.data_center)
+        self.ledger = Ledger()
+        self.watchdog = Watchdog()
+        self.decisions = DecisionLog(settings.decisions_kept)
+        self.once = OnceTable(settings.timing.answers_kept)
+        self.signer = make_signer(settings.shared_key, settings.previous_shared_keys)
+        self.store = ConfigurationStore(self.metrics, self._apply)
+        peers = settings.peers
+        self.book = PeerBook(
+            self.identity,
+            peers.listen.address,
+            self._describe_self,
+            self._hear,
+            steady_now,
+            peers.heartbeat_seconds * peers.lost_after_heartbeats,
+        )
+        self.shares = UsageShares(steady_now, lambda: 1 + len(self.book.alive()))
+
+    def _make_clients(self) -> None:
+        settings = self.settings
+        self.http = HttpClient(self.reactor, settings.timing.connect_timeout)
+        self.engines = HttpEngines(self.http)
+        self.services = HttpServices(self.http)
+        self.platform = HttpPlatform(self.http, settings.platform.address)
+        files = settings.peers.listen.tls
+        self.peer_tls = PeerTls(files) if files is not None else None
+        self.peers = GrpcPeers(
+            self.metrics, lambda: self.peer_tls.client if self.peer_tls is not None else None
+        )
+
+    def _make_decisions(self) -> None:
+        self.scheduler = Scheduler(
+            fleet=self.fleet,
+            ledger=self.ledger,
+            engines=self.engines,
+            instance=self.identity.instance,
+            incarnation=self.identity.incarnation,
+            clock=steady_now,
+            wall_clock=wall_now,
+            random=self.random,
+            call_timeout=CALL_SECONDS,
+        )
+
+    def _make_chain(self) -> None:
+        timing = self.settings.timing
+        self.issuer = TokenIssuer(self.identity, self.once, self.signer, wall_now)
+        self.identify = IdentifyFilter()
+        self.complete = CompleteFilter(
+            identity=self.identity,
+            scheduler=self.scheduler,
+            engines=self.engines,
+            fleet=self.fleet,
+            watchdog=self.watchdog,
+            metrics=self.metrics,
+            signer=self.signer,
+            clock=steady_now,
+            wall_clock=wall_now,
+            rng=self.random,
+            stall_floor=timing.stall_floor,
+            call_timeout=CALL_SECONDS,
+        )
+        serve = ServeFilter(self.services, self.fleet, self.metrics, steady_now)
+        forwarder = PeerForwarder(self.book, self.peers)
+        inner = (
+            DescribeFilter(),
+            OnceFilter(self.issuer, forwarder, self.metrics),
+            RuleFilter(),
+            LimitFilter(steady_now, self.shares),
+            SpendFilter(self.once, self.metrics, steady_now),
+            RouteFilter(self.complete, serve),
+        )
+        self.callers = Callers(
+            identity=self.identity,
+            chain=chain_filters((self.identify, *inner)),
+            identify=self.identify,
+            issuer=self.issuer,
+            metrics=self.metrics,
+            decisions=self.decisions,
+            snapshot=lambda: self.store.snapshot,
+            resume=Resumer(
+                self.engines,
+                self.fleet,
+                self.signer,
+                self.watchdog,
+                steady_now,
+                wall_now,
+                timing.stall_floor,
+            ).resume,
+            clock=steady_now,
+            wall_clock=wall_now,
+        )
+        # A forwarded call's account was found by the peer that took it from its caller.
+        self.forwarded = ForwardedCalls(self.callers, chain_filters(inner), self.identity.instance)
+
+    def _make_servers(self) -> None:
+        limits = self.settings.caller_limits
+        self.caller_server = WebServer(
+            self.reactor,
+            ServerLimits(
+                body_bytes=limits.body_bytes,
+                bodies_held_bytes=limits.bodies_held_bytes,
+                header_bytes=limits.header_bytes,
+                send_seconds=limits.send_seconds,
+                idle_seconds=limits.idle_seconds,
+            ),
+        )
+        self.operator_server = WebServer(self.reactor, ServerLimits(body_bytes=1 << 20))
+        self.operators = Operators(
+            identity=self.identity,
+            gate=OperatorGate(self.settings.operator_tokens),
+            lifecycle=self,
+            store=self.store,
+            fleet=self.fleet,
+            scheduler=self.scheduler,
+            ledger=self.ledger,
+            decisions=self.decisions,
+            book=self.book,
+            peers=self.peers,
+            metrics=self.metrics,
+            platform_answers=lambda: self.watch.platform_answers,
+            open_calls=lambda: self.callers.open_calls,
+            clock=steady_now,
+        )
+        self.callers.attach(self.caller_server)
+        self.caller_server.route("/readyz", self.operators.show_ready)
+        self.operators.attach(self.operator_server)
+        self.peer_server = PeerListener(
+            PeerServer(self.book, self.store, self.decisions, self.forwarded.run)
+        )
+
+    def _make_controllers(self) -> None:
+        settings, timing = self.settings, self.settings.timing
+        self.watch = ConfigurationController(
+            self.store,
+            self.platform,
+            settings.platform.watch_seconds,
+            settings.platform.retry_seconds,
+            self.random,
+        )
+        self.heartbeats = HeartbeatController(
+            book=self.book,
+            peers=self.peers,
+            known=settings.peers.known,
+            period=settings.peers.heartbeat_seconds,
+            fan_out=settings.peers.fan_out,
+            rng=self.random,
+            seen_revision=lambda: self.store.seen_revision,
+            offer=lambda revision, document: self.store.offer(revision, document, "peer"),
+            metrics=self.metrics,
+        )
+        self.controllers: tuple[Controller, ...] = (
+            self.heartbeats,
+            InstanceListController(
+                self.platform, self.book, self._mark_upstream, settings.platform.list_seconds
+            ),
+            LoadController(
+                self.fleet,
+                self.engines,
+                self.services,
+                steady_now,
+                timing.load_poll,
+                timing.poll_timeout,
+                self.random,
+                self.scheduler.pump,
+            ),
+            OrphanController(
+                fleet=self.fleet,
+                engines=self.engines,
+                ledger=self.ledger,
+                scheduler=self.scheduler,
+                metrics=self.metrics,
+                newest_incarnation=self.book.newest_incarnation,
+                instance=self.identity.instance,
+                clock=steady_now,
+                wall_clock=wall_now,
+                grace=timing.orphan_grace,
+                timeout=CALL_SECONDS,
+            ),
+            QueueController(self.scheduler),
+            HousekeepingController(
+                self.watchdog,
+                self.once,
+                self.scheduler,
+                self.ledger,
+                self.metrics,
+                lambda: self.callers.open_calls,
+                steady_now,
+            ),
+        )
+
+    async def start(self) -> Endpoint:
+        """Listen, hear from peers, then read the platform; returns the callers' endpoint."""
+        settings = self.settings
+        own = parse_endpoint(settings.peers.listen.address)
+        context = self.peer_tls.server if self.peer_tls is not None else None
+        await self.peer_server.start(own.host, own.port, ssl=context)
+        operators = settings.operators
+        self.operator_server.listen(
+            self.reactor, parse_endpoint(operators.address), twisted_tls(operators.tls)
+        )
+        callers = settings.callers
+        bound = self.caller_server.listen(
+            self.reactor, parse_endpoint(callers.address), twisted_tls(callers.tls)
+        )
+        # Peers first: they know the revision in force, under which nothing may be taken.
+        await self.heartbeats.step()
+        for controller in (*self.controllers, self.watch):
+            controller.start()
+        return bound
+
+    def drain(self) -> None:
+        """Begin a planned stop: not ready, no new tokens; what is in flight goes on."""
+        self.draining = True
+        self.issuer.stopped = True
+
+    def undrain(self) -> None:
+        """Take a planned stop back."""
+        self.draining = False
+        self.issuer.stopped = False
+
+    async def drain_and_stop(self) -> None:
+        """A planned stop: wait for what is in flight, for as long as the settings say."""
+        self.drain()
+        logging.info("draining, %d calls open", self.callers.open_calls)
+        end = steady_now() + self.settings.timing.drain
+        quiet_since = steady_now()
+        while steady_now() < end:
+            if self.callers.open_calls:
+                quiet_since = steady_now()
+            elif steady_now() - quiet_since >= BALANCER_SECONDS:
+                break
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await self.stop()
+
+    async def crash(self) -> None:
+        """Die as a killed process does: connections break, nothing is told to anybody."""
+        for controller in (*self.controllers, self.watch):
+            await controller.stop()
+        await self.caller_server.close()
+        await self.operator_server.close()
+        self.caller_server.cut()
+        self.peer_server.cut()
+        self.http.cut()
+        for task in (*self.callers.serving, *self.caller_server.tasks, *self.scheduler.tasks):
+            task.cancel()
+        self.peers.close()
+
+    async def stop(self) -> None:
+        """Close everything now."""
+        for controller in (*self.controllers, self.watch):
+            await controller.stop()
+        await self.caller_server.close()
+        await self.operator_server.close()
+        self.peer_server.close()
+        for task in (*self.callers.serving, *self.caller_server.tasks):
+            task.cancel()
+        await asyncio.gather(*self.callers.serving, return_exceptions=True)
+        await asyncio.gather(*self.complete.cancels, return_exceptions=True)
+        self.peers.close()
+        await self.http.close()
+
+    def _apply(self, snapshot: Snapshot) -> None:
+        """Follow a configuration that came into force."""
+        self.fleet.apply(snapshot.configuration)
+        self.scheduler.apply(snapshot.configuration.policy)
+
+    def _describe_self(self) -> SelfReport:
+        leaving = tuple(
+            f"{state.name}/{state.leaving_incarnation}"
+            for state in self.fleet.by_name.values()
+            if state.leaving and state.leaving_incarnation >= 0
+        )
+        return SelfReport(
+            revision=self.store.revision,
+            ready=self.ready,
+            draining=self.draining,
+            leaving_upstreams=leaving,
+            usage=self.shares.tell(),
+        )
+
+    def _hear(self, heard: HeartbeatRequest) -> None:
+        """Take what a peer's heartbeat says beside the peer itself."""
+        self.store.raise_floor(heard.revision)
+        self.shares.hear(heard.instance, tuple(heard.usage))
+        for mark in heard.leaving_upstreams:
+            name, _, incarnation = mark.partition("/")
+            state = self.fleet.by_name.get(name)
+            if state is not None and incarnation.isdecimal():
+                state.mark_leaving(int(incarnation))
+
+    def _mark_upstream(self, name: str, leaving: bool) -> None:
+        """Take the platform's word on an upstream: the list may add a sign, never remove one."""
+        state = self.fleet.by_name.get(name)
+        if state is not None and leaving:
+            state.mark_leaving()
--- /dev/null
+++ b/pondpin/fair_queue.py
@@ -0,0 +1,120 @@
+"""Weighted fair queue over flows (account and length class), with aging.
+
+Start-time fair queueing: each flow's next item carries a start tag; the lowest goes first.
+An item that has waited long gets an earlier tag, so that long work progresses.
+"""
+
+import heapq
+import itertools
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class Flow:
+    """Whose turn is counted together."""
+
+    account: str
+    length_class: str
+
+
+@dataclass(slots=True)
+class Queued(Generic[T]):
+    """An item in the queue. cost is in tokens; queued_at in seconds."""
+
+    item: T
+    flow: Flow
+    cost: float
+    weight: float
+    queued_at: float
+    tag: float
+    number: int
+    removed: bool = False
+
+
+@dataclass
+class FairQueue(Generic[T]):
+    """Items by flow, served in order of their start tags."""
+
+    aging_tokens_per_second: float = 2000.0
+    virtual_time: float = 0.0
+    items_by_flow: dict[Flow, deque[Queued[T]]] = field(default_factory=dict)
+    finish_by_flow: dict[Flow, float] = field(default_factory=dict)
+    size: int = 0
+    cost: float = 0.0
+    _numbers: Iterator[int] = field(default_factory=itertools.count)
+
+    def push(self, item: T, flow: Flow, cost: float, weight: float, now: float) -> Queued[T]:
+        """Add an item; returns its place, by which it can be removed."""
+        start = max(self.virtual_time, self.finish_by_flow.get(flow, 0.0))
+        self.finish_by_flow[flow] = start + cost / weight
+        queued = Queued(item, flow, cost, weight, now, start, next(self._numbers))
+        self.items_by_flow.setdefault(flow, deque()).append(queued)
+        self.size += 1
+        self.cost += cost
+        return queued
+
+    def heads(self, now: float) -> list[Queued[T]]:
+        """The first item of each flow, the one to serve next first."""
+        heads = [items[0] for items in self.items_by_flow.values()]
+        heads.sort(key=lambda queued: (self._aged(queued, now), queued.number))
+        return heads
+
+    def serve(self, queued: Queued[T]) -> None:
+        """Take an item out because it goes on; time of the queue moves to its tag."""
+        self.virtual_time = max(self.virtual_time, queued.tag)
+        self.remove(queued)
+
+    def remove(self, queued: Queued[T]) -> bool:
+        """Take an item out; False when it was out already."""
+        if queued.removed:
+            return False
+        queued.removed = True
+        items = self.items_by_flow[queued.flow]
+        items.remove(queued)
+        self.size -= 1
+        self.cost -= queued.cost
+        if not items:
+            del self.items_by_flow[queued.flow]
+            self._forget_idle_flows()
+        return True
+
+    def items(self) -> list[Queued[T]]:
+        """All items."""
+        return list(itertools.chain.from_iterable(self.items_by_flow.values()))
+
+    def cost_before(self, flow: Flow, cost: float, weight: float) -> float:
+        """Tokens served before a new item of a flow, by tags of the heads and their flows."""
+        start = max(self.virtual_time, self.finish_by_flow.get(flow, 0.0))
+        ahead = 0.0
+        for items in self.items_by_flow.values():
+            for queued in items:
+                if queued.tag <= start:
+                    ahead += queued.cost
+        return ahead
+
+    def expired(self, now: float, deadlines: dict[int, float]) -> list[Queued[T]]:
+        """Items whose deadline, by their number, has passed."""
+        return heapq.nsmallest(
+            self.size,
+            (queued for queued in self.items() if deadlines.get(queued.number, now) < now),
+            key=lambda queued: queued.number,
+        )
+
+    def _aged(self, queued: Queued[T], now: float) -> float:
+        waited = max(0.0, now - queued.queued_at)
+        return queued.tag - waited * self.aging_tokens_per_second
+
+    def _forget_idle_flows(self) -> None:
+        """A flow whose finish tag has passed is like a new one."""
+        idle = [
+            flow
+            for flow, finish in self.finish_by_flow.items()
+            if finish <= self.virtual_time and flow not in self.items_by_flow
+        ]
+        for flow in idle:
+            del self.finish_by_flow[flow]
--- /dev/null
+++ b/pondpin/filters/complete.py
@@ -0,0 +1,390 @@
+"""The last filter of a completion: waits for engines, runs attempts, retries truthfully."""
+
+import asyncio
+import random
+from dataclasses import dataclass, replace
+from typing import Any
+
+from pondpin.answer_writers import AnswerWriter, StreamWriter, WholeWriter
+from pondpin.attempts import (
+    AttemptState,
+    Failure,
+    NextStep,
+    Step,
+    backoff_seconds,
+    decide_next,
+)
+from pondpin.calls import Call, Outcome, Proceed
+from pondpin.clocks import Clock, WallClock
+from pondpin.codes import Code, Ran
+from pondpin.cursors import Cursor, sign_cursor
+from pondpin.decisions import CANDIDATES_KEPT, AttemptFailed, Candidate, Placed, Waited
+from pondpin.engine_client import EnginePort, StreamRef, says_leaving
+from pondpin.engine_protocol import StreamRequest
+from pondpin.errors import PondpinError
+from pondpin.fair_queue import Flow
+from pondpin.fleet import Fleet
+from pondpin.frames import FrameGate
+from pondpin.health import note_failure, note_success
+from pondpin.http_client import CallFailedError, StreamStart
+from pondpin.identity import Identity
+from pondpin.metrics import Metrics
+from pondpin.retry_budget import note_first_attempt, spend_retry
+from pondpin.scheduler import Grant, Scheduler, Ticket
+from pondpin.signing import Signer
+from pondpin.stream_attempt import AttemptResult, StreamAttempt, Watchdog
+
+OK = 200
+CONFLICT = 409
+WORTH_NOTING_SECONDS = 0.005
+
+
+@dataclass
+class Progress:
+    """What one request has got so far, over all its attempts."""
+
+    writer: AnswerWriter
+    delivered: int = 0
+    attempt: int = 0
+    resumed: int = 0
+    first_token: float | None = None
+    last_token: float | None = None
+    upstream: str = ""
+    signed_attempt: int = -1
+    signed_cursor: str = ""
+    excluded: frozenset[str] = frozenset()
+
+
+class CompleteFilter:
+    """Runs completions on engines."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        scheduler: Scheduler,
+        engines: EnginePort,
+        fleet: Fleet,
+        watchdog: Watchdog,
+        metrics: Metrics,
+        signer: Signer,
+        clock: Clock,
+        wall_clock: WallClock,
+        rng: random.Random,
+        stall_floor: float,
+        call_timeout: float,
+    ) -> None:
+        self._identity = identity
+        self._scheduler = scheduler
+        self._engines = engines
+        self._fleet = fleet
+        self._watchdog = watchdog
+        self._metrics = metrics
+        self._signer = signer
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._random = rng
+        self._stall_floor = stall_floor
+        self._call_timeout = call_timeout
+        self.cancels: set[asyncio.Task[None]] = set()
+
+    async def apply(self, call: Call, proceed: Proceed) -> Outcome:
+        """See Filter."""
+        progress = self._begin(call)
+        try:
+            async with asyncio.timeout(max(0.0, call.deadline - self._clock())):
+                return await self._run(call, progress)
+        except TimeoutError:
+            ran = Ran.UNKNOWN if progress.upstream else Ran.NOT_RUN
+            error = PondpinError(Code.DEADLINE, ran=ran, retry_after=1.0)
+        except PondpinError as caught:
+            error = caught
+        if progress.writer.fail(error):
+            return self._outcome(call, progress, error.code, error.ran)
+        raise error
+
+    def _begin(self, call: Call) -> Progress:
+        prompt = call.the_prompt
+        if not prompt.stream:
+            return Progress(WholeWriter(call.kind, call.id, prompt.model))
+        progress: Progress
+        writer = StreamWriter(
+            call.the_reply,
+            call.kind,
+            call.id,
+            prompt.model,
+            lambda: self._cursor(call, progress),
+        )
+        progress = Progress(writer)
+        return progress
+
+    def _cursor(self, call: Call, progress: Progress) -> str:
+        """The signed cursor of the present attempt, signed once for each attempt."""
+        if progress.signed_attempt != progress.attempt:
+            left = call.deadline - self._clock()
+            cursor = Cursor(
+                request=call.id,
+                attempt=progress.attempt,
+                upstream=progress.upstream,
+                account=call.account_name,
+                shape=call.kind.value,
+                deadline=int(self._wall_clock() + left),
+            )
+            progress.signed_cursor = sign_cursor(self._signer, cursor)
+            progress.signed_attempt = progress.attempt
+        return progress.signed_cursor
+
+    async def _run(self, call: Call, progress: Progress) -> Outcome:
+        while True:
+            grant = await self._acquire(call, progress)
+            try:
+                result = await self._try_engine(call, grant, progress)
+            finally:
+                self._scheduler.release(grant)
+            if result.failure is None:
+                grant.lead.prefixes.learn(grant.expected_hit, result.cached)
+                answer = progress.writer.finish(result.end)
+                outcome = self._outcome(call, progress, Code.OK, Ran.RAN)
+                return replace(outcome, answer=answer)
+            await self._after_failure(call, grant, progress, result.failure)
+
+    async def _acquire(self, call: Call, progress: Progress) -> Grant:
+        prompt, rule = call.the_prompt, call.the_rule
+        before = self._clock()
+        grant = await self._scheduler.acquire(
+            Ticket(
+                request=call.id,
+                attempt=progress.attempt,
+                flow=Flow(call.account_name, call.length_class),
+                weight=call.the_account.weight * rule.weight,
+                priority=rule.priority,
+                prompt_tokens=prompt.tokens,
+                max_tokens=prompt.max_tokens,
+                hashes=prompt.hashes,
+                long=call.long,
+                queued_at=call.arrived,
+                deadline=call.deadline,
+                selector=rule.upstreams,
+                model=prompt.model,
+                excluded=progress.excluded,
+            )
+        )
+        self._note_grant(call, grant, before)
+        progress.upstream = grant.lead.name
+        return grant
+
+    def _note_grant(self, call: Call, grant: Grant, before: float) -> None:
+        now = self._clock()
+        waited = now - before
+        self._metrics.queue_wait.observe({"class": call.length_class}, waited)
+        if waited > WORTH_NOTING_SECONDS:
+            call.decision.events.append(
+                Waited(now - call.arrived, waited, "until an engine or group had room")
+            )
+        compared = sorted(grant.choice.compared, key=lambda item: item.score)
+        candidates = tuple(
+            Candidate(item.engine, item.first_token, item.finish, item.score, item.fits)
+            for item in compared[:CANDIDATES_KEPT]
+        )
+        names = tuple(state.name for state in grant.engines)
+        call.decision.events.append(Placed(now - call.arrived, names, grant.policy, candidates))
+
+    async def _try_engine(self, call: Call, grant: Grant, progress: Progress) -> AttemptResult:
+        """One attempt, with a resume on the same engine if the stream breaks off."""
+        state = grant.lead
+        policy = call.snapshot.configuration.policy
+        now = self._clock()
+        if progress.attempt == 0:
+            state.budget = note_first_attempt(state.budget, policy.retry_ratio, now)
+        progress.resumed = 0
+        self._metrics.attempts.inc({"upstream": state.name, "result": "started"})
+        result = await self._receive(call, grant, progress, resume=False)
+        if result.failure is None:
+            state.health = note_success(state.health, self._clock())
+            return result
+        following = self._decide(call, progress, result.failure)
+        if following.step is Step.RESUME:
+            progress.resumed = 1
+            self._note_failure(call, grant, result.failure, following.step.value)
+            result = await self._receive(call, grant, progress, resume=True)
+        if result.failure is not None:
+            self._cancel(grant)
+        return result
+
+    async def _receive(
+        self, call: Call, grant: Grant, progress: Progress, resume: bool
+    ) -> AttemptResult:
+        attempt = self._make_attempt(call, grant, progress)
+        self._watchdog.add(attempt)
+        try:
+            failure = await self._open(call, grant, progress, attempt, resume)
+            if failure is not None:
+                return AttemptResult(failure)
+            if call.the_prompt.stream:
+                call.the_reply.follow(attempt)
+            try:
+                return await attempt.done
+            finally:
+                if call.the_prompt.stream:
+                    call.the_reply.unfollow()
+        except asyncio.CancelledError:
+            self._cancel(grant)
+            raise
+        finally:
+            attempt.close()
+            self._watchdog.remove(attempt)
+            self._collect(call, progress, attempt)
+
+    def _make_attempt(self, call: Call, grant: Grant, progress: Progress) -> StreamAttempt:
+        key = grant.holds[0].key
+        return StreamAttempt(
+            gate=FrameGate(call.id, progress.attempt, progress.delivered),
+            writer=progress.writer,
+            clock=self._clock,
+            stall_floor=self._stall_floor,
+            predicted_first=grant.choice.prediction.first_token,
+            token_gap=grant.choice.prediction.token_gap,
+            on_first=lambda: grant.lead.note_first_token(key, self._clock()),
+        )
+
+    async def _open(
+        self,
+        call: Call,
+        grant: Grant,
+        progress: Progress,
+        attempt: StreamAttempt,
+        resume: bool,
+    ) -> Failure | None:
+        """Send or resume the request and begin to receive; returns a failure, if any."""
+        try:
+            opening = self._send(call, grant, progress, resume)
+            start = await self._until_stalled(opening, attempt)
+        except CallFailedError as error:
+            return Failure.BROKEN if error.sent else Failure.NOT_SENT
+        if start is None:
+            return Failure.STALLED
+        if says_leaving(start):
+            grant.lead.mark_leaving()
+        if start.status != OK:
+            start.discard()
+            return Failure.BROKEN if start.status == CONFLICT else Failure.REFUSED
+        attempt.stream = start.deliver(attempt)
+        return None
+
+    async def _until_stalled(
+        self, opening: "asyncio.Future[StreamStart]", attempt: StreamAttempt
+    ) -> StreamStart | None:
+        """Wait for the headers, or until the watchdog calls the attempt stalled."""
+        try:
+            waited: set[asyncio.Future[Any]] = {opening, attempt.done}
+            await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
+        except asyncio.CancelledError:
+            _drop(opening)
+            raise
+        if opening.done():
+            return opening.result()
+        _drop(opening)
+        return None
+
+    def _send(
+        self, call: Call, grant: Grant, progress: Progress, resume: bool
+    ) -> "asyncio.Future[StreamStart]":
+        address = grant.lead.upstream.address
+        if resume:
+            ref = StreamRef(address, call.id, progress.attempt)
+            return asyncio.ensure_future(self._engines.resume(ref, progress.delivered))
+        prompt = call.the_prompt
+        left = call.deadline - self._clock()
+        request = StreamRequest(
+            request=call.id,
+            attempt=progress.attempt,
+            instance=self._identity.instance,
+            incarnation=self._identity.incarnation,
+            model=prompt.model,
+            prompt=prompt.text,
+            max_tokens=prompt.max_tokens,
+            priority=grant.priority,
+            deadline=self._wall_clock() + left,
+            start_offset=progress.delivered,
+            members=len(grant.engines),
+            reservation=grant.reservation,
+        )
+        return asyncio.ensure_future(self._engines.submit(address, request))
+
+    def _collect(self, call: Call, progress: Progress, attempt: StreamAttempt) -> None:
+        """Carry over what an attempt got."""
+        progress.delivered = attempt.gate.next_offset
+        if attempt.first_token is None:
+            return
+        if progress.first_token is None:
+            progress.first_token = attempt.first_token - call.arrived
+        progress.last_token = attempt.last_token - call.arrived
+
+    def _decide(self, call: Call, progress: Progress, failure: Failure) -> NextStep:
+        policy = call.snapshot.configuration.policy
+        return decide_next(
+            AttemptState(
+                failure=failure,
+                attempt=progress.attempt,
+                resumed=progress.resumed,
+                repeatable=call.the_rule.repeatable,
+                time_left=call.deadline - self._clock(),
+                attempts_allowed=policy.attempts,
+            )
+        )
+
+    async def _after_failure(
+        self, call: Call, grant: Grant, progress: Progress, failure: Failure
+    ) -> None:
+        """Prepare another attempt, or raise PondpinError."""
+        now = self._clock()
+        state = grant.lead
+        if failure is not Failure.REFUSED:
+            state.health = note_failure(state.health, now, failure is Failure.NOT_SENT)
+        following = self._decide(call, progress, failure)
+        self._note_failure(call, grant, failure, following.step.value)
+        harmless = failure in (Failure.NOT_SENT, Failure.REFUSED) and progress.delivered == 0
+        ran = Ran.NOT_RUN if harmless else Ran.UNKNOWN
+        if following.step is not Step.ELSEWHERE:
+            raise PondpinError(following.code, ran=ran, retry_after=1.0)
+        allowed, state.budget = spend_retry(state.budget, now)
+        if not allowed:
+            raise PondpinError(Code.RETRY_BUDGET, failure.value, ran, retry_after=2.0)
+        progress.excluded |= {state.name}
+        await asyncio.sleep(backoff_seconds(progress.attempt, self._random.random()))
+        progress.attempt += 1
+
+    def _note_failure(self, call: Call, grant: Grant, failure: Failure, following: str) -> None:
+        self._metrics.attempts.inc({"upstream": grant.lead.name, "result": failure.value})
+        at = self._clock() - call.arrived
+        call.decision.events.append(AttemptFailed(at, grant.lead.name, failure.value, following))
+
+    def _cancel(self, grant: Grant) -> None:
+        """Tell the engine to end the attempt, without making the caller wait for it."""
+        ticket = grant.ticket
+        ref = StreamRef(grant.lead.upstream.address, ticket.request, ticket.attempt)
+        task = asyncio.get_running_loop().create_task(self._cancel_now(ref))
+        self.cancels.add(task)
+        task.add_done_callback(self.cancels.discard)
+
+    async def _cancel_now(self, ref: StreamRef) -> None:
+        try:
+            await self._engines.cancel(ref, self._call_timeout)
+        except CallFailedError:
+            # The engine is gone or cut off; what it still holds the orphan controller returns.
+            return
+
+    def _outcome(self, call: Call, progress: Progress, code: Code, ran: Ran) -> Outcome:
+        return Outcome(
+            code=code,
+            ran=ran,
+            first_token=progress.first_token,
+            last_token=progress.last_token,
+            tokens=progress.delivered,
+        )
+
+
+def _drop(opening: "asyncio.Future[StreamStart]") -> None:
+    """Stop opening a stream; one that is open already is closed."""
+    if opening.done() and not opening.cancelled() and opening.exception() is None:
+        opening.result().drop()
+    opening.cancel()
--- /dev/null
+++ b/pondpin/filters/once.py
@@ -0,0 +1,172 @@
+"""Runs a call that carries a token at its issuer alone, and at most once."""
+
+import asyncio
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from pondpin.call_tokens import CallToken, read_token, sign_token
+from pondpin.calls import Call, Outcome, Proceed, WholeAnswer
+from pondpin.clocks import Clock, WallClock
+from pondpin.codes import Code, Ran
+from pondpin.errors import PondpinError
+from pondpin.identity import Identity
+from pondpin.metrics import Metrics
+from pondpin.once import KeptAnswer, OnceTable, Stage
+from pondpin.signing import Signer
+
+GUARANTEE_HEADER = "pondpin-guarantee"
+BY_TOKEN = "at-most-once-by-token"
+NEXT_TOKEN_HEADER = "pondpin-next-token"
+REPLAY_HEADER = "pondpin-replay"
+OK = 200
+
+
+class Forwarder(Protocol):
+    """Sends a call to the issuer of its token."""
+
+    async def forward(self, call: Call, token: CallToken) -> Outcome:
+        """The issuer's outcome; raises PondpinError, with ISSUER_GONE when it can't be reached."""
+        ...
+
+
+class TokenIssuer:
+    """Issues tokens of this incarnation, until the instance stops."""
+
+    def __init__(
+        self, identity: Identity, table: OnceTable, signer: Signer, wall_clock: WallClock
+    ) -> None:
+        self._identity = identity
+        self._signer = signer
+        self._wall_clock = wall_clock
+        self.table = table
+        self.stopped = False
+
+    def issue(self, account: str, revision: int) -> str:
+        """A new token for an account; raises PondpinError while stopping."""
+        if self.stopped:
+            raise PondpinError(Code.DRAINING, retry_after=1.0)
+        token = CallToken(
+            instance=self._identity.instance,
+            incarnation=self._identity.incarnation,
+            sequence=self.table.issue(),
+            account=account,
+            issued_at=int(self._wall_clock()),
+            revision=revision,
+        )
+        return sign_token(self._signer, token)
+
+    def is_own(self, token: CallToken) -> bool:
+        """Whether this very incarnation issued the token."""
+        mine = (self._identity.instance, self._identity.incarnation)
+        return (token.instance, token.incarnation) == mine
+
+    def read(self, text: str) -> CallToken:
+        """Check and read a token; raises PondpinError."""
+        return read_token(self._signer, text)
+
+
+@dataclass
+class _Running:
+    """Those who wait for a call that another try already began."""
+
+    ended: "asyncio.Future[None]"
+
+
+class OnceFilter:
+    """Sends a token's call to its issuer, or answers a second try from what became of the first."""
+
+    def __init__(self, issuer: TokenIssuer, forwarder: Forwarder, metrics: Metrics) -> None:
+        self._issuer = issuer
+        self._forwarder = forwarder
+        self._metrics = metrics
+        self._running_by_number: dict[int, _Running] = {}
+
+    async def apply(self, call: Call, proceed: Proceed) -> Outcome:
+        """See Filter."""
+        if not call.token:
+            return await proceed(call)
+        token = self._issuer.read(call.token)
+        if token.account != call.account_name:
+            raise PondpinError(Code.TOKEN_INVALID, "the token belongs to another account")
+        if not self._issuer.is_own(token):
+            self._metrics.call_tokens.inc({"result": "forwarded"})
+            return await self._forwarder.forward(call, token)
+        try:
+            return await self._run_own(call, token.sequence, proceed)
+        except PondpinError as error:
+            error.settled = True
+            raise
+
+    async def _run_own(self, call: Call, number: int, proceed: Proceed) -> Outcome:
+        """Answer by the stage of the call; the first try goes on."""
+        running = self._running_by_number.get(number)
+        while running is not None:
+            await asyncio.shield(running.ended)
+            running = self._running_by_number.get(number)
+        match self._issuer.table.stage(number):
+            case Stage.DONE:
+                self._metrics.call_tokens.inc({"result": "replayed"})
+                return replay(self._issuer.table.answer(number))
+            case Stage.FORGOTTEN:
+                raise PondpinError(Code.ANSWER_FORGOTTEN, ran=Ran.RAN)
+            case _:
+                return await self._first_try(call, number, proceed)
+
+    async def _first_try(self, call: Call, number: int, proceed: Proceed) -> Outcome:
+        ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._running_by_number[number] = _Running(ended)
+        try:
+            return await proceed(replace(call, token_number=number))
+        finally:
+            del self._running_by_number[number]
+            ended.set_result(None)
+
+
+def replay(kept: KeptAnswer) -> Outcome:
+    """The outcome of a call, again, for a caller who asks again."""
+    if kept.ran is Ran.UNKNOWN:
+        raise PondpinError(Code.OUTCOME_UNKNOWN, ran=Ran.UNKNOWN)
+    answer = WholeAnswer(kept.status, kept.content_type, kept.body)
+    headers = {GUARANTEE_HEADER: BY_TOKEN, REPLAY_HEADER: "yes"}
+    return Outcome(Code.OK, Ran.RAN, answer, headers=headers)
+
+
+class SpendFilter:
+    """Marks a token as spent just before its call can be sent, and keeps what became of it."""
+
+    def __init__(self, table: OnceTable, metrics: Metrics, clock: Clock) -> None:
+        self._table = table
+        self._metrics = metrics
+        self._clock = clock
+
+    async def apply(self, call: Call, proceed: Proceed) -> Outcome:
+        """See Filter."""
+        number = call.token_number
+        if number is None:
+            if call.the_rule.token_required and not call.token:
+                raise PondpinError(Code.TOKEN_REQUIRED)
+            return await proceed(call)
+        self._table.begin(number)
+        try:
+            outcome = await proceed(call)
+        except PondpinError as error:
+            self._after_error(number, error)
+            raise
+        except BaseException:
+            self._keep(number, WholeAnswer(0, "", b""), Ran.UNKNOWN)
+            raise
+        assert outcome.answer is not None, "a service call has a whole answer"
+        self._keep(number, outcome.answer, Ran.RAN)
+        return replace(outcome, headers=outcome.headers | {GUARANTEE_HEADER: BY_TOKEN})
+
+    def _after_error(self, number: int, error: PondpinError) -> None:
+        if error.ran is Ran.NOT_RUN:
+            self._table.abandon(number)
+            self._metrics.call_tokens.inc({"result": "not run"})
+        else:
+            self._keep(number, WholeAnswer(0, "", b""), Ran.UNKNOWN)
+
+    def _keep(self, number: int, answer: WholeAnswer, ran: Ran) -> None:
+        kept = KeptAnswer(answer.status, answer.content_type, answer.body, ran, self._clock())
+        self._table.finish(number, kept)
+        self._metrics.call_tokens.inc({"result": ran.value})
--- /dev/null
+++ b/pondpin/filters/rule.py
@@ -0,0 +1,54 @@
+"""Finds the length class and the rule of a call, and its deadline."""
+
+from dataclasses import replace
+
+from pondpin.calls import Call, Outcome, Proceed
+from pondpin.codes import Code
+from pondpin.configuration import Configuration, LengthClass, Rule
+from pondpin.errors import PondpinError
+from pondpin.filters.describe import ALLOWED_HEADER, read_allowed
+from pondpin.selectors import Labels, parse_selector
+
+
+def find_class(configuration: Configuration, labels: Labels) -> LengthClass | None:
+    """The first length class whose selector matches."""
+    for item in configuration.classes:
+        if parse_selector(item.match).matches(labels):
+            return item
+    return None
+
+
+def find_rule(configuration: Configuration, labels: Labels) -> Rule | None:
+    """The first rule whose selector matches."""
+    for rule in configuration.rules:
+        if parse_selector(rule.match).matches(labels):
+            return rule
+    return None
+
+
+class RuleFilter:
+    """Refuses calls that no rule takes."""
+
+    async def apply(self, call: Call, proceed: Proceed) -> Outcome:
+        """See Filter."""
+        configuration = call.snapshot.configuration
+        found = find_class(configuration, call.labels)
+        length_class = found.name if found is not None else "none"
+        labels = call.labels | {"class": length_class}
+        call.decision.length_class = length_class
+        rule = find_rule(configuration, labels)
+        if rule is None:
+            raise PondpinError(Code.NO_RULE)
+        call.decision.rule = rule.name
+        asked = read_allowed(call.incoming.headers.get(ALLOWED_HEADER))
+        allowed = rule.allowed_seconds if asked is None else min(asked, rule.allowed_seconds)
+        return await proceed(
+            replace(
+                call,
+                labels=labels,
+                length_class=length_class,
+                long=found is not None and found.long,
+                rule=rule,
+                deadline=call.arrived + allowed,
+            )
+        )
--- /dev/null
+++ b/pondpin/fleet.py
@@ -0,0 +1,247 @@
+"""What this instance knows of each upstream, and frozen views of it for the decisions."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from pondpin.configuration import Configuration, Upstream, UpstreamKind
+from pondpin.cost_model import CostModel, Counters
+from pondpin.engine_protocol import LoadReport
+from pondpin.health import Health, usable
+from pondpin.ledger import Hold
+from pondpin.placement import EngineView
+from pondpin.prefix_index import PrefixIndex
+from pondpin.retry_budget import RetryBudget
+from pondpin.selectors import Labels, parse_selector
+
+OTHER_CENTER_SECONDS = 0.0015
+RETURNS_KEPT = 512
+SHORT_HALF_LIFE = 10.0
+
+
+@dataclass(slots=True)
+class OwnWork:
+    """An attempt of this instance on an engine, for correcting stale reports."""
+
+    hold: Hold
+    uncached_tokens: int
+    first_token_at: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Returned:
+    """Blocks given back, when they were taken and when returned."""
+
+    blocks: int
+    taken_at: float
+    returned_at: float
+
+
+@dataclass
+class UpstreamState:
+    """One upstream as this instance knows it; times are in seconds of the steady clock."""
+
+    name: str
+    upstream: Upstream
+    labels: dict[str, str]
+    health: Health = field(default_factory=Health)
+    budget: RetryBudget = field(default_factory=RetryBudget)
+    report: LoadReport | None = None
+    heard_at: float = 0.0
+    clock_offset: float | None = None
+    incarnation: int = 0
+    leaving_incarnation: int = -1
+    listed_leaving: bool = False
+    costs: CostModel = field(default_factory=CostModel)
+    prefixes: PrefixIndex = field(default_factory=PrefixIndex)
+    work_by_key: dict[tuple[str, int, str], OwnWork] = field(default_factory=dict)
+    returned: deque[Returned] = field(default_factory=lambda: deque(maxlen=RETURNS_KEPT))
+    open_calls: int = 0
+    short_count: float = 0.0
+    short_counted_at: float = 0.0
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the present incarnation is known to leave: sticky until a new one is seen."""
+        return self.listed_leaving or self.leaving_incarnation == self.incarnation
+
+    def mark_leaving(self, incarnation: int | None = None) -> bool:
+        """Note the first or another sign of leaving; True when it is news."""
+        marked = self.incarnation if incarnation is None else incarnation
+        if marked < self.incarnation or marked == self.leaving_incarnation:
+            return False
+        self.leaving_incarnation = marked
+        return True
+
+    def take_report(self, report: LoadReport, now: float) -> None:
+        """Take a load report; one of an older incarnation is dropped."""
+        if report.incarnation < self.incarnation:
+            return
+        if report.incarnation > self.incarnation:
+            self._begin_life(report.incarnation)
+        if report.state == "leaving":
+            self.mark_leaving(report.incarnation)
+        offset = now - report.made_at
+        if self.clock_offset is None or offset < self.clock_offset:
+            self.clock_offset = offset
+        self.costs = self.costs.observe(
+            Counters(
+                report.steps,
+                report.busy_seconds,
+                report.prefill_tokens,
+                report.decode_tokens,
+                report.context_tokens,
+            )
+        )
+        self.prefixes.capacity = max(1, report.blocks)
+        self.report, self.heard_at = report, now
+
+    def _begin_life(self, incarnation: int) -> None:
+        self.incarnation = incarnation
+        self.clock_offset = None
+        self.costs = CostModel(self.costs.weights, self.costs.covariance)
+        self.prefixes.clear()
+        self.listed_leaving = False
+
+    def note_short(self, now: float) -> None:
+        """A short request was sent there."""
+        self.short_count = self.recent_shorts(now) + 1
+        self.short_counted_at = now
+
+    def recent_shorts(self, now: float) -> float:
+        """Short requests sent there lately, older ones counting less."""
+        age = max(0.0, now - self.short_counted_at)
+        return float(self.short_count * 0.5 ** (age / SHORT_HALF_LIFE))
+
+    def begin_work(self, hold: Hold, uncached_tokens: int) -> None:
+        """An attempt was sent."""
+        self.work_by_key[hold.key] = OwnWork(hold, uncached_tokens)
+
+    def note_first_token(self, key: tuple[str, int, str], now: float) -> None:
+        """An attempt's prompt is processed."""
+        work = self.work_by_key.get(key)
+        if work is not None and work.first_token_at is None:
+            work.first_token_at = now
+
+    def end_work(self, key: tuple[str, int, str], now: float) -> None:
+        """An attempt ended."""
+        work = self.work_by_key.pop(key, None)
+        if work is not None:
+            self.returned.append(Returned(work.hold.blocks, work.hold.taken_at, now))
+
+    def report_time(self) -> float:
+        """When the last report was made, by this instance's clock."""
+        if self.report is None or self.clock_offset is None:
+            return 0.0
+        return self.report.made_at + self.clock_offset
+
+    def view(self, now: float, local_center: str, short_total: float) -> EngineView:
+        """The engine as believed now: the report, corrected by own work since it was made."""
+        report = self.report
+        assert report is not None, "only engines that have reported are viewed"
+        made = self.report_time()
+        since = [work for work in self.work_by_key.values() if work.hold.taken_at > made]
+        back = [item for item in self.returned if item.returned_at > made >= item.taken_at]
+        held = report.blocks_held + sum(work.hold.blocks for work in since)
+        held -= sum(item.blocks for item in back)
+        distance = 0.0 if self.upstream.data_center == local_center else OTHER_CENTER_SECONDS
+        return EngineView(
+            id=self.name,
+            group=self.labels.get("group", ""),
+            blocks=report.blocks,
+            block_tokens=report.block_tokens,
+            free_blocks=report.blocks - max(0, held),
+            ahead_by_priority=self._ahead(report, made, now),
+            outstanding=len(self.work_by_key),
+            running=max(0, report.running + report.waiting + len(since) - len(back)),
+            mean_context=self.costs.mean_context,
+            costs=self.costs.costs,
+            short_rate=self.recent_shorts(now) / short_total if short_total > 0 else 0.0,
+            distance_seconds=distance,
+        )
+
+    def _ahead(self, report: LoadReport, made: float, now: float) -> tuple[tuple[int, int], ...]:
+        """Queued prompt tokens by priority: reported, less those done, with own ones added."""
+        tokens = dict(report.queued_by_priority)
+        done = (now - made) / self.costs.costs.prefill
+        for priority in sorted(tokens, reverse=True):
+            taken = min(tokens[priority], done)
+            tokens[priority] = int(tokens[priority] - taken)
+            done -= taken
+        for work in self.work_by_key.values():
+            if work.hold.taken_at > made and work.first_token_at is None:
+                priority = work.hold.priority
+                tokens[priority] = tokens.get(priority, 0) + work.uncached_tokens
+        return tuple(tokens.items())
+
+
+def label_upstream(name: str, upstream: Upstream) -> dict[str, str]:
+    """An upstream's labels: the configured ones and those that follow from its description."""
+    built_in = {
+        "id": name,
+        "kind": upstream.kind.value,
+        "data_center": upstream.data_center,
+        "role": upstream.role,
+    }
+    if upstream.kind is UpstreamKind.ENGINE:
+        built_in["model"] = upstream.model
+    else:
+        built_in["service"] = upstream.service
+    return upstream.labels | built_in
+
+
+@dataclass
+class Fleet:
+    """All upstreams of the configuration in force, by name."""
+
+    data_center: str
+    by_name: dict[str, UpstreamState] = field(default_factory=dict)
+    _selected: dict[tuple[str, str], list[str]] = field(default_factory=dict)
+
+    def apply(self, configuration: Configuration) -> None:
+        """Follow a configuration; what is known of upstreams that stay is kept."""
+        kept: dict[str, UpstreamState] = {}
+        for name, upstream in configuration.upstreams.items():
+            state = self.by_name.get(name)
+            labels = label_upstream(name, upstream)
+            if state is None or state.upstream.address != upstream.address:
+                state = UpstreamState(name, upstream, labels)
+            state.upstream, state.labels = upstream, labels
+            kept[name] = state
+        self.by_name = kept
+        self._selected.clear()
+
+    def select(self, selector: str, own: Labels) -> list[UpstreamState]:
+        """The upstreams that a selector takes and that carry the given labels."""
+        key = (selector, ",".join(f"{name}={own[name]}" for name in sorted(own)))
+        names = self._selected.get(key)
+        if names is None:
+            compiled = parse_selector(selector)
+            names = [
+                name
+                for name, state in sorted(self.by_name.items())
+                if compiled.matches(state.labels) and own.items() <= state.labels.items()
+            ]
+            self._selected[key] = names
+        return [self.by_name[name] for name in names]
+
+    def in_service(self, states: list[UpstreamState], now: float) -> list[UpstreamState]:
+        """Those that may get new work: not leaving, and not ejected unless too many are."""
+        staying = {state.name: state for state in states if not state.leaving}
+        health = {name: state.health for name, state in staying.items()}
+        return [staying[name] for name in usable(list(staying), health, now)]
+
+    def views(self, states: list[UpstreamState], now: float) -> list[EngineView]:
+        """Views of the engines that have reported and serve their configured model."""
+        ready = [
+            state
+            for state in states
+            if state.report is not None and state.report.model == state.upstream.model
+        ]
+        total = sum(state.recent_shorts(now) for state in ready)
+        return [state.view(now, self.data_center, total) for state in ready]
+
+    def engines(self) -> list[UpstreamState]:
+        """The model engines."""
+        return [
+            state for state in self.by_name.values() if state.upstream.kind is UpstreamKind.ENGINE
+        ]
--- /dev/null
+++ b/pondpin/network.py
@@ -0,0 +1,43 @@
+"""Checked network addresses: IP numbers only, never host names."""
+
+import ipaddress
+from dataclasses import dataclass
+from typing import Annotated
+
+from pydantic import AfterValidator
+
+MAX_PORT = 65535
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """An IP number and a TCP port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+
+
+def parse_endpoint(text: str) -> Endpoint:
+    """Split 'IP:port' or '[IPv6]:port'; raises ValueError for a host name or a bad port."""
+    host, separator, port_text = text.rpartition(":")
+    if not separator:
+        raise ValueError(f"{text!r} is not of the form IP:port")
+    host = host.strip("[]")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise ValueError(f"{host!r} is not an IP number; host names are refused") from None
+    if not port_text.isdecimal() or not 0 <= int(port_text) <= MAX_PORT:
+        raise ValueError(f"{port_text!r} is not a port between 0 and {MAX_PORT}")
+    return Endpoint(host, int(port_text))
+
+
+def _check_endpoint(text: str) -> str:
+    parse_endpoint(text)
+    return text
+
+
+EndpointText = Annotated[str, AfterValidator(_check_endpoint)]
--- /dev/null
+++ b/pondpin/placement.py
@@ -0,0 +1,248 @@
+"""Chooses the engine of a request: pure functions over frozen views of engines."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from pondpin.configuration import PlacementPolicy
+from pondpin.cost_model import StepCosts
+from pondpin.prompts import blocks_of
+
+CHUNK_TOKENS = 8192
+CHOICES = 2
+FULL_SCAN = 8
+GROUP_FILL = 0.95
+
+
+@dataclass(frozen=True, slots=True)
+class EngineView:
+    """An engine as this instance believes it to be now.
+
+    ahead_by_priority: prompt tokens queued there, by priority. tokens and blocks are counts.
+    short_rate is the share of this instance's recent short requests that went there.
+    """
+
+    id: str
+    group: str
+    blocks: int
+    block_tokens: int
+    free_blocks: int
+    ahead_by_priority: tuple[tuple[int, int], ...]
+    outstanding: int
+    running: int
+    mean_context: float
+    costs: StepCosts
+    short_rate: float = 0.0
+    distance_seconds: float = 0.0
+
+    def ahead_of(self, priority: int) -> int:
+        """Queued prompt tokens that go before a new request of a priority."""
+        return sum(tokens for level, tokens in self.ahead_by_priority if level >= priority)
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What a request asks of an engine."""
+
+    prompt_tokens: int
+    max_tokens: int
+    priority: int
+    long: bool
+    hit_tokens_by_engine: dict[str, int]
+
+    @property
+    def tokens(self) -> int:
+        """Prompt and answer together."""
+        return self.prompt_tokens + self.max_tokens
+
+
+@dataclass(frozen=True, slots=True)
+class Prediction:
+    """What placing a request on an engine would mean, in seconds."""
+
+    engine: str
+    first_token: float
+    token_gap: float
+    finish: float
+    score: float
+    fits: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """The engines chosen, lead first, the prediction, and what was compared."""
+
+    engines: tuple[str, ...]
+    prediction: Prediction
+    compared: tuple[Prediction, ...]
+
+
+def predict(view: EngineView, demand: Demand, short_weight: float, members: int = 1) -> Prediction:
+    """Predict time to first token and to the end on an engine, or on a group led by it."""
+    hit = min(demand.hit_tokens_by_engine.get(view.id, 0), demand.prompt_tokens - 1)
+    own = (demand.prompt_tokens - hit) / members
+    prefill = view.ahead_of(demand.priority) + own
+    steps = max(1.0, prefill / CHUNK_TOKENS)
+    overhead = view.costs.step_seconds(0, view.running, view.mean_context)
+    first_token = view.distance_seconds + prefill * view.costs.prefill + steps * overhead
+    token_gap = view.costs.step_seconds(
+        0, view.running + 1, view.mean_context + demand.prompt_tokens / members
+    )
+    finish = first_token + demand.max_tokens * token_gap
+    needed = blocks_of(-(-demand.tokens // members), view.block_tokens)
+    # The harm that a long prompt does to the short requests of an engine: each of its
+    # chunks lengthens their steps. The weight says how much of that counts.
+    harm = own * view.costs.prefill * view.short_rate if demand.long else 0.0
+    waiting = 0.0 if needed <= view.free_blocks else finish
+    score = first_token + short_weight * harm * 4 + waiting
+    return Prediction(view.id, first_token, token_gap, finish, score, needed <= view.free_blocks)
+
+
+def members_needed(views: Sequence[EngineView], demand: Demand) -> int:
+    """How many engines of the smallest usable size hold the request; 1 when one does."""
+    largest = max(view.blocks for view in views)
+    block_tokens = views[0].block_tokens
+    blocks = blocks_of(demand.tokens, block_tokens)
+    if blocks <= largest:
+        return 1
+    usable = max(1, int(largest * GROUP_FILL))
+    return -(-blocks // usable)
+
+
+class Policy(Protocol):
+    """A way to choose among engines that may take a request."""
+
+    def choose(
+        self, views: Sequence[EngineView], demand: Demand, short_weight: float, rng: random.Random
+    ) -> Choice:
+        """Choose one of at least one view."""
+        ...
+
+
+class RandomPolicy:
+    """Baseline: any engine, each as likely as the others."""
+
+    def choose(
+        self, views: Sequence[EngineView], demand: Demand, short_weight: float, rng: random.Random
+    ) -> Choice:
+        """See Policy."""
+        return _just(rng.choice(views), demand, short_weight)
+
+
+class RoundRobinPolicy:
+    """Baseline: each engine in turn."""
+
+    def __init__(self) -> None:
+        self._turn = 0
+
+    def choose(
+        self, views: Sequence[EngineView], demand: Demand, short_weight: float, rng: random.Random
+    ) -> Choice:
+        """See Policy."""
+        self._turn += 1
+        return _just(views[self._turn % len(views)], demand, short_weight)
+
+
+class LeastOutstandingPolicy:
+    """Baseline: the engine with the fewest requests of this instance."""
+
+    def choose(
+        self, views: Sequence[EngineView], demand: Demand, short_weight: float, rng: random.Random
+    ) -> Choice:
+        """See Policy."""
+        fewest = min(view.outstanding for view in views)
+        tied = [view for view in views if view.outstanding == fewest]
+        return _just(rng.choice(tied), demand, short_weight)
+
+
+class PredictedPolicy:
+    """The engine with the lowest score.
+
+    Few engines are all compared; of many, those with prefix hits and a random few, so
+    that instances with equally stale reports do not all choose the same one.
+    """
+
+    def choose(
+        self, views: Sequence[EngineView], demand: Demand, short_weight: float, rng: random.Random
+    ) -> Choice:
+        """See Policy."""
+        compared = [predict(view, demand, short_weight) for view in _sample(views, demand, rng)]
+        best = min(compared, key=lambda item: (not item.fits, item.score, item.engine))
+        return Choice((best.engine,), best, tuple(compared))
+
+
+def _sample(
+    views: Sequence[EngineView], demand: Demand, rng: random.Random
+) -> Sequence[EngineView]:
+    if len(views) <= FULL_SCAN:
+        return views
+    hits = [view for view in views if demand.hit_tokens_by_engine.get(view.id, 0) > 0]
+    hits.sort(key=lambda view: -demand.hit_tokens_by_engine[view.id])
+    count = FULL_SCAN if demand.long else max(CHOICES, FULL_SCAN // 2)
+    drawn = rng.sample(list(views), min(count, len(views)))
+    return list({view.id: view for view in (*hits[:CHOICES], *drawn)}.values())
+
+
+def _just(view: EngineView, demand: Demand, short_weight: float) -> Choice:
+    prediction = predict(view, demand, short_weight)
+    return Choice((view.id,), prediction, (prediction,))
+
+
+def make_policy(name: PlacementPolicy) -> Policy:
+    """The policy of a name."""
+    match name:
+        case PlacementPolicy.RANDOM:
+            return RandomPolicy()
+        case PlacementPolicy.ROUND_ROBIN:
+            return RoundRobinPolicy()
+        case PlacementPolicy.LEAST_OUTSTANDING:
+            return LeastOutstandingPolicy()
+        case PlacementPolicy.PREDICTED:
+            return PredictedPolicy()
+
+
+def choose_group(views: Sequence[EngineView], demand: Demand, short_weight: float) -> Choice | None:
+    """Choose the members of a group for a prompt larger than one engine; None without room.
+
+    Members come from one configured group and are in order of name: instances that compete
+    reserve in that order, so that none can wait for another in a circle.
+    """
+    members = members_needed(views, demand)
+    best: Choice | None = None
+    for group in sorted({view.group for view in views if view.group}):
+        fitting = _roomy_members(views, group, demand, members)
+        if len(fitting) < members:
+            continue
+        fitting.sort(key=lambda view: (predict(view, demand, short_weight, members).score, view.id))
+        chosen = sorted(fitting[:members], key=lambda view: view.id)
+        # A group goes at the pace of its slowest member.
+        slowest = max(
+            (predict(view, demand, short_weight, members) for view in chosen),
+            key=lambda item: item.score,
+        )
+        if best is None or slowest.score < best.prediction.score:
+            best = Choice(tuple(view.id for view in chosen), slowest, (slowest,))
+    return best
+
+
+def _roomy_members(
+    views: Sequence[EngineView], group: str, demand: Demand, members: int
+) -> list[EngineView]:
+    share = -(-demand.tokens // members)
+    return [
+        view
+        for view in views
+        if view.group == group and blocks_of(share, view.block_tokens) <= view.free_blocks
+    ]
+
+
+def largest_prompt(views: Sequence[EngineView]) -> int:
+    """Tokens that the largest engine or group can hold at all."""
+    single = max((view.blocks * view.block_tokens for view in views), default=0)
+    totals: dict[str, int] = {}
+    for view in views:
+        if view.group:
+            usable = int(view.blocks * GROUP_FILL) * view.block_tokens
+            totals[view.group] = totals.get(view.group, 0) + usable
+    return max(single, *totals.values()) if totals else single
--- /dev/null
+++ b/pondpin/platform_client.py
@@ -0,0 +1,71 @@
+"""The adapter of the platform's read-only service."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+
+from pondpin.http_client import CallFailedError, HttpClient
+from pondpin.platform_protocol import (
+    CONFIGURATION_PATH,
+    INSTANCES_PATH,
+    REVISION_HEADER,
+    InstanceList,
+)
+
+OK = 200
+NOT_MODIFIED = 304
+TOO_MANY = 429
+MARGIN_SECONDS = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """A value with its revision; document is empty when nothing newer is there."""
+
+    revision: int
+    document: bytes
+
+
+class PlatformPort(Protocol):
+    """What pondpin reads from the platform; calls raise CallFailedError."""
+
+    async def watch(self, after: int, wait: float) -> Published | None:
+        """The value above a revision, or None when none came within wait seconds."""
+        ...
+
+    async def instances(self, timeout: float) -> InstanceList:
+        """The list of live and leaving instances; it lags."""
+        ...
+
+
+class HttpPlatform:
+    """PlatformPort over HTTP."""
+
+    def __init__(self, client: HttpClient, address: str) -> None:
+        self._client = client
+        self._base = f"http://{address}"
+
+    async def watch(self, after: int, wait: float) -> Published | None:
+        """See PlatformPort."""
+        url = f"{self._base}{CONFIGURATION_PATH}?after={after}&wait={wait}"
+        answer = await self._client.call("GET", url, timeout=wait + MARGIN_SECONDS)
+        if answer.status == NOT_MODIFIED:
+            return None
+        if answer.status != OK:
+            raise CallFailedError(f"status {answer.status}", sent=True)
+        try:
+            revision = int(answer.headers.get(REVISION_HEADER, ""))
+        except ValueError:
+            raise CallFailedError("the answer carries no revision", sent=True) from None
+        return Published(revision, answer.body)
+
+    async def instances(self, timeout: float) -> InstanceList:
+        """See PlatformPort."""
+        answer = await self._client.call("GET", f"{self._base}{INSTANCES_PATH}", timeout=timeout)
+        if answer.status != OK:
+            raise CallFailedError(f"status {answer.status}", sent=True)
+        try:
+            return msgspec.json.decode(answer.body, type=InstanceList)
+        except msgspec.MsgspecError as error:
+            raise CallFailedError(f"list not understood: {error}", sent=True) from None
--- /dev/null
+++ b/pondpin/runtime.py
@@ -0,0 +1,118 @@
+"""Starts a program: Twisted on the asyncio event loop, arguments by fire, logs by absl."""
+
+import asyncio
+import json
+import logging as std_logging
+import signal
+import sys
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import fire
+from absl import logging
+from fire.core import FireExit
+from twisted.internet import asyncioreactor
+
+import pondpin
+
+USAGE_STATUS = 2
+
+
+class JsonFormatter(std_logging.Formatter):
+    """One JSON object a line: time, level, module, message."""
+
+    def format(self, record: std_logging.LogRecord) -> str:
+        """Format a record."""
+        line = {
+            "time": round(record.created, 3),
+            "level": record.levelname.lower(),
+            "module": record.module,
+            "message": record.getMessage(),
+        }
+        if record.exc_info:
+            line["trace"] = self.formatException(record.exc_info)
+        return json.dumps(line, ensure_ascii=False)
+
+
+def set_up_logs(level: str) -> None:
+    """Send absl's logs to standard error as JSON lines."""
+    logging.use_absl_handler()
+    logging.set_verbosity(level)
+    logging.get_absl_handler().setFormatter(JsonFormatter())
+    std_logging.getLogger("asyncio").setLevel(std_logging.ERROR)
+
+
+def install_reactor(loop: asyncio.AbstractEventLoop) -> Any:
+    """Install Twisted's reactor on an event loop; returns the reactor."""
+    asyncioreactor.install(loop)
+    from twisted.internet import reactor
+
+    started: Any = reactor
+    started.startRunning(installSignalHandlers=False)
+    return started
+
+
+def run(work: Callable[[Any], Coroutine[Any, Any, int]]) -> int:
+    """Run a program's coroutine, given the reactor; returns its exit status."""
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    reactor = install_reactor(loop)
+    try:
+        return loop.run_until_complete(work(reactor))
+    finally:
+        loop.run_until_complete(loop.shutdown_asyncgens())
+
+
+def stop_on_signals() -> asyncio.Event:
+    """An event that SIGTERM or SIGINT sets."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    return stop
+
+
+def wall_now() -> float:
+    """Seconds since the epoch, for what crosses machines."""
+    return time.time()
+
+
+def steady_now() -> float:
+    """Seconds of a clock that never steps back, for time limits."""
+    return time.monotonic()
+
+
+def run_command(command: Any, name: str) -> None:
+    """Run a fire command line; unknown or misspelt arguments end with status 2.
+
+    fire calls a function before it looks at arguments left over, so functions only
+    return a Ready value here, and the work starts once every argument was taken.
+    """
+    arguments = sys.argv[1:]
+    if arguments == ["--version"]:
+        print(f"{name} {pondpin.__version__}")
+        return
+    if not arguments and isinstance(command, dict):
+        arguments = ["--help"]
+    try:
+        result = fire.Fire(command, command=arguments, name=name, serialize=lambda _: None)
+    except FireExit as error:
+        sys.exit(error.code)
+    if not isinstance(result, Ready):
+        print(f"{name}: incomplete command; see {name} --help", file=sys.stderr)
+        sys.exit(USAGE_STATUS)
+    sys.exit(result.start())
+
+
+class Ready:
+    """A command whose arguments were all taken, ready to start."""
+
+    __slots__ = ("start",)
+
+    def __init__(self, start: Callable[[], int]) -> None:
+        self.start = start
+
+    def __dir__(self) -> list[str]:
+        """Show fire no members, so that a left-over argument is refused."""
+        return []
--- /dev/null
+++ b/pondpin/scheduler.py
@@ -0,0 +1,406 @@
+"""Holds requests until an engine has room for them, in fair order, and grants engines.
+
+The scheduler owns the queue and the ledger; it runs on the event loop alone, and every
+decision it takes is made by the pure modules with the present time as an argument.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+
+from pondpin.admission import Pressure, decide_admission
+from pondpin.codes import Code
+from pondpin.configuration import PlacementPolicy, Policy
+from pondpin.engine_client import EnginePort
+from pondpin.engine_protocol import ReservationRequest
+from pondpin.errors import PondpinError
+from pondpin.fair_queue import FairQueue, Flow, Queued
+from pondpin.fleet import Fleet, UpstreamState
+from pondpin.http_client import CallFailedError
+from pondpin.ledger import Hold, Ledger
+from pondpin.placement import (
+    Choice,
+    Demand,
+    EngineView,
+    choose_group,
+    largest_prompt,
+    make_policy,
+    members_needed,
+)
+from pondpin.prompts import blocks_of
+
+HEADS_TRIED = 32
+PUMP_SECONDS = 0.02
+RATE_HALF_LIFE = 2.0
+GROUP_BACKOFF_SECONDS = 0.05
+GROUP_BACKOFF_LIMIT = 1.0
+AGE_PRIORITY_SECONDS = 2.0
+HIGHEST_AGED_PRIORITY = 100
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """What a request asks of the scheduler. times are in seconds of the steady clock."""
+
+    request: str
+    attempt: int
+    flow: Flow
+    weight: float
+    priority: int
+    prompt_tokens: int
+    max_tokens: int
+    hashes: tuple[int, ...]
+    long: bool
+    queued_at: float
+    deadline: float
+    selector: str
+    model: str
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """The engines that a request may use now, lead first, and what they hold for it."""
+
+    ticket: Ticket
+    engines: tuple[UpstreamState, ...]
+    holds: tuple[Hold, ...]
+    choice: Choice
+    policy: str
+    reservation: str
+    priority: int
+    expected_hit: int
+    granted_at: float
+
+    @property
+    def lead(self) -> UpstreamState:
+        """The engine that gets the request."""
+        return self.engines[0]
+
+
+@dataclass
+class _Waiting:
+    """A request in the queue."""
+
+    ticket: Ticket
+    granted: "asyncio.Future[Grant]"
+    place: Queued["_Waiting"] | None = None
+    not_before: float = 0.0
+    group_tries: int = 0
+    cause: str = "an engine was free"
+
+
+@dataclass
+class ServedRate:
+    """Tokens per second that this instance got served lately while others waited."""
+
+    tokens: float = 0.0
+    seconds: float = 0.0
+    updated: float = 0.0
+
+    def note(self, tokens: float, now: float, busy: bool) -> None:
+        """Tokens were granted; time counts only while the queue was not empty."""
+        age = max(0.0, now - self.updated)
+        decay = 0.5 ** (age / RATE_HALF_LIFE)
+        self.tokens = self.tokens * decay + tokens
+        self.seconds = self.seconds * decay + (age if busy else 0.0)
+        self.updated = now
+
+    def rate(self, fallback: float) -> float:
+        """The rate, or the fallback while little is known."""
+        return self.tokens / self.seconds if self.seconds > RATE_HALF_LIFE / 4 else fallback
+
+
+@dataclass
+class Scheduler:
+    """Grants engines to requests."""
+
+    fleet: Fleet
+    ledger: Ledger
+    engines: EnginePort
+    instance: str
+    incarnation: int
+    clock: Callable[[], float]
+    wall_clock: Callable[[], float]
+    random: random.Random
+    call_timeout: float = 2.0
+    policy: Policy = field(default_factory=lambda: Policy())
+
+    def __post_init__(self) -> None:
+        """Set up the queue."""
+        self.queue: FairQueue[_Waiting] = FairQueue()
+        self.chooser = make_policy(self.policy.placement)
+        self.served = ServedRate()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.reserving: int = 0
+        self.failed_releases: dict[tuple[str, str], float] = {}
+
+    def apply(self, policy: Policy) -> None:
+        """Follow the configuration's policy."""
+        if policy.placement is not self.policy.placement:
+            self.chooser = make_policy(policy.placement)
+        self.policy = policy
+
+    async def acquire(self, ticket: Ticket) -> Grant:
+        """Wait for engines; raises PondpinError when refused or when the time is over."""
+        now = self.clock()
+        self._admit(ticket, now)
+        waiting = _Waiting(ticket, asyncio.get_running_loop().create_future())
+        cost = float(ticket.prompt_tokens + ticket.max_tokens)
+        waiting.place = self.queue.push(waiting, ticket.flow, cost, ticket.weight, now)
+        self.pump()
+        try:
+            async with asyncio.timeout(max(0.0, ticket.deadline - now)):
+                return await waiting.granted
+        except TimeoutError:
+            self._take_back(waiting)
+            raise PondpinError(Code.DEADLINE_IN_QUEUE, waiting.cause, retry_after=1.0) from None
+        except asyncio.CancelledError:
+            self._take_back(waiting)
+            raise
+        finally:
+            self.queue.remove(waiting.place)
+
+    def _take_back(self, waiting: _Waiting) -> None:
+        """Return a grant that came just as its request stopped waiting."""
+        granted = waiting.granted
+        if granted.done() and not granted.cancelled():
+            self.release(granted.result())
+
+    def release(self, grant: Grant) -> None:
+        """Give back what a grant holds; members of a group are told."""
+        now = self.clock()
+        for hold in grant.holds:
+            self.ledger.give_back(hold.key)
+            state = self.fleet.by_name.get(hold.upstream)
+            if state is not None:
+                state.end_work(hold.key, now)
+        if grant.reservation:
+            addresses = [state.upstream.address for state in grant.engines]
+            self._spawn(self._release_members(grant.reservation, addresses))
+        self.pump()
+
+    def pump(self) -> None:
+        """Grant engines to those at the head of the queue while there is room."""
+        now = self.clock()
+        progress = True
+        while progress and self.queue.size:
+            progress = False
+            for queued in self.queue.heads(now)[:HEADS_TRIED]:
+                if queued.item.not_before <= now and self._try_grant(queued, now):
+                    progress = True
+
+    def candidates(
+        self, selector: str, model: str, excluded: frozenset[str]
+    ) -> list[UpstreamState]:
+        """The engines that a rule allows for a model, less the excluded ones if others are left."""
+        allowed = self.fleet.select(selector, {"kind": "engine", "model": model})
+        others = [state for state in allowed if state.name not in excluded]
+        return others or allowed
+
+    def wait_seconds(self, ticket: Ticket, views: list[EngineView]) -> float:
+        """Expected wait in the queue before a new request."""
+        if self.queue.size == 0:
+            return 0.0
+        ahead = self.queue.cost_before(
+            ticket.flow, ticket.prompt_tokens + ticket.max_tokens, ticket.weight
+        )
+        fleet_rate = sum(1.0 / view.costs.prefill for view in views)
+        return ahead / max(1.0, self.served.rate(fleet_rate))
+
+    def _admit(self, ticket: Ticket, now: float) -> None:
+        """Refuse at once what cannot be served; raises PondpinError."""
+        allowed = self.candidates(ticket.selector, ticket.model, ticket.excluded)
+        if not allowed:
+            raise PondpinError(Code.NO_UPSTREAM, "no upstream is configured for the rule")
+        known = self.fleet.views(allowed, now)
+        if known and ticket.prompt_tokens + ticket.max_tokens > largest_prompt(known):
+            largest = largest_prompt(known)
+            raise PondpinError(
+                Code.PROMPT_TOO_LARGE,
+                f"{ticket.prompt_tokens} prompt and {ticket.max_tokens} answer tokens;"
+                f" the most that fits is {largest}",
+            )
+        views = self.fleet.views(self.fleet.in_service(allowed, now), now)
+        if not views:
+            raise PondpinError(Code.NO_UPSTREAM, "none is in service", retry_after=1.0)
+        choice = self._choose(views, self._demand(ticket, now, views))
+        if choice is None:
+            return
+        pressure = Pressure(
+            self.queue.size, self.policy.queue_limit, self.wait_seconds(ticket, views)
+        )
+        verdict = decide_admission(
+            self.policy.admission, choice.prediction, pressure, ticket.deadline - now
+        )
+        if not verdict.admitted:
+            raise PondpinError(verdict.code, verdict.detail, retry_after=verdict.retry_after)
+
+    def _demand(self, ticket: Ticket, now: float, views: list[EngineView]) -> Demand:
+        hits: dict[str, int] = {}
+        if ticket.hashes:
+            for view in views:
+                index = self.fleet.by_name[view.id].prefixes
+                expected = index.expect_blocks(ticket.hashes) * view.block_tokens
+                if expected:
+                    hits[view.id] = int(expected * index.trust)
+        return Demand(
+            prompt_tokens=ticket.prompt_tokens,
+            max_tokens=ticket.max_tokens,
+            priority=self._aged_priority(ticket, now),
+            long=ticket.long,
+            hit_tokens_by_engine=hits,
+        )
+
+    def _aged_priority(self, ticket: Ticket, now: float) -> int:
+        """Waiting raises a request's priority, so that long work progresses."""
+        steps = int((now - ticket.queued_at) / AGE_PRIORITY_SECONDS)
+        return max(ticket.priority, min(HIGHEST_AGED_PRIORITY, ticket.priority + steps))
+
+    def _choose(self, views: list[EngineView], demand: Demand) -> Choice | None:
+        if members_needed(views, demand) > 1:
+            return choose_group(views, demand, self.policy.short_weight)
+        needed_tokens = demand.tokens
+        fitting = [view for view in views if needed_tokens <= view.blocks * view.block_tokens]
+        return self.chooser.choose(fitting, demand, self.policy.short_weight, self.random)
+
+    def _try_grant(self, queued: Queued[_Waiting], now: float) -> bool:
+        waiting = queued.item
+        ticket = waiting.ticket
+        if waiting.granted.done():
+            self.queue.remove(queued)
+            return True
+        allowed = self.candidates(ticket.selector, ticket.model, ticket.excluded)
+        views = self.fleet.views(self.fleet.in_service(allowed, now), now)
+        if not views:
+            waiting.cause = "no engine was in service"
+            return False
+        demand = self._demand(ticket, now, views)
+        choice = self._choose(views, demand)
+        if choice is None:
+            waiting.cause = "no group of engines had enough free memory"
+            return False
+        if self.policy.placement is PlacementPolicy.PREDICTED:
+            cause = self._find_obstacle(choice, views, demand)
+            if cause:
+                waiting.cause = cause
+                return False
+        self.queue.serve(queued)
+        self.served.note(queued.cost, now, self.queue.size > 0)
+        grant = self._make_grant(ticket, choice, demand, now)
+        if grant.reservation:
+            self._spawn(self._reserve(waiting, grant))
+        else:
+            waiting.granted.set_result(grant)
+        return True
+
+    def _find_obstacle(self, choice: Choice, views: list[EngineView], demand: Demand) -> str:
+        """Why a request should wait here and not in the engine's own queue; empty if not."""
+        if not choice.prediction.fits:
+            return "no engine had enough free memory"
+        by_id = {view.id: view for view in views}
+        lead = by_id[choice.prediction.engine]
+        ahead = lead.ahead_of(demand.priority) * lead.costs.prefill
+        if ahead > self.policy.prefill_ahead_seconds:
+            return f"{ahead:.2f} s of prompts were ahead on the best engine"
+        return ""
+
+    def _make_grant(self, ticket: Ticket, choice: Choice, demand: Demand, now: float) -> Grant:
+        engines = tuple(self.fleet.by_name[name] for name in choice.engines)
+        members = len(engines)
+        share = -(-demand.tokens // members)
+        hit = demand.hit_tokens_by_engine.get(choice.engines[0], 0)
+        holds = []
+        for state in engines:
+            report = state.report
+            assert report is not None, "only engines that have reported are chosen"
+            hold = Hold(
+                request=ticket.request,
+                attempt=ticket.attempt,
+                upstream=state.name,
+                blocks=blocks_of(share, report.block_tokens),
+                prompt_tokens=ticket.prompt_tokens,
+                priority=demand.priority,
+                taken_at=now,
+                deadline=ticket.deadline,
+            )
+            self.ledger.take(hold)
+            state.begin_work(hold, max(1, ticket.prompt_tokens - hit) // members)
+            if not ticket.long:
+                state.note_short(now)
+            holds.append(hold)
+        reservation = f"{ticket.request}.{ticket.attempt}" if members > 1 else ""
+        return Grant(
+            ticket=ticket,
+            engines=engines,
+            holds=tuple(holds),
+            choice=choice,
+            policy=self.policy.placement.value,
+            reservation=reservation,
+            priority=demand.priority,
+            expected_hit=hit,
+            granted_at=now,
+        )
+
+    async def _reserve(self, waiting: _Waiting, grant: Grant) -> None:
+        """Reserve on each member in order; all or nothing."""
+        wall_deadline = self.wall_clock() + grant.ticket.deadline - self.clock()
+        reserved: list[str] = []
+        complete = True
+        for state, hold in zip(grant.engines, grant.holds, strict=True):
+            wanted = ReservationRequest(
+                name=grant.reservation,
+                instance=self.instance,
+                incarnation=self.incarnation,
+                blocks=hold.blocks,
+                deadline=wall_deadline,
+            )
+            # An unanswered reservation may be held all the same, so it is released too.
+            reserved.append(state.upstream.address)
+            if not await self._reserve_one(state, wanted):
+                complete = False
+                break
+        if complete and not waiting.granted.done():
+            waiting.granted.set_result(grant)
+            return
+        await self._release_members(grant.reservation, reserved)
+        self._requeue(waiting, grant)
+
+    async def _reserve_one(self, state: UpstreamState, wanted: ReservationRequest) -> bool:
+        try:
+            return await self.engines.reserve(state.upstream.address, wanted, self.call_timeout)
+        except CallFailedError:
+            return False
+
+    async def _release_members(self, name: str, addresses: list[str]) -> None:
+        """Release on each member; what can't be reached is kept for the orphan controller."""
+        for address in addresses:
+            try:
+                await self.engines.release(address, name, self.call_timeout)
+            except CallFailedError:
+                self.failed_releases[(address, name)] = self.clock()
+
+    def _requeue(self, waiting: _Waiting, grant: Grant) -> None:
+        """A group did not come together: give back, wait a random while, queue again."""
+        now = self.clock()
+        for hold in grant.holds:
+            self.ledger.give_back(hold.key)
+            state = self.fleet.by_name.get(hold.upstream)
+            if state is not None:
+                state.end_work(hold.key, now)
+        if waiting.granted.done():
+            self.pump()
+            return
+        waiting.group_tries += 1
+        longest = min(GROUP_BACKOFF_LIMIT, GROUP_BACKOFF_SECONDS * 2**waiting.group_tries)
+        waiting.not_before = now + self.random.random() * longest
+        waiting.cause = "a group member had no room for the reservation"
+        ticket = waiting.ticket
+        cost = float(ticket.prompt_tokens + ticket.max_tokens)
+        waiting.place = self.queue.push(waiting, ticket.flow, cost, ticket.weight, now)
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
--- /dev/null
+++ b/pondpin/signing.py
@@ -0,0 +1,40 @@
+"""Signs short texts with the deployment's shared key; old keys still verify."""
+
+import base64
+import hashlib
+import hmac
+from dataclasses import dataclass
+
+MAC_BYTES = 12
+
+
+@dataclass(frozen=True, slots=True)
+class Signer:
+    """Signs with the first key and verifies with any; keys rotate by adding a new first one."""
+
+    keys: tuple[bytes, ...]
+
+    def sign(self, text: str) -> str:
+        """The text with its MAC after a full stop."""
+        return f"{text}.{_mac(self.keys[0], text)}"
+
+    def verify(self, signed: str) -> str | None:
+        """The text if its MAC is right by any key, else None."""
+        text, separator, mac = signed.rpartition(".")
+        if not separator:
+            return None
+        good = [
+            hmac.compare_digest(_mac(key, text).encode(), mac.encode("utf-8", "replace"))
+            for key in self.keys
+        ]
+        return text if any(good) else None
+
+
+def _mac(key: bytes, text: str) -> str:
+    digest = hmac.new(key, text.encode("utf-8", "replace"), hashlib.sha256).digest()
+    return base64.urlsafe_b64encode(digest[:MAC_BYTES]).decode()
+
+
+def make_signer(shared_key: str, previous: tuple[str, ...]) -> Signer:
+    """The signer of an instance's settings."""
+    return Signer(tuple(key.encode() for key in (shared_key, *previous)))
--- /dev/null
+++ b/pondpin/standins/faults.py
@@ -0,0 +1,22 @@
+"""Faults that a stand-in shows on command."""
+
+import msgspec
+
+
+class Faults(msgspec.Struct, kw_only=True):
+    """What is wrong with a stand-in just now.
+
+    slow multiplies step times; drop_before and drop_after cut that many next calls
+    before or after they run; dead refuses everything; frozen holds everything back.
+    """
+
+    dead: bool = False
+    frozen: bool = False
+    slow: float = 1.0
+    duplicate_frames: bool = False
+    reorder_frames: bool = False
+    drop_before: int = 0
+    drop_after: int = 0
+    delay_seconds: float = 0.0
+    down: bool = False
+    stale: bool = False
--- /dev/null
+++ b/pondpin/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; each module mirrors the one that it tests."""
--- /dev/null
+++ b/pondpin/tests/test_entry.py
@@ -0,0 +1,194 @@
+"""The whole path: callers, entry instances, engines, services, platform."""
+
+import asyncio
+
+import msgspec
+
+from pondpin.codes import Code, Ran
+from pondpin.network import Endpoint
+from pondpin.tests.support import KEY, OTHER_KEY, FleetCase, question, sample_document, wait_until
+
+
+class WholePathTest(FleetCase):
+    def test_answers_are_whole_and_right_for_every_length(self) -> None:
+        async def test() -> None:
+            for size in (10, 5_000, 200_000, 1_200_000):
+                asked = await self.caller.ask(question("x" * size))
+                self.assertTrue(asked.whole, asked.code)
+                self.assertFalse(asked.wrong)
+            await self.nothing_held()
+
+        self.drive(test)
+
+    def test_a_killed_engine_costs_no_request(self) -> None:
+        async def test() -> None:
+            questions = [question(f"question {i}", max_tokens=150) for i in range(12)]
+            asking = [asyncio.create_task(self.caller.ask(item)) for item in questions]
+            engine = self.fleet.engines_by_name["e1"]
+            await wait_until(lambda: len(engine.model.running) > 0)
+            engine.die()
+            for asked in await asyncio.gather(*asking):
+                self.assertTrue(asked.whole, asked.code)
+                self.assertFalse(asked.wrong)
+            await self.nothing_held()
+
+        self.drive(test)
+
+    def test_a_stream_is_resumed_elsewhere_after_its_instance_died(self) -> None:
+        async def test() -> None:
+            asking = asyncio.create_task(self.caller.ask(question("long answer", max_tokens=300)))
+            entries = self.fleet.entries_by_name
+            await wait_until(
+                lambda: any(item.instance.callers.open_calls for item in entries.values())
+            )
+            await asyncio.sleep(0)
+            serving = next(
+                name for name, item in entries.items() if item.instance.callers.open_calls
+            )
+            engines = self.fleet.engines_by_name.values()
+            await wait_until(
+                lambda: any(item.offset > 5 for engine in engines for item in engine.model.running)
+            )
+            await self.fleet.kill_entry(serving)
+            asked = await asking
+            self.assertTrue(asked.whole, asked.code)
+            self.assertFalse(asked.wrong)
+            self.assertGreaterEqual(asked.resumes, 1)
+
+        self.drive(test)
+
+    def test_frames_that_are_late_doubled_or_foreign_do_no_harm(self) -> None:
+        async def test() -> None:
+            for engine in self.fleet.engines_by_name.values():
+                engine.faults.duplicate_frames = True
+                engine.faults.reorder_frames = True
+            for number in range(6):
+                asked = await self.caller.ask(question(f"number {number}", max_tokens=60))
+                self.assertTrue(asked.whole)
+                self.assertFalse(asked.wrong)
+            dropped = sum(
+                sum(item.instance.watchdog.dropped.values())
+                for item in self.fleet.entries_by_name.values()
+            )
+            self.assertGreater(dropped, 0)
+
+        self.drive(test)
+
+    def test_a_caller_that_leaves_gives_back_its_memory(self) -> None:
+        async def test() -> None:
+            asking = asyncio.create_task(self.caller.ask(question("leaver", max_tokens=5_000)))
+            await wait_until(lambda: self.held_blocks() > 0)
+            asking.cancel()
+            await self.nothing_held()
+
+        self.drive(test)
+
+
+class OnceTest(FleetCase):
+    async def post(self, entry: str, token: str, key: str = KEY) -> tuple[int, dict[str, str]]:
+        headers = {"authorization": f"Bearer {key}", "pondpin-token": token}
+        url = f"http://{self.callers[entry]}/v1/services/dock/unlock"
+        answer = await self.client.call("POST", url, headers, b'{"call":"bike-7"}')
+        return answer.status, answer.headers
+
+    def times(self) -> int:
+        return self.fleet.services_by_name["dock-1"].times_by_call.get("bike-7", 0)
+
+    def test_a_token_runs_once_whichever_instance_gets_it(self) -> None:
+        async def test() -> None:
+            token = (await self.once.fetch_tokens(KEY, 1))[0]
+            tries = [self.post(name, token) for name in ("a1", "b1", "a1", "b1")]
+            for status, headers in await asyncio.gather(*tries):
+                self.assertEqual(status, 200)
+                self.assertEqual(headers["pondpin-ran"], "ran")
+            self.assertEqual(self.times(), 1)
+
+        self.drive(test)
+
+    def test_a_lost_answer_is_unknown_and_never_run_again(self) -> None:
+        async def test() -> None:
+            service = self.fleet.services_by_name["dock-1"]
+            service.faults.drop_after = 1
+            token = (await self.once.fetch_tokens(KEY, 1))[0]
+            for name in ("a1", "b1"):
+                status, headers = await self.post(name, token)
+                self.assertEqual(status, 502)
+                self.assertEqual(headers["pondpin-ran"], "outcome unknown")
+            self.assertEqual(self.times(), 1)
+
+        self.drive(test)
+
+    def test_not_run_is_true_and_the_token_still_good(self) -> None:
+        async def test() -> None:
+            service = self.fleet.services_by_name["dock-1"]
+            port = service.server.port.getHost().port
+            await service.stop()
+            token = (await self.once.fetch_tokens(KEY, 1))[0]
+            status, headers = await self.post("a1", token)
+            self.assertEqual((status, headers["pondpin-ran"]), (502, "not run"))
+            self.assertEqual(self.times(), 0)
+            service.server.listen(self.fleet.reactor, Endpoint("127.0.0.1", port))
+            status, headers = await self.post("b1", token)
+            self.assertEqual((status, headers["pondpin-ran"]), (200, "ran"))
+            self.assertEqual(self.times(), 1)
+
+        self.drive(test)
+
+    def test_a_dead_issuer_makes_the_outcome_unknown(self) -> None:
+        async def test() -> None:
+            url = f"http://{self.callers['a1']}/v1/tokens"
+            answer = await self.client.call("POST", url, {"authorization": f"Bearer {KEY}"}, b"{}")
+            token = msgspec.json.decode(answer.body)["tokens"][0]
+            await self.fleet.kill_entry("a1")
+            status, headers = await self.post("b1", token)
+            self.assertEqual((status, headers["pondpin-ran"]), (503, Ran.UNKNOWN.value))
+            self.assertEqual(self.times(), 0)
+
+        self.drive(test)
+
+    def test_a_token_of_another_account_is_refused(self) -> None:
+        async def test() -> None:
+            token = (await self.once.fetch_tokens(KEY, 1))[0]
+            status, _ = await self.post("a1", token, OTHER_KEY)
+            self.assertEqual(status, 400)
+            self.assertEqual(self.times(), 0)
+
+        self.drive(test)
+
+
+class ConfigurationTest(FleetCase):
+    def revisions(self) -> set[int]:
+        return {item.instance.store.revision for item in self.fleet.entries_by_name.values()}
+
+    def test_a_refused_revision_leaves_the_last_good_one(self) -> None:
+        async def test() -> None:
+            entries = self.fleet.entries_by_name.values()
+            await self.fleet.publish(sample_document(rules="none"))
+            await wait_until(lambda: all(item.instance.store.refused for item in entries))
+            self.assertEqual(self.revisions(), {1})
+            await self.fleet.publish(sample_document())
+            await wait_until(lambda: self.revisions() == {3})
+
+        self.drive(test)
+
+    def test_a_stale_platform_takes_nothing_back(self) -> None:
+        async def test() -> None:
+            await self.fleet.publish(sample_document())
+            await wait_until(lambda: self.revisions() == {2})
+            self.fleet.platform.faults.stale = True
+            await self.fleet.kill_entry("a1")
+            await self.fleet.start_entry(self.fleet.spec.entries[0])
+            await wait_until(lambda: self.revisions() == {2})
+
+        self.drive(test)
+
+    def test_serving_goes_on_while_the_platform_is_down(self) -> None:
+        async def test() -> None:
+            self.fleet.platform.faults.down = True
+            asked = await self.caller.ask(question())
+            self.assertEqual(asked.code, Code.OK)
+            await self.fleet.kill_entry("b1")
+            running = await self.fleet.start_entry(self.fleet.spec.entries[1])
+            await wait_until(lambda: running.instance.store.revision == 1)
+
+        self.drive(test)
--- /dev/null
+++ b/pondpin/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs for operators and experimenters."""
