--- a/pondpin/callers.py
+++ b/pondpin/callers.py
@@ -18,6 +18,7 @@
 from pondpin.filters.once import NEXT_TOKEN_HEADER, TokenIssuer
 from pondpin.http_server import REPEAT_HEADERS, Incoming, Reply, WebServer
 from pondpin.identity import Identity
+from pondpin.invariants import INVARIANTS
 from pondpin.metrics import Metrics
 
 RAN_HEADER = "pondpin-ran"
@@ -25,6 +26,8 @@
 SERVICE_PREFIX = "/v1/services/"
 MAX_TOKENS_AT_ONCE = 100
 GAP_MIN_TOKENS = 2
+# An ended request may wait this long for the event loop before its end is noted, in seconds.
+DEADLINE_MARGIN = 0.5
 
 
 class TokenBatch(msgspec.Struct, frozen=True):
@@ -206,6 +209,10 @@
         code = str(int(outcome.code))
         self.metrics.requests.inc(labels | {"code": code, "ran": outcome.ran.value})
         self.metrics.duration.observe(labels, now - call.arrived)
+        allowed = call.decision.allowed
+        in_time = not allowed or now - call.arrived <= allowed + DEADLINE_MARGIN
+        self.metrics.in_time.inc(labels | {"in_time": "yes" if in_time else "no"})
+        INVARIANTS.check(in_time, "ended_by_its_deadline", call.id)
         if outcome.first_token is not None:
             self.metrics.ttft.observe(labels, outcome.first_token)
         if outcome.tokens >= GAP_MIN_TOKENS and outcome.last_token and outcome.first_token:
--- a/pondpin/controllers/configuration.py
+++ b/pondpin/controllers/configuration.py
@@ -114,8 +114,10 @@
 
     async def step(self) -> None:
         """One watch; after a failure the next waits a random part of the retry time."""
+        # The first read does not wait, so that it is soon known whether the platform answers.
+        wait = self._watch_seconds if self.platform_answers else 0.0
         try:
-            published = await self._platform.watch(self._store.seen_revision, self._watch_seconds)
+            published = await self._platform.watch(self._store.seen_revision, wait)
         except CallFailedError as error:
             if self.platform_answers:
                 logging.warning("the platform does not answer: %s", error)
--- a/pondpin/cost_model.py
+++ b/pondpin/cost_model.py
@@ -1,9 +1,14 @@
-"""Learns an engine's step costs on line from the counters in its load reports."""
+"""Learns an engine's step costs on line from the counters in its load reports.
+
+Least squares with forgetting, drawn towards a prior: directions that the engine's work has
+not shown yet (say, the cost of context while all prompts are short) stay at the prior and
+do not wander, and an engine that slows is noticed within some reports.
+"""
 
 from dataclasses import dataclass, replace
 
-FORGETTING = 0.98
-START_VARIANCE = 1e4
+FORGETTING = 0.95
+PRIOR_STRENGTH = 1e-3
 # Counters are scaled so that the costs of a usual engine are of similar size.
 SCALES = (1.0, 1e-3, 1e-2, 1e-5)
 SIZE = len(SCALES)
@@ -43,31 +48,26 @@
     context_tokens: int
 
 
-def _identity(scale: float) -> Matrix:
-    return tuple(tuple(scale if i == j else 0.0 for j in range(SIZE)) for i in range(SIZE))
-
-
-START_COVARIANCE = _identity(START_VARIANCE)
+PRIOR = StepCosts()
+PRIOR_WEIGHTS = tuple(
+    cost / scale
+    for cost, scale in zip(
+        (PRIOR.base, PRIOR.prefill, PRIOR.decode, PRIOR.context), SCALES, strict=True
+    )
+)
+NO_MOMENTS: Matrix = tuple((0.0,) * SIZE for _ in range(SIZE))
 
 
 @dataclass(frozen=True, slots=True)
 class CostModel:
-    """Recursive least squares with forgetting over the differences of counters."""
+    """Decayed sums of products of what steps held and how long they took."""
 
-    weights: Row = (0.01, 0.01, 0.02, 1e-4)
-    covariance: Matrix = START_COVARIANCE
-    observations: int = 0
+    moments: Matrix = NO_MOMENTS
+    products: Row = (0.0,) * SIZE
+    costs: StepCosts = PRIOR
     last: Counters | None = None
     mean_context: float = 0.0
 
-    @property
-    def costs(self) -> StepCosts:
-        """The costs learnt so far; none is negative."""
-        base, prefill, decode, context = (
-            max(0.0, weight * scale) for weight, scale in zip(self.weights, SCALES, strict=True)
-        )
-        return StepCosts(max(base, 1e-5), max(prefill, 1e-9), decode, context)
-
     def observe(self, counters: Counters) -> "CostModel":
         """The model after another report; counters that went back mean a restart."""
         last = self.last
@@ -76,32 +76,47 @@
         steps = counters.steps - last.steps
         if steps < MIN_STEPS:
             return replace(self, last=counters)
-        decoded = counters.decode_tokens - last.decode_tokens
-        context = counters.context_tokens - last.context_tokens
-        # Per step, so that windows with more steps do not weigh more.
+        context = (counters.context_tokens - last.context_tokens) / steps
+        # Per step, so that a window of many steps weighs no more than another.
         row = (
             1.0,
             (counters.prefill_tokens - last.prefill_tokens) / steps * SCALES[1],
-            decoded / steps * SCALES[2],
-            context / steps * SCALES[3],
+            (counters.decode_tokens - last.decode_tokens) / steps * SCALES[2],
+            context * SCALES[3],
         )
         seconds = (counters.busy_seconds - last.busy_seconds) / steps
-        weights, covariance = _update(self.weights, self.covariance, row, seconds)
-        return CostModel(weights, covariance, self.observations + 1, counters, context / steps)
-
-
-def _update(weights: Row, covariance: Matrix, row: Row, value: float) -> tuple[Row, Matrix]:
-    """One step of recursive least squares."""
-    projected = tuple(sum(covariance[i][j] * row[j] for j in range(SIZE)) for i in range(SIZE))
-    denominator = FORGETTING + sum(row[i] * projected[i] for i in range(SIZE))
-    gain = tuple(item / denominator for item in projected)
-    error = value - sum(weights[i] * row[i] for i in range(SIZE))
-    new_weights = tuple(weights[i] + gain[i] * error for i in range(SIZE))
-    new_covariance = tuple(
-        tuple(
-            min(START_VARIANCE, (covariance[i][j] - gain[i] * projected[j]) / FORGETTING)
-            for j in range(SIZE)
+        moments = tuple(
+            tuple(FORGETTING * self.moments[i][j] + row[i] * row[j] for j in range(SIZE))
+            for i in range(SIZE)
         )
+        products = tuple(FORGETTING * self.products[i] + row[i] * seconds for i in range(SIZE))
+        return CostModel(moments, products, _find_costs(moments, products), counters, context)
+
+
+def _find_costs(moments: Matrix, products: Row) -> StepCosts:
+    """The costs that explain the observations best; none is negative."""
+    matrix = [
+        [moments[i][j] + (PRIOR_STRENGTH if i == j else 0.0) for j in range(SIZE)]
         for i in range(SIZE)
+    ]
+    values = [products[i] + PRIOR_STRENGTH * PRIOR_WEIGHTS[i] for i in range(SIZE)]
+    weights = solve(matrix, values)
+    base, prefill, decode, context = (
+        max(0.0, weight * scale) for weight, scale in zip(weights, SCALES, strict=True)
     )
-    return new_weights, new_covariance
+    return StepCosts(max(base, 1e-5), max(prefill, 1e-9), decode, context)
+
+
+def solve(matrix: list[list[float]], values: list[float]) -> list[float]:
+    """Solve a small positive definite system by elimination."""
+    size = len(values)
+    rows = [[*matrix[i], values[i]] for i in range(size)]
+    for i in range(size):
+        for j in range(i + 1, size):
+            factor = rows[j][i] / rows[i][i]
+            rows[j] = [a - factor * b for a, b in zip(rows[j], rows[i], strict=True)]
+    solution = [0.0] * size
+    for i in reversed(range(size)):
+        known = sum(rows[i][j] * solution[j] for j in range(i + 1, size))
+        solution[i] = (rows[i][size] - known) / rows[i][i]
+    return solution
--- a/pondpin/decisions.py
+++ b/pondpin/decisions.py
@@ -67,6 +67,7 @@
     model: str = ""
     prompt_tokens: int = 0
     rule: str = ""
+    allowed: float = 0.0
     revision: int = 0
     arrived: float = 0.0
     events: list[Event] = []
@@ -127,7 +128,10 @@
         f" {decision.prompt_tokens} prompt tokens, model {decision.model or 'none'}."
     ]
     if decision.rule:
-        lines.append(f"Rule {decision.rule!r} of revision {decision.revision} took it.")
+        lines.append(
+            f"Rule {decision.rule!r} of revision {decision.revision} took it and allows it"
+            f" {decision.allowed:g} s."
+        )
     return lines + [_tell_event(event) for event in decision.events]
 
 
--- a/pondpin/entry.py
+++ b/pondpin/entry.py
@@ -84,6 +84,7 @@
     def _make_state(self) -> None:
         settings = self.settings
         self.metrics = Metrics(settings.instance, settings.data_center)
+        self.metrics.started.set({}, wall_now())
         self.fleet = Fleet(settings.data_center)
         self.ledger = Ledger()
         self.watchdog = Watchdog()
--- a/pondpin/filters/rule.py
+++ b/pondpin/filters/rule.py
@@ -42,6 +42,7 @@
         call.decision.rule = rule.name
         asked = read_allowed(call.incoming.headers.get(ALLOWED_HEADER))
         allowed = rule.allowed_seconds if asked is None else min(asked, rule.allowed_seconds)
+        call.decision.allowed = allowed
         return await proceed(
             replace(
                 call,
--- a/pondpin/fleet.py
+++ b/pondpin/fleet.py
@@ -1,7 +1,7 @@
 """What this instance knows of each upstream, and frozen views of it for the decisions."""
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from pondpin.configuration import Configuration, Upstream, UpstreamKind
 from pondpin.cost_model import CostModel, Counters
@@ -98,7 +98,7 @@
     def _begin_life(self, incarnation: int) -> None:
         self.incarnation = incarnation
         self.clock_offset = None
-        self.costs = CostModel(self.costs.weights, self.costs.covariance)
+        self.costs = replace(self.costs, last=None)
         self.prefixes.clear()
         self.listed_leaving = False
 
--- a/pondpin/metrics.py
+++ b/pondpin/metrics.py
@@ -65,6 +65,9 @@
         self.duration = self._histogram(
             "pondpin_request_seconds", "Time from arrival to end, by class.", SECONDS_BUCKETS
         )
+        self.started = self._gauge(
+            "pondpin_start_time_seconds", "When the instance started, since the epoch."
+        )
         self.revision = self._gauge("pondpin_configuration_revision", "Revision in force.")
         self.open_requests = self._gauge("pondpin_requests_open", "Requests being served.")
         self.queued = self._gauge("pondpin_requests_queued", "Requests waiting in the queue.")
--- a/pondpin/selectors.py
+++ b/pondpin/selectors.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from lark import Lark, Token, Transformer
-from lark.exceptions import UnexpectedInput, VisitError
+from lark.exceptions import UnexpectedInput, UnexpectedToken, VisitError
 
 GRAMMAR = r"""
 start: [term ("," term)*]
@@ -159,7 +159,8 @@
     try:
         terms = _Compiler().transform(_PARSER.parse(text))
     except UnexpectedInput as error:
-        at_end = error.pos_in_stream is None or error.pos_in_stream < 0
+        # At the end of the text lark gives the place of the last token.
+        at_end = isinstance(error, UnexpectedToken) and error.token.type == "$END"
         position = len(text) if at_end else int(error.pos_in_stream or 0)
         raise SelectorError(text, position, "unexpected text or end") from error
     except VisitError as error:
--- a/pondpin/settings.py
+++ b/pondpin/settings.py
@@ -39,7 +39,6 @@
     header_bytes: int = Field(default=16384, gt=0)
     send_seconds: float = Field(default=30.0, gt=0)
     idle_seconds: float = Field(default=75.0, gt=0)
-    unsent_bytes: int = Field(default=262144, gt=0)
 
 
 @dataclass(frozen=True, kw_only=True, config=STRICT)
--- /dev/null
+++ b/pondpin/tests/test_health.py
@@ -0,0 +1,71 @@
+"""Ejection, and the retry budget."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pondpin.health import (
+    LONGEST_EJECTION_SECONDS,
+    Health,
+    note_failure,
+    note_success,
+    usable,
+)
+from pondpin.retry_budget import RESERVE, RetryBudget, note_first_attempt, spend_retry
+
+
+class HealthTest(unittest.TestCase):
+    def test_failures_in_a_row_eject(self) -> None:
+        health = Health()
+        for _ in range(3):
+            self.assertFalse(health.is_ejected(10.0))
+            health = note_failure(health, 10.0)
+        self.assertTrue(health.is_ejected(10.0))
+
+    def test_a_refused_connection_ejects_at_once(self) -> None:
+        self.assertTrue(note_failure(Health(), 10.0, certain=True).is_ejected(10.5))
+
+    def test_a_success_between_failures_forgives(self) -> None:
+        health = note_success(note_failure(note_failure(Health(), 1.0), 1.0), 1.0)
+        self.assertFalse(note_failure(health, 1.0).is_ejected(1.0))
+
+    def test_ejections_grow_to_a_limit(self) -> None:
+        health, now = Health(), 0.0
+        for _ in range(12):
+            health = note_failure(health, now, certain=True)
+            self.assertLessEqual(health.ejected_until - now, LONGEST_EJECTION_SECONDS)
+            now = health.ejected_until
+        self.assertEqual(health.ejected_until - now, 0.0)
+
+    @given(st.lists(st.booleans(), min_size=1, max_size=20))
+    def test_a_pool_is_never_emptied(self, ejected: list[bool]) -> None:
+        names = [f"e{number}" for number in range(len(ejected))]
+        health = {
+            name: Health(ejected_until=100.0 if out else 0.0)
+            for name, out in zip(names, ejected, strict=True)
+        }
+        found = usable(names, health, 50.0)
+        self.assertTrue(found)
+        if not all(ejected):
+            self.assertFalse(any(health[name].is_ejected(50.0) for name in found))
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_a_burst_of_failures_spends_the_reserve(self) -> None:
+        budget, spent = RetryBudget(), 0
+        for _ in range(100):
+            allowed, budget = spend_retry(budget, 0.0)
+            spent += allowed
+        self.assertEqual(spent, int(RESERVE))
+
+    @given(st.lists(st.floats(0, 0.5), min_size=20, max_size=200))
+    def test_retries_are_a_bounded_share(self, gaps: list[float]) -> None:
+        budget, now, retries = RetryBudget(), 0.0, 0
+        for gap in gaps:
+            now += gap
+            budget = note_first_attempt(budget, 0.1, now)
+            allowed, budget = spend_retry(budget, now)
+            retries += allowed
+        refilled = RESERVE * (1 + now / 10.0)
+        self.assertLessEqual(retries, 0.1 * len(gaps) + refilled + 1)
--- /dev/null
+++ b/pondpin/tools/operator_client.py
@@ -0,0 +1,58 @@
+"""Calls of the operators' HTTP, for pondpinctl and pondpin-report."""
+
+import json
+import os
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from pondpin.http_client import CallFailedError, HttpClient
+from pondpin.http_server import ErrorAnswer
+
+TOKEN_VARIABLE = "PONDPIN_OPERATOR_TOKEN"
+SECONDS = 5.0
+OK = 200
+
+
+class OperatorError(Exception):
+    """An instance gave no answer, or refused."""
+
+
+@dataclass
+class OperatorClient:
+    """Asks instances as an operator; the token comes from the environment."""
+
+    client: HttpClient
+
+    def _headers(self) -> dict[str, str]:
+        token = os.environ.get(TOKEN_VARIABLE, "")
+        return {"authorization": f"Bearer {token}"} if token else {}
+
+    async def get(self, address: str, path: str) -> bytes:
+        """Read a path; raises OperatorError."""
+        return await self._call("GET", address, path)
+
+    async def post(self, address: str, path: str) -> bytes:
+        """Act on a path; raises OperatorError."""
+        return await self._call("POST", address, path)
+
+    async def get_json(self, address: str, path: str) -> Any:
+        """Read a JSON document; raises OperatorError."""
+        return json.loads(await self.get(address, path))
+
+    async def _call(self, method: str, address: str, path: str) -> bytes:
+        url = f"http://{address}{path}"
+        body = b"{}" if method == "POST" else b""
+        try:
+            answer = await self.client.call(method, url, self._headers(), body, timeout=SECONDS)
+        except CallFailedError as error:
+            raise OperatorError(f"{address} does not answer: {error}") from None
+        if answer.status == OK:
+            return answer.body
+        try:
+            error_body = msgspec.json.decode(answer.body, type=ErrorAnswer).error
+            detail = f"{error_body.code} {error_body.name}: {error_body.message}"
+        except msgspec.MsgspecError:
+            detail = f"status {answer.status}"
+        raise OperatorError(f"{address} refused: {detail}")
