--- a/pondpin/http_server.py
+++ b/pondpin/http_server.py
@@ -328,7 +328,8 @@
         """Build a channel for a new connection."""
         channel: Any = super().buildProtocol(addr)
         channel.requestFactory = BoundedRequest
-        channel.totalHeadersSize = self.server.limits.header_bytes
+        # The bound is kept by the inner channel, not by the one that negotiates the protocol.
+        channel._channel.totalHeadersSize = self.server.limits.header_bytes
         self.server.channels.add(channel)
         return channel
 
--- /dev/null
+++ b/pondpin/tests/test_http_server.py
@@ -0,0 +1,138 @@
+"""The HTTP server's bounds, on a fake transport and clock."""
+
+import unittest
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet.address import IPv4Address
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from pondpin.http_server import BodyBudget, Incoming, Reply, ServerLimits, WebFactory, WebServer
+from pondpin.tests.support import run_async
+
+LIMITS = ServerLimits(body_bytes=100, bodies_held_bytes=150, send_seconds=5.0, idle_seconds=60.0)
+
+
+class Channel:
+    """A connection to a server that answers each request with its body."""
+
+    def __init__(self, limits: ServerLimits = LIMITS) -> None:
+        self.clock = Clock()
+        self.server = WebServer(self.clock, limits)
+        self.server.route("/", self._echo)
+        address = IPv4Address("TCP", "127.0.0.1", 1)
+        self.transport: Any = StringTransport(peerAddress=address, hostAddress=address)
+        self.protocol: Any = WebFactory(self.server).buildProtocol(address)
+        self.protocol.makeConnection(self.transport)
+
+    async def _echo(self, incoming: Incoming, reply: Reply) -> None:
+        reply.send(200, {}, incoming.body)
+
+    def send(self, data: bytes) -> bytes:
+        """Send bytes; returns all that was answered so far."""
+
+        async def work() -> None:
+            self.protocol.dataReceived(data)
+            for task in list(self.server.tasks):
+                await task
+
+        run_async(work())
+        answered: bytes = self.transport.value()
+        return answered
+
+
+class BoundsTest(unittest.TestCase):
+    def test_a_slow_sender_is_told_and_cut(self) -> None:
+        channel = Channel()
+        channel.send(b"POST / HTTP/1.1\r\ncontent-length: 50\r\n\r\nhalf")
+        channel.clock.advance(4.9)
+        self.assertEqual(channel.transport.value(), b"")
+        channel.clock.advance(0.2)
+        self.assertIn(b"SLOW_SENDER", channel.transport.value())
+        channel.clock.advance(1.1)
+        self.assertTrue(channel.transport.disconnecting)
+        self.assertEqual(channel.server.budget.held, 0)
+
+    def test_a_slow_sender_of_headers_too(self) -> None:
+        channel = Channel()
+        channel.send(b"POST / HTTP/1.1\r\nhost: x\r\n")
+        channel.clock.advance(5.1)
+        self.assertIn(b"408", channel.transport.value())
+
+    def test_a_declared_body_over_the_limit(self) -> None:
+        channel = Channel()
+        answer = channel.send(b"POST / HTTP/1.1\r\ncontent-length: 101\r\n\r\n")
+        self.assertIn(b"BODY_TOO_LARGE", answer)
+        self.assertIn(b"pondpin-ran: not run", answer)
+
+    def test_a_chunked_body_over_the_limit(self) -> None:
+        channel = Channel()
+        head = b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+        answer = channel.send(head + b"40\r\n" + b"x" * 64 + b"\r\n40\r\n" + b"x" * 64 + b"\r\n")
+        self.assertIn(b"BODY_TOO_LARGE", answer)
+        self.assertEqual(channel.server.budget.held, 0)
+
+    def test_all_bodies_together_are_bounded(self) -> None:
+        channel = Channel()
+        self.assertTrue(channel.server.budget.take(100))
+        answer = channel.send(b"POST / HTTP/1.1\r\ncontent-length: 60\r\n\r\n" + b"x" * 60)
+        self.assertIn(b"BODIES_HELD", answer)
+        self.assertEqual(channel.server.budget.held, 100)
+
+    def test_a_refusal_knows_nothing_of_earlier_tries(self) -> None:
+        channel = Channel()
+        answer = channel.send(b"POST / HTTP/1.1\r\npondpin-token: t\r\ncontent-length: 101\r\n\r\n")
+        self.assertIn(b"pondpin-ran: outcome unknown", answer)
+
+    def test_two_lengths_are_refused(self) -> None:
+        channel = Channel()
+        answer = channel.send(
+            b"POST / HTTP/1.1\r\ncontent-length: 4\r\ncontent-length: 9\r\n\r\nabcd"
+        )
+        self.assertIn(b"400", answer)
+
+    def test_length_and_chunks_together_are_refused(self) -> None:
+        channel = Channel()
+        answer = channel.send(
+            b"POST / HTTP/1.1\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"
+        )
+        self.assertIn(b"400", answer)
+
+    def test_headers_over_the_limit(self) -> None:
+        channel = Channel(ServerLimits(header_bytes=200))
+        answer = channel.send(b"GET / HTTP/1.1\r\nx: " + b"y" * 300 + b"\r\n\r\n")
+        self.assertIn(b"400", answer)
+
+    @given(st.lists(st.binary(max_size=60), max_size=6))
+    def test_any_bytes_leave_nothing_held(self, pieces: list[bytes]) -> None:
+        channel = Channel()
+        for piece in pieces:
+            if channel.transport.disconnecting:
+                break
+            channel.send(piece)
+        channel.clock.advance(10)
+        self.assertEqual(channel.server.budget.held, 0)
+
+    @given(st.lists(st.integers(1, 30), max_size=12))
+    def test_cuts_anywhere_make_no_difference(self, cuts: list[int]) -> None:
+        channel = Channel()
+        data = b"POST /a?b=c HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nhello"
+        for cut in cuts:
+            if data[:cut]:
+                channel.send(data[:cut])
+            data = data[cut:]
+        answer = channel.send(data) if data else channel.transport.value()
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+        self.assertTrue(answer.endswith(b"hello"), answer)
+
+
+class BudgetTest(unittest.TestCase):
+    def test_no_more_is_returned_than_taken(self) -> None:
+        budget = BodyBudget(10)
+        self.assertTrue(budget.take(10))
+        self.assertFalse(budget.take(1))
+        budget.give_back(10)
+        with self.assertRaises(AssertionError):
+            budget.give_back(1)
