--- a/Makefile
+++ b/Makefile
@@ -19,10 +19,13 @@
 	$(BIN)/python -m pondpin.tests
 
 lint: $(READY)
-	$(BIN)/ruff check pondpin
-	$(BIN)/ruff format --check pondpin
+	$(BIN)/ruff check pondpin spec samples
+	$(BIN)/ruff format --check pondpin spec samples
 	$(BIN)/mypy --strict pondpin
 
+check: $(READY)
+	$(BIN)/python -m spec
+
 format: $(READY)
-	$(BIN)/ruff format pondpin
-	$(BIN)/ruff check --fix pondpin
+	$(BIN)/ruff format pondpin spec samples
+	$(BIN)/ruff check --fix pondpin spec samples
--- a/pondpin/main.py
+++ b/pondpin/main.py
@@ -45,3 +45,7 @@
 def main() -> None:
     """Entry point of pondpin-entry."""
     run_command(entry, "pondpin-entry")
+
+
+if __name__ == "__main__":
+    main()
--- a/pondpin/standins/platform.py
+++ b/pondpin/standins/platform.py
@@ -189,3 +189,7 @@
 def main() -> None:
     """Entry point of pondpin-platform."""
     run_command(platform, "pondpin-platform")
+
+
+if __name__ == "__main__":
+    main()
--- a/pondpin/standins/service.py
+++ b/pondpin/standins/service.py
@@ -158,3 +158,7 @@
 def main() -> None:
     """Entry point of pondpin-service."""
     run_command(service, "pondpin-service")
+
+
+if __name__ == "__main__":
+    main()
--- a/pondpin/tools/ctl.py
+++ b/pondpin/tools/ctl.py
@@ -364,3 +364,7 @@
 def main() -> None:
     """Entry point of pondpinctl."""
     run_command(COMMANDS, "pondpinctl")
+
+
+if __name__ == "__main__":
+    main()
--- a/pondpin/tools/demo.py
+++ b/pondpin/tools/demo.py
@@ -330,3 +330,7 @@
 def main() -> None:
     """Entry point of pondpin-demo."""
     run_command(demo, "pondpin-demo")
+
+
+if __name__ == "__main__":
+    main()
--- a/pondpin/tools/experiment.py
+++ b/pondpin/tools/experiment.py
@@ -11,12 +11,15 @@
 
 
 class Variant(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """One of the things compared: a policy, and how many instances stand before the engines."""
+    """One of the things compared: a policy, how many instances stand before the engines.
+
+    only leaves out the arrivals of other length classes.
+    """
 
     name: str
     policy: dict[str, Any] = {}
     entries: int = 0
-    direct: bool = False
+    only: tuple[str, ...] = ()
 
 
 class Fault(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/pondpin/tools/experiment_cell.py
+++ b/pondpin/tools/experiment_cell.py
@@ -109,7 +109,12 @@
         rate = load * capacity_rate(experiment)
         await self._warm(caller, rate, seed)
         arrivals = poisson_arrivals(experiment.kinds, rate, experiment.seconds, seed, SAMPLES)
-        arrivals = [self._allow(arrival) for arrival in arrivals]
+        only = self.variant.only
+        arrivals = [
+            self._allow(arrival)
+            for arrival in arrivals
+            if not only or arrival.question.length_class in only
+        ]
         sampling = asyncio.create_task(self._sample())
         faults = asyncio.create_task(self._faults())
         cached_before = self._cached()
--- /dev/null
+++ b/pondpin/tools/measure_hop.py
@@ -0,0 +1,229 @@
+"""Measures what the hop through an entry instance costs, against calling the engine directly."""
+
+import asyncio
+import json
+import random
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from pondpin.engine_client import FrameReader, HttpEngines
+from pondpin.engine_protocol import StreamRequest
+from pondpin.http_client import HttpClient, OpenStream
+from pondpin.runtime import Ready, run, run_command, steady_now, wall_now
+from pondpin.standins.local_fleet import HOST, SHARED_KEY, free_port, key_hash
+from pondpin.tools.balancer import Balancer
+from pondpin.tools.caller import Caller, Question
+from pondpin.tools.processes import Measured, start_module
+from pondpin.tools.summary import Percentiles, take_percentiles
+
+KEY = "hop-key"
+MODEL = "assistant"
+PROMPT = "Saan ang pinakamalapit na dock? " * 40
+STREAMS = 500
+STREAM_TOKENS = 120
+RATE = 100.0
+RATE_SECONDS = 10.0
+SHORT_ANSWER = 4
+MICRO = 1e6
+MEBI = 1 << 20
+
+
+class HopResult(msgspec.Struct, frozen=True, kw_only=True):
+    """What was measured. CPU is the entry instance's, in microseconds."""
+
+    cpu_us_per_chunk: float
+    cpu_us_per_request: float
+    resident_idle_mib: float
+    resident_streams_mib: float
+    streams_whole: int
+    direct_first_token: Percentiles
+    hop_first_token: Percentiles
+    added_p50_ms: float
+    added_p95_ms: float
+
+
+class FirstToken:
+    """Notes when the first frame of a direct stream came, and reads it to its end."""
+
+    def __init__(self, started: float) -> None:
+        self._started = started
+        self._reader = FrameReader()
+        self.first: float | None = None
+        self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    def on_data(self, data: bytes) -> None:
+        """Take bytes."""
+        if self.first is None and self._reader.feed(data):
+            self.first = steady_now() - self._started
+
+    def on_end(self, whole: bool) -> None:
+        """The stream ended."""
+        if not self.ended.done():
+            self.ended.set_result(None)
+
+
+class Hop:
+    """One engine, one platform and one entry instance as processes."""
+
+    def __init__(self, reactor: Any, folder: Path) -> None:
+        self.folder = folder
+        self.client = HttpClient(reactor, 2.0, per_host=1000)
+        self.engine_address = f"{HOST}:{free_port()}"
+        self.platform_address = f"{HOST}:{free_port()}"
+        self.callers_address = f"{HOST}:{free_port()}"
+        self.processes: list[Measured] = []
+
+    def start(self) -> Measured:
+        """Start all; returns the entry instance."""
+        configuration = {
+            "models": {MODEL: {}},
+            "upstreams": {
+                "engine-1": {
+                    "kind": "engine",
+                    "address": self.engine_address,
+                    "data_center": "dc-a",
+                    "model": MODEL,
+                }
+            },
+            "accounts": {"hop": {"keys_sha256": [key_hash(KEY)]}},
+            "rules": [{"name": "all", "match": "", "upstreams": "", "allowed_seconds": 120}],
+        }
+        settings = {
+            "instance": "entry-1",
+            "data_center": "dc-a",
+            "shared_key": SHARED_KEY,
+            "callers": {"address": self.callers_address},
+            "operators": {"address": f"{HOST}:{free_port()}"},
+            "platform": {"address": self.platform_address},
+            "peers": {"listen": {"address": f"{HOST}:{free_port()}"}},
+            "log_level": "error",
+        }
+        (self.folder / "configuration.json").write_text(json.dumps(configuration))
+        (self.folder / "settings.json").write_text(json.dumps(settings))
+        engine = start_module(
+            "pondpin.tools.measure_engine", "--address", self.engine_address, "--model", MODEL
+        )
+        platform = start_module(
+            "pondpin.standins.platform",
+            "--address",
+            self.platform_address,
+            "--configuration",
+            str(self.folder / "configuration.json"),
+        )
+        self.processes = [engine, platform]
+        for process in self.processes:
+            process.wait_ready()
+        entry = start_module("pondpin.main", "--settings", str(self.folder / "settings.json"))
+        self.processes.append(entry)
+        entry.wait_ready()
+        return entry
+
+    async def measure(self, entry: Measured) -> HopResult:
+        """All measurements, one after the other."""
+        await asyncio.sleep(2.0)
+        idle = entry.resident_bytes()
+        caller = Caller(self.client, Balancer([self.callers_address]), steady_now)
+        await self._at_rate(lambda number: self._ask(caller, number, SHORT_ANSWER), 2.0)
+        before = entry.cpu_seconds()
+        hop = await self._at_rate(lambda number: self._ask(caller, number, SHORT_ANSWER))
+        per_request = (entry.cpu_seconds() - before) / len(hop)
+        direct = await self._at_rate(self._ask_directly)
+        before = entry.cpu_seconds()
+        streams, resident = await self._streams(caller, entry)
+        used = entry.cpu_seconds() - before - STREAMS * per_request
+        hop_p, direct_p = take_percentiles(hop), take_percentiles(direct)
+        return HopResult(
+            cpu_us_per_chunk=used / (STREAMS * STREAM_TOKENS) * MICRO,
+            cpu_us_per_request=per_request * MICRO,
+            resident_idle_mib=idle / MEBI,
+            resident_streams_mib=resident / MEBI,
+            streams_whole=streams,
+            direct_first_token=direct_p,
+            hop_first_token=hop_p,
+            added_p50_ms=(hop_p.p50 - direct_p.p50) * 1000,
+            added_p95_ms=(hop_p.p95 - direct_p.p95) * 1000,
+        )
+
+    async def _at_rate(
+        self, ask: Callable[[int], Awaitable[float]], seconds: float = RATE_SECONDS
+    ) -> list[float]:
+        """Ask at random times; returns the times to the first token."""
+        rng = random.Random(5)
+        tasks = []
+        started, at, number = steady_now(), 0.0, 0
+        while at < seconds:
+            await asyncio.sleep(max(0.0, started + at - steady_now()))
+            tasks.append(asyncio.ensure_future(ask(number)))
+            at += rng.expovariate(RATE)
+            number += 1
+        return list(await asyncio.gather(*tasks))
+
+    async def _ask(self, caller: Caller, number: int, tokens: int) -> float:
+        prompt = f"{number} {PROMPT}"
+        asked = await caller.ask(Question("hop", "short", KEY, MODEL, prompt, tokens, 100.0))
+        assert asked.whole and asked.first_token is not None, asked.code
+        return asked.first_token
+
+    async def _ask_directly(self, number: int) -> float:
+        engines = HttpEngines(self.client)
+        request = StreamRequest(
+            request=f"direct-{number}-{random.getrandbits(40):x}",
+            attempt=0,
+            instance="direct",
+            incarnation=1,
+            model=MODEL,
+            prompt=f"{number} {PROMPT}",
+            max_tokens=SHORT_ANSWER,
+            priority=50,
+            deadline=wall_now() + 100,
+        )
+        sink = FirstToken(steady_now())
+        start = await engines.submit(self.engine_address, request)
+        stream: OpenStream = start.deliver(sink)
+        await sink.ended
+        stream.close()
+        assert sink.first is not None, "the engine answers"
+        return sink.first
+
+    async def _streams(self, caller: Caller, entry: Measured) -> tuple[int, int]:
+        """Many streams at once: how many were whole, and the most memory resident."""
+        tasks = [
+            asyncio.ensure_future(self._ask(caller, number, STREAM_TOKENS))
+            for number in range(STREAMS)
+        ]
+        most = 0
+        gathered = asyncio.gather(*tasks)
+        while not gathered.done():
+            most = max(most, entry.resident_bytes())
+            await asyncio.wait({gathered}, timeout=0.2)
+        return len(await gathered), most
+
+    async def stop(self) -> None:
+        """Stop all."""
+        await self.client.close()
+        for process in self.processes:
+            process.stop()
+
+
+def hop() -> Ready:
+    """Measure the hop and print the result as JSON."""
+
+    async def work(reactor: Any) -> int:
+        with tempfile.TemporaryDirectory() as folder:
+            measured = Hop(reactor, Path(folder))
+            try:
+                result = await measured.measure(measured.start())
+            finally:
+                await measured.stop()
+        print(msgspec.json.format(msgspec.json.encode(result), indent=2).decode())
+        return 0
+
+    return Ready(lambda: run(work))
+
+
+if __name__ == "__main__":
+    run_command(hop, "measure_hop")
--- a/pondpin/tools/report.py
+++ b/pondpin/tools/report.py
@@ -264,3 +264,7 @@
 def main() -> None:
     """Entry point of pondpin-report."""
     run_command(COMMANDS, "pondpin-report")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/samples/once_caller.py
@@ -0,0 +1,45 @@
+"""Calls a service that may not be repeated, through any entry instance, with a safe second try."""
+
+import json
+import sys
+import urllib.error
+import urllib.request
+
+KEY = "padyak-demo-key"
+TRIES = 3
+
+
+def send(address: str, path: str, token: str = "") -> tuple[int, dict, dict]:
+    """One POST: status, headers, document."""
+    headers = {"authorization": f"Bearer {KEY}", "content-type": "application/json"}
+    if token:
+        headers["pondpin-token"] = token
+    body = json.dumps({"call": "bike-2214"}).encode()
+    request = urllib.request.Request(f"http://{address}{path}", body, headers, method="POST")
+    try:
+        with urllib.request.urlopen(request, timeout=10) as answer:
+            return answer.status, dict(answer.headers), json.load(answer)
+    except urllib.error.HTTPError as error:
+        return error.code, dict(error.headers), json.load(error)
+
+
+def unlock(addresses: list[str]) -> str:
+    """Unlock once; says 'ran', 'not run' or 'outcome unknown'."""
+    _, _, document = send(addresses[0], "/v1/tokens?count=1")
+    token = document["tokens"][0]
+    outcome = "outcome unknown"
+    for number in range(TRIES):
+        try:
+            status, headers, document = send(
+                addresses[number % len(addresses)], "/v1/services/dock/unlock", token
+            )
+        except OSError:
+            continue  # the instance is gone: the same token is safe at another one
+        outcome = headers.get("pondpin-ran", outcome)
+        if status == 200 or not document["error"]["retry"]:
+            return outcome
+    return outcome
+
+
+if __name__ == "__main__":
+    print(unlock(sys.argv[1:] or ["127.0.0.31:8080"]))
