Order engines by fences; leave, stop and cut off without loss

Cause: engines could not change model or role, and the promises on leaving, planned stops and cut-offs stood untested. The tests found: a mark from the platform's lagging list that shut out an upstream's next life; three leaving engines in a row used up the attempts of a request that none had run; a request whose engines died one after the other could end as 'not run'. Change: placements by selector in the configuration; orders planned alike at all instances (pace of loads, floor of serving engines, dwell, fresh reports), the engine's fence as the register, revision in its high part, nothing sent after a pause; the floor of a fresh instance also from fences and signed tokens; labels follow what an engine serves; leaving answers count neither as attempts nor against the retry budget. Conclusion: holds in process; the same under SIGKILL of processes is not yet run.

--- a/pondpin/attempts.py
+++ b/pondpin/attempts.py
@@ -14,6 +14,7 @@
 
     NOT_SENT = "not sent"
     REFUSED = "refused"
+    LEAVING = "upstream leaves"
     BROKEN = "stream broke off"
     STALLED = "no frame in time"
     GAP = "frames are missing"
@@ -31,6 +32,7 @@
 CODE_BY_FAILURE = {
     Failure.NOT_SENT: Code.NOT_SENT,
     Failure.REFUSED: Code.UPSTREAM_REFUSED,
+    Failure.LEAVING: Code.UPSTREAM_REFUSED,
     Failure.BROKEN: Code.UPSTREAM_LOST,
     Failure.STALLED: Code.UPSTREAM_STALLED,
     Failure.GAP: Code.ANSWER_INVALID,
@@ -40,7 +42,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptState:
-    """What is known after a failure. resumed counts resumes of this attempt."""
+    """What is known after a failure.
+
+    resumed counts resumes of this attempt; left_upstreams the attempts that found an upstream
+    leaving, which do not count as attempts.
+    """
 
     failure: Failure
     attempt: int
@@ -48,6 +54,7 @@
     repeatable: bool
     time_left: float
     attempts_allowed: int
+    left_upstreams: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,11 +75,15 @@
     code = CODE_BY_FAILURE[state.failure]
     if state.time_left <= 0:
         return NextStep(Step.GIVE_UP, Code.DEADLINE)
+    if state.failure is Failure.LEAVING:
+        # It gets no more work from here, so there are no more of these than upstreams.
+        return NextStep(Step.ELSEWHERE, code)
     resumable = state.failure in (Failure.BROKEN, Failure.GAP)
     if resumable and state.resumed == 0:
         return NextStep(Step.RESUME, code)
     harmless = state.failure in (Failure.NOT_SENT, Failure.REFUSED)
-    if state.attempt + 1 < state.attempts_allowed and (state.repeatable or harmless):
+    more = state.attempt - state.left_upstreams + 1 < state.attempts_allowed
+    if more and (state.repeatable or harmless):
         return NextStep(Step.ELSEWHERE, code)
     return NextStep(Step.GIVE_UP, code)
 
--- a/pondpin/configuration.py
+++ b/pondpin/configuration.py
@@ -131,6 +131,19 @@
     attempts: int = Field(default=3, ge=1)
     retry_ratio: float = Field(default=0.1, ge=0)
     prefill_ahead_seconds: float = Field(default=0.25, gt=0)
+    loads_at_once: int = Field(default=1, ge=1)
+    serving_floor: int = Field(default=1, ge=0)
+    dwell_seconds: float = Field(default=30.0, ge=0)
+
+
+@dataclass(frozen=True, kw_only=True, config=STRICT)
+class Placement:
+    """The model, role and adapters that engines shall have; the first that matches counts."""
+
+    upstreams: SelectorText
+    model: Name
+    role: str = "mixed"
+    adapters: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, config=STRICT)
@@ -153,6 +166,7 @@
     accounts: dict[Name, Account]
     rules: tuple[Rule, ...]
     classes: tuple[LengthClass, ...] = ()
+    placements: tuple[Placement, ...] = ()
     policy: Policy = Field(default_factory=lambda: Policy())
     objectives: tuple[Objective, ...] = ()
 
@@ -192,6 +206,10 @@
         faults += [
             FieldError(part, f"name {name!r} stands twice") for name in sorted(_repeated(names))
         ]
+    for i, placement in enumerate(configuration.placements):
+        if placement.model not in configuration.models:
+            fault = f"unknown model {placement.model!r}"
+            faults.append(FieldError(f"placements[{i}].model", fault))
     known = {item.name for item in configuration.classes}
     for i, objective in enumerate(configuration.objectives):
         if objective.length_class and objective.length_class not in known:
--- a/pondpin/controllers/load.py
+++ b/pondpin/controllers/load.py
@@ -30,6 +30,7 @@
         timeout: float,
         rng: random.Random,
         after_poll: Callable[[], None],
+        on_fence: Callable[[int], None],
     ) -> None:
         super().__init__()
         self.period = 0.0
@@ -41,6 +42,7 @@
         self._timeout = timeout
         self._random = rng
         self._after_poll = after_poll
+        self._on_fence = on_fence
         self._busy: set[str] = set()
         self._polls: set[asyncio.Task[None]] = set()
 
@@ -86,6 +88,8 @@
         address = state.upstream.address
         report = await self._engines.load(address, self._timeout)
         state.take_report(report, self._clock())
+        if report.fence and state.upstream.checks_fences:
+            self._on_fence(report.fence)
         index = state.prefixes
         if report.cache_sequence <= index.last_sequence:
             return
--- a/pondpin/engine_protocol.py
+++ b/pondpin/engine_protocol.py
@@ -64,7 +64,7 @@
     """Answer of GET /v1/load: state, memory, work and counters since the engine's start.
 
     made_at is the engine's own time in seconds since its start; incarnation changes
-    with each start.
+    with each start. order_age is in seconds since the last order was taken.
     """
 
     incarnation: int
@@ -87,6 +87,8 @@
     context_tokens: int
     cache_sequence: int
     fence: int = 0
+    order_age: float = 1e9
+    adapters: tuple[str, ...] = ()
     held: tuple[HeldWork, ...] = ()
 
 
--- a/pondpin/entry.py
+++ b/pondpin/entry.py
@@ -13,6 +13,7 @@
 from pondpin.controllers.configuration import ConfigurationController, ConfigurationStore
 from pondpin.controllers.housekeeping import HousekeepingController, QueueController
 from pondpin.controllers.load import LoadController
+from pondpin.controllers.orders import OrderContext, OrderController
 from pondpin.controllers.orphans import OrphanController
 from pondpin.controllers.peers import (
     GrpcPeers,
@@ -41,6 +42,7 @@
 from pondpin.network import Endpoint, parse_endpoint
 from pondpin.once import OnceTable
 from pondpin.operators import OperatorGate, Operators
+from pondpin.orders import revision_of_fence
 from pondpin.peer_server import PeerListener, PeerServer
 from pondpin.platform_client import HttpPlatform
 from pondpin.resumes import Resumer
@@ -151,7 +153,7 @@
         forwarder = PeerForwarder(self.book, self.peers)
         inner = (
             DescribeFilter(),
-            OnceFilter(self.issuer, forwarder, self.metrics),
+            OnceFilter(self.issuer, forwarder, self.metrics, self.store.raise_floor),
             RuleFilter(),
             LimitFilter(steady_now, self.shares),
             SpendFilter(self.once, self.metrics, steady_now),
@@ -250,6 +252,7 @@
                 timing.poll_timeout,
                 self.random,
                 self.scheduler.pump,
+                lambda fence: self.store.raise_floor(revision_of_fence(fence)),
             ),
             OrphanController(
                 fleet=self.fleet,
@@ -264,6 +267,20 @@
                 grace=timing.orphan_grace,
                 timeout=CALL_SECONDS,
             ),
+            OrderController(
+                fleet=self.fleet,
+                engines=self.engines,
+                metrics=self.metrics,
+                context=OrderContext(
+                    snapshot=lambda: self.store.snapshot,
+                    live_instances=self._live_instances,
+                    raise_floor=self.store.raise_floor,
+                    draining=lambda: self.draining,
+                ),
+                instance=self.identity.instance,
+                clock=steady_now,
+                timeout=CALL_SECONDS,
+            ),
             QueueController(self.scheduler),
             HousekeepingController(
                 self.watchdog,
@@ -352,6 +369,10 @@
         self.fleet.apply(snapshot.configuration)
         self.scheduler.apply(snapshot.configuration.policy)
 
+    def _live_instances(self) -> list[str]:
+        """Peers that are alive and stay."""
+        return [peer.name for peer in self.book.alive() if peer.ready and not peer.draining]
+
     def _describe_self(self) -> SelfReport:
         leaving = tuple(
             f"{state.name}/{state.leaving_incarnation}"
@@ -377,7 +398,11 @@
                 state.mark_leaving(int(incarnation))
 
     def _mark_upstream(self, name: str, leaving: bool) -> None:
-        """Take the platform's word on an upstream: the list may add a sign, never remove one."""
+        """Take the platform's word on an upstream.
+
+        The list lags, so its word is not kept for a life: a mark that outlived the list's
+        entry would shut out an upstream that has started anew.
+        """
         state = self.fleet.by_name.get(name)
-        if state is not None and leaving:
-            state.mark_leaving()
+        if state is not None:
+            state.listed_leaving = leaving
--- a/pondpin/filters/complete.py
+++ b/pondpin/filters/complete.py
@@ -37,6 +37,8 @@
 OK = 200
 CONFLICT = 409
 WORTH_NOTING_SECONDS = 0.005
+# An answer that says that nothing of the request was run.
+HARMLESS_ANSWERS = (Failure.REFUSED, Failure.LEAVING)
 
 
 @dataclass
@@ -49,6 +51,8 @@
     resumed: int = 0
     first_token: float | None = None
     last_token: float | None = None
+    left_upstreams: int = 0
+    may_have_run: bool = False
     upstream: str = ""
     signed_attempt: int = -1
     signed_cursor: str = ""
@@ -98,6 +102,9 @@
             error = PondpinError(Code.DEADLINE, ran=ran, retry_after=1.0)
         except PondpinError as caught:
             error = caught
+        if progress.may_have_run and error.ran is Ran.NOT_RUN:
+            # The last refusal says nothing of the attempts before it.
+            error.ran = Ran.UNKNOWN
         if progress.writer.fail(error):
             return self._outcome(call, progress, error.code, error.ran)
         raise error
@@ -266,7 +273,9 @@
             grant.lead.mark_leaving()
         if start.status != OK:
             start.discard()
-            return Failure.BROKEN if start.status == CONFLICT else Failure.REFUSED
+            if start.status == CONFLICT:
+                return Failure.BROKEN
+            return Failure.LEAVING if says_leaving(start) else Failure.REFUSED
         attempt.stream = start.deliver(attempt)
         return None
 
@@ -329,6 +338,7 @@
                 repeatable=call.the_rule.repeatable,
                 time_left=call.deadline - self._clock(),
                 attempts_allowed=policy.attempts,
+                left_upstreams=progress.left_upstreams,
             )
         )
 
@@ -338,17 +348,22 @@
         """Prepare another attempt, or raise PondpinError."""
         now = self._clock()
         state = grant.lead
-        if failure is not Failure.REFUSED:
+        if failure not in HARMLESS_ANSWERS:
             state.health = note_failure(state.health, now, failure is Failure.NOT_SENT)
         following = self._decide(call, progress, failure)
         self._note_failure(call, grant, failure, following.step.value)
-        harmless = failure in (Failure.NOT_SENT, Failure.REFUSED) and progress.delivered == 0
+        harmless = failure is Failure.NOT_SENT or failure in HARMLESS_ANSWERS
+        harmless = harmless and progress.delivered == 0 and not progress.may_have_run
+        progress.may_have_run = progress.may_have_run or not harmless
         ran = Ran.NOT_RUN if harmless else Ran.UNKNOWN
         if following.step is not Step.ELSEWHERE:
             raise PondpinError(following.code, ran=ran, retry_after=1.0)
-        allowed, state.budget = spend_retry(state.budget, now)
-        if not allowed:
-            raise PondpinError(Code.RETRY_BUDGET, failure.value, ran, retry_after=2.0)
+        if failure is Failure.LEAVING:
+            progress.left_upstreams += 1
+        else:
+            allowed, state.budget = spend_retry(state.budget, now)
+            if not allowed:
+                raise PondpinError(Code.RETRY_BUDGET, failure.value, ran, retry_after=2.0)
         progress.excluded |= {state.name}
         await asyncio.sleep(backoff_seconds(progress.attempt, self._random.random()))
         progress.attempt += 1
--- a/pondpin/filters/once.py
+++ b/pondpin/filters/once.py
@@ -1,6 +1,7 @@
 """Runs a call that carries a token at its issuer alone, and at most once."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -75,10 +76,17 @@
 class OnceFilter:
     """Sends a token's call to its issuer, or answers a second try from what became of the first."""
 
-    def __init__(self, issuer: TokenIssuer, forwarder: Forwarder, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        issuer: TokenIssuer,
+        forwarder: Forwarder,
+        metrics: Metrics,
+        on_revision: Callable[[int], None],
+    ) -> None:
         self._issuer = issuer
         self._forwarder = forwarder
         self._metrics = metrics
+        self._on_revision = on_revision
         self._running_by_number: dict[int, _Running] = {}
 
     async def apply(self, call: Call, proceed: Proceed) -> Outcome:
@@ -86,6 +94,8 @@
         if not call.token:
             return await proceed(call)
         token = self._issuer.read(call.token)
+        # Signed by a peer: that revision was in force somewhere.
+        self._on_revision(token.revision)
         if token.account != call.account_name:
             raise PondpinError(Code.TOKEN_INVALID, "the token belongs to another account")
         if not self._issuer.is_own(token):
--- a/pondpin/fleet.py
+++ b/pondpin/fleet.py
@@ -1,7 +1,7 @@
 """What this instance knows of each upstream, and frozen views of it for the decisions."""
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
 
 from pondpin.configuration import Configuration, Upstream, UpstreamKind
@@ -56,6 +56,7 @@
     work_by_key: dict[tuple[str, int, str], OwnWork] = field(default_factory=dict)
     returned: deque[Returned] = field(default_factory=lambda: deque(maxlen=RETURNS_KEPT))
     open_calls: int = 0
+    on_relabel: Callable[[], None] = lambda: None
 
     @property
     def leaving(self) -> bool:
@@ -92,10 +93,19 @@
         )
         self.prefixes.capacity = max(1, report.blocks)
         self.report, self.heard_at = report, now
+        self._follow_labels(report)
         made = self.report_time()
         while self.returned and self.returned[0].returned_at <= made:
             self.returned.popleft()
 
+    def _follow_labels(self, report: LoadReport) -> None:
+        """An order changed the engine's model or role: selectors see what it is now."""
+        now = {"model": report.model, "role": report.role}
+        if now.items() <= self.labels.items():
+            return
+        self.labels = self.labels | now
+        self.on_relabel()
+
     def _begin_life(self, incarnation: int) -> None:
         self.incarnation = incarnation
         self.clock_offset = None
@@ -197,6 +207,9 @@
             if state is None or state.upstream.address != upstream.address:
                 state = UpstreamState(name, upstream, labels)
             state.upstream, state.labels = upstream, labels
+            state.on_relabel = self._selected.clear
+            if state.report is not None:
+                state.labels |= {"model": state.report.model, "role": state.report.role}
             kept[name] = state
         self.by_name = kept
         self._selected.clear()
@@ -222,12 +235,8 @@
         return [staying[name] for name in usable(list(staying), health, now)]
 
     def views(self, states: list[UpstreamState], now: float) -> list[EngineView]:
-        """Views of the engines that have reported and serve their configured model."""
-        ready = [
-            state
-            for state in states
-            if state.report is not None and state.report.model == state.upstream.model
-        ]
+        """Views of the engines that have reported and are not loading."""
+        ready = [state for state in states if state.report is not None and state.report.model]
         return [state.view(now, self.data_center) for state in ready]
 
     def sizes(self, states: list[UpstreamState]) -> Iterator[EngineSize]:
--- a/pondpin/http_client.py
+++ b/pondpin/http_client.py
@@ -220,6 +220,8 @@
         self._kept = Agent.usingEndpointFactory(reactor, endpoints, pool)
         self._fresh = Agent.usingEndpointFactory(reactor, endpoints)
         self._is_cut = False
+        # Hosts and ports that experiments cut off: calls to them fail as on a broken network.
+        self.blocked: set[str] = set()
 
     def cut(self) -> None:
         """Make no more calls, as after the death of the process."""
@@ -237,8 +239,7 @@
 
         fresh opens a new connection, so that a failure to connect proves that nothing was sent.
         """
-        if self._is_cut:
-            raise CallFailedError("cut", sent=False)
+        self._check_cut(url, sent=False)
         agent = self._fresh if fresh else self._kept
         raw = Headers({name: [value] for name, value in (headers or {}).items()})
         producer: Any = _Bytes(body) if body else None
@@ -253,12 +254,17 @@
             raise
         except Exception as error:
             raise CallFailedError(type(error).__name__, sent=True) from None
+        self._check_cut(url, sent=True)
         names = {
             name.decode("latin-1").lower(): values[0].decode("latin-1")
             for name, values in response.headers.getAllRawHeaders()
         }
         return StreamStart(response.code, names, response)
 
+    def _check_cut(self, url: str, sent: bool) -> None:
+        if self._is_cut or (self.blocked and url.split("/")[2] in self.blocked):
+            raise CallFailedError("cut off", sent)
+
     async def call(
         self,
         method: str,
--- a/pondpin/operators.py
+++ b/pondpin/operators.py
@@ -52,6 +52,7 @@
     incarnation: int
     data_center: str
     revision: int
+    floor: int
     refused_revision: int
     refused_faults: str
     ready: bool
@@ -203,6 +204,7 @@
             incarnation=self._identity.incarnation,
             data_center=self._identity.data_center,
             revision=self._store.revision,
+            floor=self._store.floor,
             refused_revision=refused.revision if refused is not None else 0,
             refused_faults=refused.faults if refused is not None else "",
             ready=self._lifecycle.ready,
--- a/pondpin/standins/engine.py
+++ b/pondpin/standins/engine.py
@@ -109,6 +109,9 @@
         self.role = self.options.role
         self.fence = 0
         self.stale_orders = 0
+        self.adapters: tuple[str, ...] = ()
+        self.ordered_at = -1e9
+        self.fences_taken: list[int] = []
         self.replies_by_key: dict[StreamKey, Reply] = {}
         self.wake = asyncio.Event()
         self.thawed = asyncio.Event()
@@ -336,7 +339,9 @@
             reply.send_json(OrderAnswer(False, self.fence), 409)
             return
         self.fence = order.fence
-        self.role = order.role
+        self.fences_taken.append(order.fence)
+        self.ordered_at = steady_now()
+        self.role, self.adapters = order.role, order.adapters
         if order.model != self.served_model:
             self.server.spawn(self._load_model(order.model))
         reply.send_json(OrderAnswer(True, self.fence))
@@ -424,6 +429,8 @@
             context_tokens=totals.context_tokens,
             cache_sequence=model.cache_events[-1][0] if model.cache_events else 0,
             fence=self.fence,
+            order_age=steady_now() - self.ordered_at,
+            adapters=self.adapters,
             held=tuple(held),
         )
 
--- a/pondpin/standins/local_fleet.py
+++ b/pondpin/standins/local_fleet.py
@@ -210,19 +210,34 @@
         )
 
     def cut_center(self, center: str) -> None:
-        """Cut a data centre's instances off from the peers of all others, both ways."""
+        """Cut a data centre's instances off from the peers and upstreams of all others."""
+        upstreams: dict[str, set[str]] = {}
+        for described in self.describe_upstreams().values():
+            upstreams.setdefault(described["data_center"], set()).add(described["address"])
         for spec in self.spec.entries:
             others = {
                 self.peer_addresses[other.name]
                 for other in self.spec.entries
                 if (other.data_center == center) != (spec.data_center == center)
             }
-            self.entries_by_name[spec.name].instance.peers.blocked = others
+            instance = self.entries_by_name[spec.name].instance
+            instance.peers.blocked = others
+            for where, addresses in upstreams.items():
+                if (where == center) != (spec.data_center == center):
+                    instance.http.blocked |= addresses
+
+    def cut_platform(self, center: str) -> None:
+        """Cut a data centre's instances off from the platform."""
+        for spec in self.spec.entries:
+            if spec.data_center == center:
+                blocked = self.entries_by_name[spec.name].instance.http.blocked
+                blocked.add(self.platform_address)
 
     def join_centers(self) -> None:
         """End all cuts."""
         for running in self.entries_by_name.values():
             running.instance.peers.blocked = set()
+            running.instance.http.blocked.clear()
 
     async def kill_entry(self, name: str) -> None:
         """End an entry instance at once, as a killed process does."""
--- a/pondpin/tests/test_entry.py
+++ b/pondpin/tests/test_entry.py
@@ -34,6 +34,19 @@
 
         self.drive(test)
 
+    def test_not_run_is_not_said_of_a_request_whose_engines_all_died(self) -> None:
+        async def test() -> None:
+            asking = asyncio.create_task(self.caller.ask(question("doomed", max_tokens=500)))
+            engines = self.fleet.engines_by_name.values()
+            await wait_until(lambda: any(engine.model.running for engine in engines))
+            for engine in engines:
+                engine.die()
+            asked = await asking
+            self.assertFalse(asked.whole)
+            self.assertIs(asked.ran, Ran.UNKNOWN)
+
+        self.drive(test)
+
     def test_a_stream_is_resumed_elsewhere_after_its_instance_died(self) -> None:
         async def test() -> None:
             asking = asyncio.create_task(self.caller.ask(question("long answer", max_tokens=300)))
