--- a/pondpin/callers.py
+++ b/pondpin/callers.py
@@ -153,7 +153,7 @@
             return
         except PondpinError as error:
             if not call.the_reply.started:
-                call.the_reply.send_error(error, call.id)
+                call.the_reply.send_error(error, call.id, self._next_token(call))
             return
         self._send(call, outcome)
 
@@ -193,12 +193,16 @@
             RAN_HEADER: outcome.ran.value,
         }
         headers.setdefault(REQUEST_HEADER, call.id)
-        if call.kind is CallKind.SERVICE and not self.issuer.stopped:
-            revision = call.snapshot.revision
-            account = call.decision.account
-            headers[NEXT_TOKEN_HEADER] = self.issuer.issue(account, revision)
+        headers |= self._next_token(call)
         call.the_reply.send(outcome.answer.status, headers, outcome.answer.body)
 
+    def _next_token(self, call: Call) -> dict[str, str]:
+        """A header with a new token, on answers to the calls of known accounts."""
+        account = call.decision.account
+        if call.kind is not CallKind.SERVICE or self.issuer.stopped or not account:
+            return {}
+        return {NEXT_TOKEN_HEADER: self.issuer.issue(account, call.snapshot.revision)}
+
     def _note_end(self, call: Call, outcome: Outcome, detail: str) -> None:
         now = self.clock()
         length_class = call.decision.length_class or "none"
--- a/pondpin/codes.py
+++ b/pondpin/codes.py
@@ -41,6 +41,7 @@
     TOKEN_REQUIRED = 1014
     CURSOR_INVALID = 1015
     HEADERS_INVALID = 1016
+    TOKEN_CLOSED = 1018
     SLOW_SENDER = 1017
     REQUEST_RATE = 2001
     TOKEN_RATE = 2002
@@ -89,6 +90,9 @@
     Code.TOKEN_REQUIRED: CodeInfo(428, "The rule demands a call token.", False),
     Code.CURSOR_INVALID: CodeInfo(400, "The resume cursor is malformed or forged.", False),
     Code.HEADERS_INVALID: CodeInfo(400, "A header of the request is invalid.", False),
+    Code.TOKEN_CLOSED: CodeInfo(
+        409, "An earlier try with this token was told 'not run': take a new token.", False
+    ),
     Code.SLOW_SENDER: CodeInfo(408, "The request did not arrive whole in time.", True),
     Code.REQUEST_RATE: CodeInfo(429, "The account is over its request rate.", True),
     Code.TOKEN_RATE: CodeInfo(429, "The account is over its token rate.", True),
--- a/pondpin/entry.py
+++ b/pondpin/entry.py
@@ -12,6 +12,7 @@
 from pondpin.controllers.base import Controller
 from pondpin.controllers.configuration import ConfigurationController, ConfigurationStore
 from pondpin.controllers.housekeeping import HousekeepingController, QueueController
+from pondpin.controllers.keys import KeyController
 from pondpin.controllers.load import LoadController
 from pondpin.controllers.orders import OrderContext, OrderController
 from pondpin.controllers.orphans import OrphanController
@@ -293,6 +294,9 @@
             ),
         )
 
+        if self.peer_tls is not None:
+            self.controllers += (KeyController(self.peer_tls),)
+
     async def start(self) -> Endpoint:
         """Listen, hear from peers, then read the platform; returns the callers' endpoint."""
         settings = self.settings
--- a/pondpin/filters/once.py
+++ b/pondpin/filters/once.py
@@ -105,8 +105,16 @@
             return await self._run_own(call, token.sequence, proceed)
         except PondpinError as error:
             error.settled = True
+            if error.ran is Ran.NOT_RUN:
+                self._close(token.sequence)
             raise
 
+    def _close(self, number: int) -> None:
+        """The caller will be told 'not run': from now on that can't become untrue."""
+        if self._issuer.table.stage(number) is not Stage.CLOSED:
+            self._issuer.table.close(number)
+            self._metrics.call_tokens.inc({"result": "not run"})
+
     async def _run_own(self, call: Call, number: int, proceed: Proceed) -> Outcome:
         """Answer by the stage of the call; the first try goes on."""
         running = self._running_by_number.get(number)
@@ -117,6 +125,8 @@
             case Stage.DONE:
                 self._metrics.call_tokens.inc({"result": "replayed"})
                 return replay(self._issuer.table.answer(number))
+            case Stage.CLOSED:
+                raise PondpinError(Code.TOKEN_CLOSED)
             case Stage.FORGOTTEN:
                 raise PondpinError(Code.ANSWER_FORGOTTEN, ran=Ran.RAN)
             case _:
@@ -170,10 +180,7 @@
         return replace(outcome, headers=outcome.headers | {GUARANTEE_HEADER: BY_TOKEN})
 
     def _after_error(self, number: int, error: PondpinError) -> None:
-        if error.ran is Ran.NOT_RUN:
-            self._table.abandon(number)
-            self._metrics.call_tokens.inc({"result": "not run"})
-        else:
+        if error.ran is not Ran.NOT_RUN:
             self._keep(number, WholeAnswer(0, "", b""), Ran.UNKNOWN)
 
     def _keep(self, number: int, answer: WholeAnswer, ran: Ran) -> None:
--- a/pondpin/http_server.py
+++ b/pondpin/http_server.py
@@ -161,9 +161,11 @@
         """Send a value as a JSON document."""
         self.send(status, {"content-type": JSON}, msgspec.json.encode(value))
 
-    def send_error(self, error: PondpinError, request: str = "") -> None:
+    def send_error(
+        self, error: PondpinError, request: str = "", extra: dict[str, str] | None = None
+    ) -> None:
         """Send an error with its code, outcome and retry advice."""
-        headers = {"content-type": JSON, "pondpin-ran": error.ran.value}
+        headers = {"content-type": JSON, "pondpin-ran": error.ran.value} | (extra or {})
         if error.retry_after is not None:
             headers["retry-after"] = str(max(1, round(error.retry_after)))
         body = msgspec.json.encode(describe_error(error, request))
--- a/pondpin/once.py
+++ b/pondpin/once.py
@@ -16,6 +16,7 @@
 
     UNUSED = "unused"
     RUNNING = "running"
+    CLOSED = "not run, for good"
     DONE = "done"
     FORGOTTEN = "done, answer forgotten"
 
@@ -32,18 +33,18 @@
 
 
 @dataclass
-class SpentBits:
-    """One bit for each token number: whether its call was begun."""
+class NumberBits:
+    """One bit for each token number."""
 
     bits: bytearray = field(default_factory=bytearray)
 
     def has(self, number: int) -> bool:
-        """Whether the number is spent."""
+        """Whether the number's bit is set."""
         index = number // BITS
         return index < len(self.bits) and bool(self.bits[index] >> (number % BITS) & 1)
 
     def add(self, number: int) -> None:
-        """Mark the number as spent."""
+        """Set the number's bit."""
         index = number // BITS
         if index >= len(self.bits):
             self.bits.extend(bytes(index + 1 - len(self.bits)))
@@ -54,13 +55,14 @@
 class OnceTable:
     """The calls of this incarnation's tokens, by the token's number.
 
-    A spent bit is never cleared, so 'not run' stays true after answers are forgotten.
+    Bits are never cleared, so 'ran' and 'not run' stay true after answers are forgotten.
     """
 
     answers_kept_seconds: float
     invariants: Invariants = INVARIANTS
     issued: int = 0
-    spent: SpentBits = field(default_factory=SpentBits)
+    spent: NumberBits = field(default_factory=NumberBits)
+    closed: NumberBits = field(default_factory=NumberBits)
     running: set[int] = field(default_factory=set)
     answers_by_number: OrderedDict[int, KeptAnswer] = field(default_factory=OrderedDict)
     answer_bytes: int = 0
@@ -75,6 +77,8 @@
         """How far the call of a number is."""
         if number in self.running:
             return Stage.RUNNING
+        if self.closed.has(number):
+            return Stage.CLOSED
         if number in self.answers_by_number:
             return Stage.DONE
         return Stage.FORGOTTEN if self.spent.has(number) else Stage.UNUSED
@@ -88,14 +92,17 @@
         self.spent.add(number)
         self.running.add(number)
 
-    def abandon(self, number: int) -> None:
-        """No byte of the call was sent: the token is as new.
+    def close(self, number: int) -> None:
+        """No byte of the call was sent, and none ever will be: 'not run' is now true for good.
 
-        Safe because this incarnation alone may send the call, and it knows that it did not.
+        A try that is still on its way somewhere must not run the call after its caller
+        was told so; who wants to try again takes a new token.
         """
-        self.invariants.check(number in self.running, "token_abandoned_while_running")
+        sent = self.spent.has(number) and number not in self.running
+        self.invariants.check(not sent, "token_closed_before_it_was_sent", f"token {number}")
         self.running.discard(number)
-        self.spent.bits[number // BITS] &= ~(1 << (number % BITS)) & 0xFF
+        self.spent.add(number)
+        self.closed.add(number)
 
     def finish(self, number: int, answer: KeptAnswer) -> None:
         """The call ended, with an answer or with an unknown outcome."""
--- a/pondpin/standins/local_fleet.py
+++ b/pondpin/standins/local_fleet.py
@@ -10,7 +10,7 @@
 from pondpin.entry import Entry
 from pondpin.network import Endpoint
 from pondpin.platform_protocol import ListedInstance
-from pondpin.settings import Listener, Peers, Settings, Timing
+from pondpin.settings import Listener, Peers, Settings, Timing, Tls
 from pondpin.settings import Platform as PlatformSettings
 from pondpin.standins.engine import Engine, EngineOptions
 from pondpin.standins.engine_model import EngineShape
@@ -57,7 +57,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class FleetSpec:
-    """A deployment. document holds all of the configuration but its upstreams."""
+    """A deployment. document holds all of the configuration but its upstreams.
+
+    tls is used towards callers and between instances.
+    """
 
     entries: tuple[EntrySpec, ...]
     engines: tuple[EngineSpec, ...]
@@ -65,6 +68,7 @@
     document: dict[str, Any]
     timing: Timing = field(default_factory=lambda: Timing())
     heartbeat_seconds: float = 0.5
+    tls: Tls | None = None
 
 
 def free_port(host: str = HOST) -> int:
@@ -198,11 +202,11 @@
             instance=spec.name,
             data_center=spec.data_center,
             shared_key=SHARED_KEY,
-            callers=Listener(address=f"{HOST}:{free_port()}"),
+            callers=Listener(address=f"{HOST}:{free_port()}", tls=self.spec.tls),
             operators=Listener(address=f"{HOST}:{free_port()}"),
             platform=PlatformSettings(address=self.platform_address, retry_seconds=0.2),
             peers=Peers(
-                listen=Listener(address=self.peer_addresses[spec.name]),
+                listen=Listener(address=self.peer_addresses[spec.name], tls=self.spec.tls),
                 known=tuple(others),
                 heartbeat_seconds=self.spec.heartbeat_seconds,
             ),
--- a/pondpin/tests/test_entry.py
+++ b/pondpin/tests/test_entry.py
@@ -131,7 +131,7 @@
 
         self.drive(test)
 
-    def test_not_run_is_true_and_the_token_still_good(self) -> None:
+    def test_not_run_stays_true_for_its_token(self) -> None:
         async def test() -> None:
             service = self.fleet.services_by_name["dock-1"]
             port = service.server.port.getHost().port
@@ -141,7 +141,12 @@
             self.assertEqual((status, headers["pondpin-ran"]), (502, "not run"))
             self.assertEqual(self.times(), 0)
             service.server.listen(self.fleet.reactor, Endpoint("127.0.0.1", port))
+            # Another try may still be on its way: it must not run after 'not run' was told.
+            following = headers["pondpin-next-token"]
             status, headers = await self.post("b1", token)
+            self.assertEqual((status, headers["pondpin-ran"]), (409, "not run"))
+            self.assertEqual(self.times(), 0)
+            status, headers = await self.post("b1", following)
             self.assertEqual((status, headers["pondpin-ran"]), (200, "ran"))
             self.assertEqual(self.times(), 1)
 
--- a/pondpin/tests/test_once.py
+++ b/pondpin/tests/test_once.py
@@ -68,12 +68,24 @@
         with self.assertRaises(InvariantError):
             table.begin(number)
 
-    def test_an_abandoned_token_is_as_new(self) -> None:
+    def test_a_closed_token_never_runs(self) -> None:
+        table = strict_table()
+        for begun in (True, False):
+            number = table.issue()
+            if begun:
+                table.begin(number)
+            table.close(number)
+            self.assertIs(table.stage(number), Stage.CLOSED)
+            with self.assertRaises(InvariantError):
+                table.begin(number)
+
+    def test_what_was_sent_can_not_be_closed(self) -> None:
         table = strict_table()
         number = table.issue()
         table.begin(number)
-        table.abandon(number)
-        self.assertIs(table.stage(number), Stage.UNUSED)
+        table.finish(number, answer())
+        with self.assertRaises(InvariantError):
+            table.close(number)
 
     def test_a_forgotten_answer_is_never_run_again(self) -> None:
         table = strict_table(kept=5.0)
@@ -92,6 +104,7 @@
         self.table = strict_table(kept=3.0)
         self.now = 0.0
         self.runs: dict[int, int] = {}
+        self.told_not_run: set[int] = set()
 
     @rule()
     def issue(self) -> None:
@@ -107,7 +120,8 @@
         if number not in self.table.running:
             return
         if ran is Ran.NOT_RUN:
-            self.table.abandon(number)
+            self.table.close(number)
+            self.told_not_run.add(number)
         else:
             self.runs[number] += 1
             self.table.finish(number, answer(self.now, ran))
@@ -121,6 +135,8 @@
     def runs_at_most_once(self) -> None:
         for number, count in self.runs.items():
             assert count <= 1
+            if number in self.told_not_run:
+                assert count == 0
             if count:
                 assert self.table.stage(number) in (Stage.DONE, Stage.FORGOTTEN)
 
--- a/pondpin/tests/test_tls.py
+++ b/pondpin/tests/test_tls.py
@@ -1,5 +1,7 @@
 """TLS: callers over it, peers by it, keys that change without a restart."""
 
+import asyncio
+import dataclasses
 import datetime
 import os
 import ssl
@@ -7,9 +9,13 @@
 import unittest
 from pathlib import Path
 
+from pondpin.controllers.peers import GrpcPeers, PeerUnreachableError
+from pondpin.metrics import Metrics
 from pondpin.settings import Tls
+from pondpin.tests.support import FleetCase, sample_spec, wait_until
 from pondpin.tls import PeerTls, ReloadingContext
 from pondpin.tools.authority import make_authority, make_certificate
+from pondpin.wire.peer_pb2 import HeartbeatRequest
 
 NOW = datetime.datetime.now(datetime.UTC)
 
@@ -25,6 +31,41 @@
     )
 
 
+class TlsDeploymentTest(FleetCase):
+    def test_callers_and_peers_over_tls(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder)
+            files = make_files(path)
+            self.drive(lambda: self.check(path), dataclasses.replace(sample_spec(), tls=files))
+
+    async def check(self, path: Path) -> None:
+        """A caller that trusts the authority is answered; peers hear each other."""
+        entries = self.fleet.entries_by_name
+        await wait_until(
+            lambda: all(len(item.instance.book.alive()) == 1 for item in entries.values())
+        )
+        trusting = ssl.create_default_context(cafile=str(path / "authority.pem"))
+        host, port = self.callers["a1"].split(":")
+        reader, writer = await asyncio.open_connection(host, int(port), ssl=trusting)
+        body = b'{"model":"rider","prompt":"Saan?","max_tokens":2}'
+        writer.write(
+            b"POST /v1/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n"
+            b"authorization: Bearer test-key\r\ncontent-length: %d\r\n\r\n%b" % (len(body), body)
+        )
+        answer = await reader.read()
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer[:200])
+        writer.close()
+        # A peer without a certificate of the authority is not heard.
+        stranger = ssl.create_default_context(cafile=str(path / "authority.pem"))
+        stranger.set_alpn_protocols(["h2"])
+        peers = GrpcPeers(Metrics("x", "y"), lambda: stranger)
+        with self.assertRaises(PeerUnreachableError):
+            await peers.heartbeat(
+                self.fleet.peer_addresses["a1"], HeartbeatRequest(instance="x"), 2.0
+            )
+        peers.close()
+
+
 class ReloadTest(unittest.TestCase):
     def setUp(self) -> None:
         self.folder = tempfile.TemporaryDirectory()
--- a/pondpin/tools/caller.py
+++ b/pondpin/tools/caller.py
@@ -13,8 +13,8 @@
 from pondpin.tools.balancer import Balancer
 
 TRIES = 4
+BATCH = 10
 OK = 200
-NOT_FOUND_CODE = 0
 DATA = b"data: "
 ID = b"id: "
 ERROR_EVENT = b"event: error"
@@ -229,7 +229,6 @@
     ran: Ran
     times: int
     tries: int
-    next_token: str
 
 
 class _Ran(msgspec.Struct):
@@ -239,10 +238,13 @@
 class OnceCaller:
     """Makes service calls that may not be repeated, with a token for a safe second try."""
 
-    def __init__(self, client: HttpClient, balancer: Balancer, clock: Clock) -> None:
+    def __init__(
+        self, client: HttpClient, balancer: Balancer, clock: Clock, patience: float = 10.0
+    ) -> None:
         self._client = client
         self._balancer = balancer
         self._clock = clock
+        self.patience = patience
         self._tokens_by_key: dict[str, list[str]] = {}
 
     async def fetch_tokens(self, key: str, count: int) -> list[str]:
@@ -265,31 +267,34 @@
         """Make one call, with as many tries as are safe and useful."""
         kept = self._tokens_by_key.setdefault(key, [])
         if not kept:
-            kept.extend(await self.fetch_tokens(key, 10))
+            kept.extend(await self.fetch_tokens(key, BATCH))
         token = kept.pop()
-        headers = {
-            "authorization": f"Bearer {key}",
-            "content-type": "application/json",
-            "pondpin-token": token,
-        }
         code, ran = Code.OUTCOME_UNKNOWN, Ran.UNKNOWN
         for number in range(1, TRIES + 1):
             address = self._balancer.next(self._clock())
             url = f"http://{address}/v1/services/{service}{path}"
+            headers = {
+                "authorization": f"Bearer {key}",
+                "content-type": "application/json",
+                "pondpin-token": token,
+            }
             try:
-                answer = await self._client.call("POST", url, headers, body, timeout=10.0)
+                answer = await self._client.call("POST", url, headers, body, timeout=self.patience)
             except CallFailedError:
                 self._balancer.mark_down(address, self._clock())
                 code, ran = Code.OUTCOME_UNKNOWN, Ran.UNKNOWN
                 continue
+            following = answer.headers.get("pondpin-next-token", "")
             if answer.status == OK:
                 times = msgspec.json.decode(answer.body, type=_Ran).times
-                following = answer.headers.get("pondpin-next-token", "")
                 if following:
                     kept.append(following)
-                return Done(Code.OK, Ran.RAN, times, number, following)
+                return Done(Code.OK, Ran.RAN, times, number)
             error = msgspec.json.decode(answer.body, type=ErrorAnswer).error
             code, ran = Code(error.code), Ran(error.ran)
-            if not error.retry or code is Code.ISSUER_GONE:
+            if ran is Ran.NOT_RUN and following:
+                # That token is closed for good, so a new one can't make the call run twice.
+                token = following
+            elif not error.retry or code is Code.ISSUER_GONE:
                 break
-        return Done(code, ran, 0, TRIES, "")
+        return Done(code, ran, 0, TRIES)
--- a/samples/once_caller.py
+++ b/samples/once_caller.py
@@ -36,6 +36,9 @@
         except OSError:
             continue  # the instance is gone: the same token is safe at another one
         outcome = headers.get("pondpin-ran", outcome)
+        if outcome == "not run" and "pondpin-next-token" in headers:
+            token = headers["pondpin-next-token"]  # the old one is closed for good
+            continue
         if status == 200 or not document["error"]["retry"]:
             return outcome
     return outcome
--- a/spec/once.py
+++ b/spec/once.py
@@ -28,7 +28,6 @@
         "spent": z3.BoolVal(True),
         "running": z3.BoolVal(True),
         "sent": z3.BoolVal(False),
-        "told_not_run": z3.BoolVal(False),
     },
 )
 SEND = Step(
@@ -36,14 +35,15 @@
     lambda s: z3.And(s["alive"], s["running"], z3.Not(s["sent"])),
     lambda s: {"sent": z3.BoolVal(True), "messages": s["messages"] + 1},
 )
-ABANDON = Step(
-    "abandon: no byte was sent, the caller is told 'not run'",
+CLOSE = Step(
+    "close: no byte was sent, the caller is told 'not run', the token stays spent",
     lambda s: z3.And(s["alive"], s["running"], z3.Not(s["sent"])),
-    lambda s: {
-        "running": z3.BoolVal(False),
-        "spent": z3.BoolVal(False),
-        "told_not_run": z3.BoolVal(True),
-    },
+    lambda s: {"running": z3.BoolVal(False), "told_not_run": z3.BoolVal(True)},
+)
+REFUSE = Step(
+    "refuse: not begun, the caller is told 'not run', the token is spent",
+    lambda s: z3.And(s["alive"], z3.Not(s["spent"])),
+    lambda s: {"spent": z3.BoolVal(True), "told_not_run": z3.BoolVal(True)},
 )
 DELIVER = Step(
     "deliver",
@@ -78,7 +78,7 @@
         s["runs"] == 0,
         z3.Not(s["told_not_run"]),
     ),
-    steps=(BEGIN, SEND, ABANDON, DELIVER, LOSE, FINISH, CRASH),
+    steps=(BEGIN, SEND, CLOSE, REFUSE, DELIVER, LOSE, FINISH, CRASH),
     safety=lambda s: z3.And(
         s["runs"] <= 1,
         z3.Implies(s["told_not_run"], z3.And(s["runs"] == 0, s["messages"] == 0)),
@@ -90,7 +90,11 @@
         z3.Implies(z3.Not(s["spent"]), s["messages"] + s["runs"] == 0),
         z3.Implies(z3.And(s["running"], z3.Not(s["sent"])), s["messages"] + s["runs"] == 0),
         z3.Implies(s["running"], s["spent"]),
-        z3.Implies(s["told_not_run"], z3.Not(s["spent"])),
+        z3.Implies(
+            s["told_not_run"],
+            z3.And(s["spent"], z3.Not(s["running"]), s["messages"] + s["runs"] == 0),
+        ),
+        z3.Implies(s["alive"], z3.Or(s["spent"], z3.Not(s["running"]))),
     ),
 )
 
@@ -104,11 +108,16 @@
     lambda s: z3.Not(s["alive"]),
     lambda s: {"alive": z3.BoolVal(True), "spent": z3.BoolVal(False)},
 )
-LATE_ABANDON = replace(
-    ABANDON,
+LATE_CLOSE = replace(
+    CLOSE,
     name="'not run' told after bytes were sent",
     guard=lambda s: z3.And(s["alive"], s["running"]),
 )
+STILL_GOOD = Step(
+    "a token that stays good after 'not run': a late try runs it",
+    lambda s: z3.And(s["alive"], s["told_not_run"], z3.Not(s["running"])),
+    lambda s: {"spent": z3.BoolVal(False)},
+)
 OTHER_INSTANCE = Step(
     "another instance runs the token when its issuer seems gone",
     lambda s: z3.Not(s["alive"]),
@@ -117,5 +126,5 @@
 
 MUTANTS = tuple(
     Mutant(replace(SYSTEM, steps=(*SYSTEM.steps, step)), step.name)
-    for step in (RESEND, FORGETFUL_RESTART, LATE_ABANDON, OTHER_INSTANCE)
+    for step in (RESEND, FORGETFUL_RESTART, LATE_CLOSE, STILL_GOOD, OTHER_INSTANCE)
 )
