Read files for commands in one place; a choice of how many engines are compared

Cause: three programs read a file and printed its faults each in its own way. The guess: two instances with reports up to 0.45 s old both choose the few engines that look free.

--- a/pondpin/configuration.py
+++ b/pondpin/configuration.py
@@ -126,6 +126,7 @@
     placement: PlacementPolicy = PlacementPolicy.PREDICTED
     admission: AdmissionPolicy = AdmissionPolicy.DEADLINE
     priorities: bool = True
+    choices: int = Field(default=0, ge=0)
     short_weight: float = Field(default=0.5, ge=0, le=1)
     queue_limit: int = Field(default=2000, ge=1)
     attempts: int = Field(default=3, ge=1)
--- a/pondpin/main.py
+++ b/pondpin/main.py
@@ -1,30 +1,20 @@
 """pondpin-entry: reads the settings, starts an entry instance, and stops it cleanly."""
 
-import sys
 from typing import Any
 
 from pondpin.entry import Entry
-from pondpin.errors import InvalidFileError
+from pondpin.reading import read_or_exit
 from pondpin.runtime import USAGE_STATUS, Ready, run, run_command, set_up_logs, stop_on_signals
 from pondpin.settings import Settings, read_settings
 
-
-def load_settings(path: str) -> Settings:
-    """Read the settings; prints every fault and ends with status 2 when there is one."""
-    try:
-        return read_settings(path)
-    except OSError as error:
-        print(f"pondpin-entry: {path}: {error.strerror}", file=sys.stderr)
-    except InvalidFileError as error:
-        print(f"pondpin-entry: {error.message}:\n{error.numbered()}", file=sys.stderr)
-    sys.exit(USAGE_STATUS)
+PROGRAM = "pondpin-entry"
 
 
 def entry(settings: str) -> Ready:
     """Run an entry instance from a settings file."""
 
     def start() -> int:
-        checked = load_settings(settings)
+        checked = read_or_exit(PROGRAM, settings, read_settings, USAGE_STATUS)
         set_up_logs(checked.log_level)
         return run(lambda reactor: serve(reactor, checked))
 
@@ -44,7 +34,7 @@
 
 def main() -> None:
     """Entry point of pondpin-entry."""
-    run_command(entry, "pondpin-entry")
+    run_command(entry, PROGRAM)
 
 
 if __name__ == "__main__":
--- a/pondpin/placement.py
+++ b/pondpin/placement.py
@@ -12,8 +12,7 @@
 
 # Part of a prompt's own time that counts for each answer that it slows.
 HARM_FACTOR = 0.05
-CHOICES = 2
-FULL_SCAN = 8
+HITS_COMPARED = 2
 GROUP_FILL = 0.95
 
 
@@ -194,29 +193,32 @@
 class PredictedPolicy:
     """The engine with the lowest score.
 
-    Few engines are all compared; of many, those with prefix hits and a random few, so
-    that instances with equally stale reports do not all choose the same one.
+    Only a random few are compared, and those with prefix hits, so that instances with
+    equally stale reports do not all choose the same one.
     """
 
+    def __init__(self, choices: int) -> None:
+        self._choices = choices
+
     def choose(
         self, views: Sequence[EngineView], demand: Demand, short_weight: float, rng: random.Random
     ) -> Choice:
         """See Policy."""
-        compared = [predict(view, demand, short_weight) for view in _sample(views, demand, rng)]
+        compared = [
+            predict(view, demand, short_weight) for view in self._sample(views, demand, rng)
+        ]
         best = min(compared, key=lambda item: (not item.fits, item.score, item.engine))
         return Choice((best.engine,), best, tuple(compared))
 
-
-def _sample(
-    views: Sequence[EngineView], demand: Demand, rng: random.Random
-) -> Sequence[EngineView]:
-    if len(views) <= FULL_SCAN:
-        return views
-    hits = [view for view in views if demand.hit_tokens_by_engine.get(view.id, 0) > 0]
-    hits.sort(key=lambda view: -demand.hit_tokens_by_engine[view.id])
-    count = FULL_SCAN if demand.long else max(CHOICES, FULL_SCAN // 2)
-    drawn = rng.sample(list(views), min(count, len(views)))
-    return list({view.id: view for view in (*hits[:CHOICES], *drawn)}.values())
+    def _sample(
+        self, views: Sequence[EngineView], demand: Demand, rng: random.Random
+    ) -> Sequence[EngineView]:
+        if self._choices == 0 or len(views) <= self._choices:
+            return views
+        hits = [view for view in views if demand.hit_tokens_by_engine.get(view.id, 0) > 0]
+        hits.sort(key=lambda view: -demand.hit_tokens_by_engine[view.id])
+        drawn = rng.sample(list(views), self._choices)
+        return list({view.id: view for view in (*hits[:HITS_COMPARED], *drawn)}.values())
 
 
 def _just(view: EngineView, demand: Demand, short_weight: float) -> Choice:
@@ -224,8 +226,8 @@
     return Choice((view.id,), prediction, (prediction,))
 
 
-def make_policy(name: PlacementPolicy) -> Policy:
-    """The policy of a name."""
+def make_policy(name: PlacementPolicy, choices: int = 0) -> Policy:
+    """The policy of a name; choices is how many engines it compares, 0 for all."""
     match name:
         case PlacementPolicy.RANDOM:
             return RandomPolicy()
@@ -234,7 +236,7 @@
         case PlacementPolicy.LEAST_OUTSTANDING:
             return LeastOutstandingPolicy()
         case PlacementPolicy.PREDICTED:
-            return PredictedPolicy()
+            return PredictedPolicy(choices)
 
 
 def choose_group(views: Sequence[EngineView], demand: Demand, short_weight: float) -> Choice | None:
--- /dev/null
+++ b/pondpin/reading.py
@@ -0,0 +1,27 @@
+"""Reads a file for a command: every fault is printed, and the command ends."""
+
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import TypeVar
+
+from pondpin.configuration import Configuration, decode_configuration
+from pondpin.errors import InvalidFileError
+
+T = TypeVar("T")
+
+
+def read_or_exit(program: str, path: str, read: Callable[[str], T], status: int) -> T:
+    """What read makes of a file; ends with a status when it has faults or can't be read."""
+    try:
+        return read(path)
+    except OSError as error:
+        print(f"{program}: {path}: {error.strerror}", file=sys.stderr)
+    except InvalidFileError as error:
+        print(f"{program}: {error.message}:\n{error.numbered()}", file=sys.stderr)
+    sys.exit(status)
+
+
+def read_configuration(path: str) -> Configuration:
+    """Read a configuration file; raises InvalidFileError or OSError."""
+    return decode_configuration(Path(path).read_bytes(), path)
--- a/pondpin/scheduler.py
+++ b/pondpin/scheduler.py
@@ -125,14 +125,15 @@
     def __post_init__(self) -> None:
         """Set up the queue."""
         self.queue: FairQueue[_Waiting] = FairQueue()
-        self.chooser = make_policy(self.policy.placement)
+        self.chooser = make_policy(self.policy.placement, self.policy.choices)
         self.tasks: set[asyncio.Task[None]] = set()
         self.failed_releases: dict[tuple[str, str], float] = {}
 
     def apply(self, policy: Policy) -> None:
         """Follow the configuration's policy."""
-        if policy.placement is not self.policy.placement:
-            self.chooser = make_policy(policy.placement)
+        kept = (self.policy.placement, self.policy.choices)
+        if (policy.placement, policy.choices) != kept:
+            self.chooser = make_policy(policy.placement, policy.choices)
         self.policy = policy
 
     async def acquire(self, ticket: Ticket) -> Grant:
--- a/pondpin/tools/ctl.py
+++ b/pondpin/tools/ctl.py
@@ -12,12 +12,12 @@
 import msgspec
 from rich.console import Console
 
-from pondpin.configuration import Configuration, configuration_schema, decode_configuration
+from pondpin.configuration import Configuration, configuration_schema
 from pondpin.decisions import Decision, tell
-from pondpin.errors import InvalidFileError
 from pondpin.filters.rule import find_class, find_rule
 from pondpin.fleet import label_upstream
 from pondpin.http_client import HttpClient
+from pondpin.reading import read_configuration, read_or_exit
 from pondpin.runtime import USAGE_STATUS, Ready, run, run_command
 from pondpin.selectors import SelectorError, parse_selector
 from pondpin.settings import read_settings, settings_schema
@@ -29,6 +29,7 @@
 FAULT_STATUS = 1
 UNREACHABLE_STATUS = 3
 NOTHING_STATUS = 4
+PROGRAM = "pondpinctl"
 DEFAULT_AT = "127.0.0.1:8081"
 
 Asking = Callable[[OperatorClient, Console], Coroutine[Any, Any, int]]
@@ -51,14 +52,7 @@
 
 
 def _read_configuration(path: str) -> Configuration:
-    """Read a configuration file; prints every fault and ends with status 1."""
-    try:
-        return decode_configuration(Path(path).read_bytes(), path)
-    except OSError as error:
-        print(f"pondpinctl: {path}: {error.strerror}", file=sys.stderr)
-    except InvalidFileError as error:
-        print(f"pondpinctl: {error.message}:\n{error.numbered()}", file=sys.stderr)
-    sys.exit(FAULT_STATUS)
+    return read_or_exit(PROGRAM, path, read_configuration, FAULT_STATUS)
 
 
 def check(file: str) -> Ready:
@@ -80,14 +74,7 @@
     """Check the settings file of an instance."""
 
     def start() -> int:
-        try:
-            settings = read_settings(file)
-        except OSError as error:
-            print(f"pondpinctl: {file}: {error.strerror}", file=sys.stderr)
-            return FAULT_STATUS
-        except InvalidFileError as error:
-            print(f"pondpinctl: {error.message}:\n{error.numbered()}", file=sys.stderr)
-            return FAULT_STATUS
+        settings = read_or_exit(PROGRAM, file, read_settings, FAULT_STATUS)
         print(f"{file} is sound: instance {settings.instance} in {settings.data_center}")
         return 0
 
@@ -363,7 +350,7 @@
 
 def main() -> None:
     """Entry point of pondpinctl."""
-    run_command(COMMANDS, "pondpinctl")
+    run_command(COMMANDS, PROGRAM)
 
 
 if __name__ == "__main__":
--- a/pondpin/tools/report.py
+++ b/pondpin/tools/report.py
@@ -12,8 +12,8 @@
 
 from pondpin.burn import RULES, Burn, Count, burn_over, is_alerting
 from pondpin.configuration import Configuration, Objective, decode_configuration
-from pondpin.errors import InvalidFileError
 from pondpin.http_client import HttpClient
+from pondpin.reading import read_configuration, read_or_exit
 from pondpin.runtime import Ready, run, run_command
 from pondpin.tools.objectives import alert_rules, count_events, show_window
 from pondpin.tools.operator_client import OperatorClient, OperatorError
@@ -21,6 +21,7 @@
 from pondpin.tools.report_page import write_page
 from pondpin.tools.tables import make_console, print_json, print_rows
 
+PROGRAM = "pondpin-report"
 FAULT_STATUS = 1
 UNREACHABLE_STATUS = 3
 
@@ -244,14 +245,7 @@
     """Print Prometheus alert rules, as JSON (which is YAML), from a configuration's objectives."""
 
     def start() -> int:
-        try:
-            configuration = decode_configuration(Path(file).read_bytes(), file)
-        except OSError as error:
-            print(f"pondpin-report: {file}: {error.strerror}", file=sys.stderr)
-            return FAULT_STATUS
-        except InvalidFileError as error:
-            print(f"pondpin-report: {error.numbered()}", file=sys.stderr)
-            return FAULT_STATUS
+        configuration = read_or_exit(PROGRAM, file, read_configuration, FAULT_STATUS)
         print(json.dumps(alert_rules(configuration.objectives), indent=2))
         return 0
 
@@ -263,7 +257,7 @@
 
 def main() -> None:
     """Entry point of pondpin-report."""
-    run_command(COMMANDS, "pondpin-report")
+    run_command(COMMANDS, PROGRAM)
 
 
 if __name__ == "__main__":
--- a/pondpin/tools/units.py
+++ b/pondpin/tools/units.py
@@ -104,6 +104,7 @@
     "policy.placement": "predicted, or a baseline: random, round_robin, least_outstanding",
     "policy.admission": "deadline refuses at once what cannot finish in time; none lets all wait",
     "policy.priorities": "whether engines are told rules' priorities; false for plain baselines",
+    "policy.choices": "engines that predicted compares for a request; 0 compares all",
     "policy.short_weight": "0 favours TTFT across lengths, 1 the slowdown of short requests",
     "policy.queue_limit": "requests waiting in one instance",
     "policy.attempts": "attempts at one call",
