Compare three engines for a request; take the answer's slowdown out of the score

A penalty for engines with long prompts drives short requests together, and two instances with reports up to 0.45 s old choose the same few engines. Change: score is the predicted first token; three engines at random are compared by default; short_weight sets how fast waiting raises priority.

--- a/pondpin/configuration.py
+++ b/pondpin/configuration.py
@@ -120,13 +120,14 @@
 class Policy:
     """The choice between policies, and the aim between the two measures.
 
-    short_weight: 0 favours time to first token across lengths, 1 the slowdown of short requests.
+    short_weight: 0 favours time to first token across lengths, 1 the slowdown of short requests:
+    it sets how fast waiting raises a request's priority.
     """
 
     placement: PlacementPolicy = PlacementPolicy.PREDICTED
     admission: AdmissionPolicy = AdmissionPolicy.DEADLINE
     priorities: bool = True
-    choices: int = Field(default=0, ge=0)
+    choices: int = Field(default=3, ge=0)
     short_weight: float = Field(default=0.5, ge=0, le=1)
     queue_limit: int = Field(default=2000, ge=1)
     attempts: int = Field(default=3, ge=1)
--- a/pondpin/placement.py
+++ b/pondpin/placement.py
@@ -10,8 +10,6 @@
 from pondpin.cost_model import StepCosts
 from pondpin.prompts import blocks_of
 
-# Part of a prompt's own time that counts for each answer that it slows.
-HARM_FACTOR = 0.05
 HITS_COMPARED = 2
 GROUP_FILL = 0.95
 
@@ -85,37 +83,20 @@
     compared: tuple[Prediction, ...]
 
 
-def predict(view: EngineView, demand: Demand, short_weight: float, members: int = 1) -> Prediction:
+def predict(view: EngineView, demand: Demand, members: int = 1) -> Prediction:
     """Predict time to first token and to the end on an engine, or on a group led by it."""
     hit = min(demand.hit_tokens_by_engine.get(view.id, 0), demand.prompt_tokens - 1)
     own = (demand.prompt_tokens - hit) / members
     first_token = view.distance_seconds + _prefill_seconds(view, demand.priority, own)
-    token_gap, decode = _decode_seconds(view, demand, own, members)
-    finish = first_token + decode
+    context = view.mean_context + demand.prompt_tokens / members
+    token_gap = view.costs.step_seconds(0, view.running + 1, context)
+    finish = first_token + demand.max_tokens * token_gap
     needed = blocks_of(-(-demand.tokens // members), view.block_tokens)
     fits = needed <= view.free_blocks
-    # What the wait for other prompts adds to the answer after its first token, and what
-    # this prompt adds to the answers in progress there: the weight says how much it counts.
-    slowed = decode - demand.max_tokens * token_gap
-    harm = HARM_FACTOR * view.running * own * view.costs.prefill
-    score = first_token + short_weight * (slowed + harm) + (0.0 if fits else finish)
+    score = first_token + (0.0 if fits else finish)
     return Prediction(view.id, first_token, token_gap, finish, score, fits)
 
 
-def _decode_seconds(
-    view: EngineView, demand: Demand, own: float, members: int
-) -> tuple[float, float]:
-    """The usual gap between tokens, and the time from the first token to the end.
-
-    While prompts are still queued, each step is filled up with them to the chunk.
-    """
-    context = view.mean_context + demand.prompt_tokens / members
-    gap = view.costs.step_seconds(0, view.running + 1, context)
-    left = max(0.0, view.queued_tokens - view.ahead_of(demand.priority))
-    filled = min(demand.max_tokens, math.ceil(left / view.chunk_tokens))
-    return gap, demand.max_tokens * gap + filled * view.chunk_tokens * view.costs.prefill
-
-
 def _prefill_seconds(view: EngineView, priority: int, own: float) -> float:
     """Time until a new prompt is processed.
 
@@ -147,9 +128,7 @@
 class Policy(Protocol):
     """A way to choose among engines that may take a request."""
 
-    def choose(
-        self, views: Sequence[EngineView], demand: Demand, short_weight: float, rng: random.Random
-    ) -> Choice:
+    def choose(self, views: Sequence[EngineView], demand: Demand, rng: random.Random) -> Choice:
         """Choose one of at least one view."""
         ...
 
@@ -157,11 +136,9 @@
 class RandomPolicy:
     """Baseline: any engine, each as likely as the others."""
 
-    def choose(
-        self, views: Sequence[EngineView], demand: Demand, short_weight: float, rng: random.Random
-    ) -> Choice:
+    def choose(self, views: Sequence[EngineView], demand: Demand, rng: random.Random) -> Choice:
         """See Policy."""
-        return _just(rng.choice(views), demand, short_weight)
+        return _just(rng.choice(views), demand)
 
 
 class RoundRobinPolicy:
@@ -170,24 +147,20 @@
     def __init__(self) -> None:
         self._turn = 0
 
-    def choose(
-        self, views: Sequence[EngineView], demand: Demand, short_weight: float, rng: random.Random
-    ) -> Choice:
+    def choose(self, views: Sequence[EngineView], demand: Demand, rng: random.Random) -> Choice:
         """See Policy."""
         self._turn += 1
-        return _just(views[self._turn % len(views)], demand, short_weight)
+        return _just(views[self._turn % len(views)], demand)
 
 
 class LeastOutstandingPolicy:
     """Baseline: the engine with the fewest requests of this instance."""
 
-    def choose(
-        self, views: Sequence[EngineView], demand: Demand, short_weight: float, rng: random.Random
-    ) -> Choice:
+    def choose(self, views: Sequence[EngineView], demand: Demand, rng: random.Random) -> Choice:
         """See Policy."""
         fewest = min(view.outstanding for view in views)
         tied = [view for view in views if view.outstanding == fewest]
-        return _just(rng.choice(tied), demand, short_weight)
+        return _just(rng.choice(tied), demand)
 
 
 class PredictedPolicy:
@@ -200,13 +173,9 @@
     def __init__(self, choices: int) -> None:
         self._choices = choices
 
-    def choose(
-        self, views: Sequence[EngineView], demand: Demand, short_weight: float, rng: random.Random
-    ) -> Choice:
+    def choose(self, views: Sequence[EngineView], demand: Demand, rng: random.Random) -> Choice:
         """See Policy."""
-        compared = [
-            predict(view, demand, short_weight) for view in self._sample(views, demand, rng)
-        ]
+        compared = [predict(view, demand) for view in self._sample(views, demand, rng)]
         best = min(compared, key=lambda item: (not item.fits, item.score, item.engine))
         return Choice((best.engine,), best, tuple(compared))
 
@@ -221,8 +190,8 @@
         return list({view.id: view for view in (*hits[:HITS_COMPARED], *drawn)}.values())
 
 
-def _just(view: EngineView, demand: Demand, short_weight: float) -> Choice:
-    prediction = predict(view, demand, short_weight)
+def _just(view: EngineView, demand: Demand) -> Choice:
+    prediction = predict(view, demand)
     return Choice((view.id,), prediction, (prediction,))
 
 
@@ -239,7 +208,7 @@
             return PredictedPolicy(choices)
 
 
-def choose_group(views: Sequence[EngineView], demand: Demand, short_weight: float) -> Choice | None:
+def choose_group(views: Sequence[EngineView], demand: Demand) -> Choice | None:
     """Choose the members of a group for a prompt larger than one engine; None without room.
 
     Members come from one configured group and are in order of name: instances that compete
@@ -251,11 +220,11 @@
         fitting = _roomy_members(views, group, demand, members)
         if len(fitting) < members:
             continue
-        fitting.sort(key=lambda view: (predict(view, demand, short_weight, members).score, view.id))
+        fitting.sort(key=lambda view: (predict(view, demand, members).score, view.id))
         chosen = sorted(fitting[:members], key=lambda view: view.id)
         # A group goes at the pace of its slowest member.
         slowest = max(
-            (predict(view, demand, short_weight, members) for view in chosen),
+            (predict(view, demand, members) for view in chosen),
             key=lambda item: item.score,
         )
         if best is None or slowest.score < best.prediction.score:
--- a/pondpin/scheduler.py
+++ b/pondpin/scheduler.py
@@ -34,7 +34,10 @@
 PUMP_SECONDS = 0.02
 GROUP_BACKOFF_SECONDS = 0.05
 GROUP_BACKOFF_LIMIT = 1.0
-AGE_PRIORITY_SECONDS = 2.0
+# Steps of priority that a second of waiting adds, when only short requests count and when
+# all lengths do.
+AGE_STEPS_SHORT = 0.5
+AGE_STEPS_ALL = 15.0
 HIGHEST_AGED_PRIORITY = 100
 PLAIN_PRIORITY = 50
 
@@ -263,15 +266,17 @@
         """Waiting raises a request's priority, so that long work progresses."""
         if not self.policy.priorities:
             return PLAIN_PRIORITY
-        steps = int((now - ticket.queued_at) / AGE_PRIORITY_SECONDS)
+        weight = self.policy.short_weight
+        pace = weight * AGE_STEPS_SHORT + (1.0 - weight) * AGE_STEPS_ALL
+        steps = int((now - ticket.queued_at) * pace)
         return max(ticket.priority, min(HIGHEST_AGED_PRIORITY, ticket.priority + steps))
 
     def _choose(self, views: list[EngineView], demand: Demand) -> Choice | None:
         if members_needed(views, demand) > 1:
-            return choose_group(views, demand, self.policy.short_weight)
+            return choose_group(views, demand)
         needed_tokens = demand.tokens
         fitting = [view for view in views if needed_tokens <= view.blocks * view.block_tokens]
-        return self.chooser.choose(fitting, demand, self.policy.short_weight, self.random)
+        return self.chooser.choose(fitting, demand, self.random)
 
     def _try_grant(self, queued: Queued[_Waiting], now: float) -> bool:
         waiting = queued.item
--- /dev/null
+++ b/pondpin/tests/test_orphans.py
@@ -0,0 +1,68 @@
+"""Orphans: which work on an engine nobody will ever end."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pondpin.controllers.orphans import HolderView, find_orphan
+from pondpin.engine_protocol import HeldWork
+from pondpin.standins.faults import Faults
+from pondpin.tests.support import FleetCase, question, wait_until
+
+GRACE = 5.0
+
+
+def held(deadline: float = 100.0, incarnation: int = 5) -> HeldWork:
+    return HeldWork(
+        instance="a1", incarnation=incarnation, deadline=deadline, blocks=1, request="r", attempt=0
+    )
+
+
+class FindOrphanTest(unittest.TestCase):
+    def test_past_its_deadline_and_the_grace(self) -> None:
+        holder = HolderView(own=False, newest_incarnation=5)
+        self.assertEqual(find_orphan(held(), holder, False, 104.0, GRACE), "")
+        self.assertTrue(find_orphan(held(), holder, False, 106.0, GRACE))
+
+    def test_a_silent_holder_is_no_reason(self) -> None:
+        self.assertEqual(find_orphan(held(), HolderView(False, 0), False, 50.0, GRACE), "")
+
+    def test_a_newer_life_of_the_holder_is(self) -> None:
+        self.assertTrue(find_orphan(held(), HolderView(False, 6), False, 50.0, GRACE))
+
+    def test_own_work_that_is_not_known(self) -> None:
+        self.assertTrue(find_orphan(held(), HolderView(True, 5), False, 50.0, GRACE))
+        self.assertEqual(find_orphan(held(), HolderView(True, 5), True, 50.0, GRACE), "")
+
+    @given(newest=st.integers(0, 5), now=st.floats(0, 100), known=st.booleans())
+    def test_living_work_of_others_is_left_alone(
+        self, newest: int, now: float, known: bool
+    ) -> None:
+        self.assertEqual(find_orphan(held(), HolderView(False, newest), known, now, GRACE), "")
+
+
+class ReturnedTest(FleetCase):
+    def test_work_of_a_dead_instance_is_returned_once_it_lives_again(self) -> None:
+        async def test() -> None:
+            asking = self.caller.ask(question("lost", max_tokens=1000, allowed=50.0))
+            import asyncio
+
+            task = asyncio.create_task(asking)
+            await wait_until(lambda: self.held_blocks() > 0)
+            serving = next(
+                name
+                for name, item in self.fleet.entries_by_name.items()
+                if item.instance.callers.open_calls
+            )
+            # Slow, so that the work does not end by itself.
+            for engine in self.fleet.engines_by_name.values():
+                engine.apply_faults(Faults(slow=40.0))
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            await self.fleet.kill_entry(serving)
+            spec = next(item for item in self.fleet.spec.entries if item.name == serving)
+            await self.fleet.start_entry(spec)
+            await self.nothing_held()
+
+        self.drive(test)
