--- a/pondpin/controllers/orphans.py
+++ b/pondpin/controllers/orphans.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from pondpin.clocks import Clock, WallClock
+from pondpin.clocks import WallClock
 from pondpin.controllers.base import Controller
 from pondpin.engine_client import EnginePort, StreamRef
 from pondpin.engine_protocol import HeldWork
@@ -11,9 +11,11 @@
 from pondpin.http_client import CallFailedError
 from pondpin.ledger import Ledger
 from pondpin.metrics import Metrics
-from pondpin.scheduler import Scheduler
+from pondpin.reservations import Reservations
 
 PERIOD_SECONDS = 1.0
+# A release that fails for this many graces is left to the reservation's deadline.
+RELEASE_GRACES = 60
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,11 +51,10 @@
         fleet: Fleet,
         engines: EnginePort,
         ledger: Ledger,
-        scheduler: Scheduler,
+        reservations: Reservations,
         metrics: Metrics,
         newest_incarnation: Callable[[str], int],
         instance: str,
-        clock: Clock,
         wall_clock: WallClock,
         grace: float,
         timeout: float,
@@ -63,11 +64,10 @@
         self._fleet = fleet
         self._engines = engines
         self._ledger = ledger
-        self._scheduler = scheduler
+        self._reservations = reservations
         self._metrics = metrics
         self._newest_incarnation = newest_incarnation
         self._instance = instance
-        self._clock = clock
         self._wall_clock = wall_clock
         self._grace = grace
         self._timeout = timeout
@@ -82,7 +82,7 @@
             for held in state.report.held:
                 await self._look_at(state, held, suspects)
         self._suspects = suspects
-        await self._repeat_releases()
+        await self._reservations.repeat_failed(self._grace * RELEASE_GRACES)
 
     async def _look_at(
         self, state: UpstreamState, held: HeldWork, suspects: set[tuple[str, int, str]]
@@ -115,13 +115,3 @@
         except CallFailedError:
             return
         self._metrics.orphans.inc({"cause": cause})
-
-    async def _repeat_releases(self) -> None:
-        pending = self._scheduler.failed_releases
-        for address, name in list(pending):
-            try:
-                await self._engines.release(address, name, self._timeout)
-            except CallFailedError:
-                if self._clock() - pending[(address, name)] < self._grace * 60:
-                    continue
-            pending.pop((address, name), None)
--- a/pondpin/controllers/peers.py
+++ b/pondpin/controllers/peers.py
@@ -22,6 +22,7 @@
     is_alive,
     note_heartbeat,
     note_list,
+    silence_allowed,
 )
 from pondpin.metrics import Metrics
 from pondpin.network import parse_endpoint
@@ -153,6 +154,15 @@
     usage: tuple[AccountUsage, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Rhythm:
+    """How often heartbeats go out (seconds), to how many, and the fewest rounds of silence."""
+
+    period: float
+    fan_out: int
+    rounds: int
+
+
 class PeerBook:
     """The table of peers, and the building and taking of heartbeats."""
 
@@ -163,16 +173,22 @@
         report: Callable[[], SelfReport],
         on_heard: Callable[[HeartbeatRequest], None],
         clock: Clock,
-        lost_after: float,
+        rhythm: Rhythm,
     ) -> None:
         self.identity = identity
         self._address = address
         self._report = report
         self._on_heard = on_heard
         self._clock = clock
-        self.lost_after = lost_after
+        self._rhythm = rhythm
         self.table: PeerTable = {}
 
+    @property
+    def lost_after(self) -> float:
+        """Seconds of silence after which a peer counts as lost."""
+        rhythm = self._rhythm
+        return silence_allowed(len(self.table), rhythm.fan_out, rhythm.period, rhythm.rounds)
+
     def describe_self(self) -> HeartbeatRequest:
         """A heartbeat of this instance."""
         report = self._report()
--- a/pondpin/entry.py
+++ b/pondpin/entry.py
@@ -21,6 +21,7 @@
     HeartbeatController,
     InstanceListController,
     PeerBook,
+    Rhythm,
     SelfReport,
 )
 from pondpin.decisions import DecisionLog
@@ -46,6 +47,7 @@
 from pondpin.orders import revision_of_fence
 from pondpin.peer_server import PeerListener, PeerServer
 from pondpin.platform_client import HttpPlatform
+from pondpin.reservations import Reservations
 from pondpin.resumes import Resumer
 from pondpin.runtime import steady_now, wall_now
 from pondpin.scheduler import Scheduler
@@ -102,7 +104,7 @@
             self._describe_self,
             self._hear,
             steady_now,
-            peers.heartbeat_seconds * peers.lost_after_heartbeats,
+            Rhythm(peers.heartbeat_seconds, peers.fan_out, peers.lost_after_heartbeats),
         )
         self.shares = UsageShares(steady_now, lambda: 1 + len(self.book.alive()))
 
@@ -119,16 +121,15 @@
         )
 
     def _make_decisions(self) -> None:
+        self.reservations = Reservations(
+            self.engines, self.identity, steady_now, wall_now, CALL_SECONDS
+        )
         self.scheduler = Scheduler(
             fleet=self.fleet,
             ledger=self.ledger,
-            engines=self.engines,
-            instance=self.identity.instance,
-            incarnation=self.identity.incarnation,
+            reservations=self.reservations,
             clock=steady_now,
-            wall_clock=wall_now,
             random=self.random,
-            call_timeout=CALL_SECONDS,
             sharers=lambda: 1 + len(self.book.alive()),
         )
 
@@ -259,11 +260,10 @@
                 fleet=self.fleet,
                 engines=self.engines,
                 ledger=self.ledger,
-                scheduler=self.scheduler,
+                reservations=self.reservations,
                 metrics=self.metrics,
                 newest_incarnation=self.book.newest_incarnation,
                 instance=self.identity.instance,
-                clock=steady_now,
                 wall_clock=wall_now,
                 grace=timing.orphan_grace,
                 timeout=CALL_SECONDS,
--- a/pondpin/membership.py
+++ b/pondpin/membership.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
+MEAN_WAITS = 3.0
+
 
 @dataclass(frozen=True, slots=True)
 class Peer:
@@ -52,6 +54,16 @@
     return peer.heard_at > 0 and now - peer.heard_at <= lost_after
 
 
+def silence_allowed(peers: int, fan_out: int, period: float, rounds: int) -> float:
+    """Seconds without a heartbeat after which a peer counts as lost.
+
+    Each round an instance speaks with about twice fan_out peers, its own calls and theirs. Of
+    many peers one is heard rarely: three times the mean wait is allowed for.
+    """
+    mean_rounds = peers / (2 * fan_out)
+    return period * max(rounds, MEAN_WAITS * mean_rounds)
+
+
 def alive_peers(table: PeerTable, now: float, lost_after: float) -> list[Peer]:
     """The peers heard from lately, by name."""
     return [peer for _, peer in sorted(table.items()) if is_alive(peer, now, lost_after)]
--- a/pondpin/scheduler.py
+++ b/pondpin/scheduler.py
@@ -10,14 +10,12 @@
 from dataclasses import dataclass, field
 
 from pondpin.admission import Pressure, decide_admission
+from pondpin.clocks import Clock
 from pondpin.codes import Code
 from pondpin.configuration import PlacementPolicy, Policy
-from pondpin.engine_client import EnginePort
-from pondpin.engine_protocol import ReservationRequest
 from pondpin.errors import PondpinError
 from pondpin.fair_queue import FairQueue, Flow, Queued
 from pondpin.fleet import Fleet, UpstreamState
-from pondpin.http_client import CallFailedError
 from pondpin.ledger import Hold, Ledger
 from pondpin.placement import (
     Choice,
@@ -29,6 +27,7 @@
     members_needed,
 )
 from pondpin.prompts import blocks_of
+from pondpin.reservations import Member, Reservations
 
 HEADS_TRIED = 32
 PUMP_SECONDS = 0.02
@@ -115,13 +114,9 @@
 
     fleet: Fleet
     ledger: Ledger
-    engines: EnginePort
-    instance: str
-    incarnation: int
-    clock: Callable[[], float]
-    wall_clock: Callable[[], float]
+    reservations: Reservations
+    clock: Clock
     random: random.Random
-    call_timeout: float = 2.0
     policy: Policy = field(default_factory=lambda: Policy())
     sharers: Callable[[], int] = lambda: 1
 
@@ -130,7 +125,6 @@
         self.queue: FairQueue[_Waiting] = FairQueue()
         self.chooser = make_policy(self.policy.placement, self.policy.choices)
         self.tasks: set[asyncio.Task[None]] = set()
-        self.failed_releases: dict[tuple[str, str], float] = {}
 
     def apply(self, policy: Policy) -> None:
         """Follow the configuration's policy."""
@@ -170,16 +164,20 @@
 
     def release(self, grant: Grant) -> None:
         """Give back what a grant holds; members of a group are told."""
+        self._give_back(grant)
+        if grant.reservation:
+            addresses = [state.upstream.address for state in grant.engines]
+            self._spawn(self.reservations.release(grant.reservation, addresses))
+        self.pump()
+
+    def _give_back(self, grant: Grant) -> None:
+        """Take a grant's holds off the ledger and the views."""
         now = self.clock()
         for hold in grant.holds:
             self.ledger.give_back(hold.key)
             state = self.fleet.by_name.get(hold.upstream)
             if state is not None:
                 state.end_work(hold.key, now)
-        if grant.reservation:
-            addresses = [state.upstream.address for state in grant.engines]
-            self._spawn(self._release_members(grant.reservation, addresses))
-        self.pump()
 
     def pump(self) -> None:
         """Grant engines to those at the head of the queue while there is room."""
@@ -352,51 +350,24 @@
         )
 
     async def _reserve(self, waiting: _Waiting, grant: Grant) -> None:
-        """Reserve on each member in order; all or nothing."""
-        wall_deadline = self.wall_clock() + grant.ticket.deadline - self.clock()
-        reserved: list[str] = []
-        complete = True
-        for state, hold in zip(grant.engines, grant.holds, strict=True):
-            wanted = ReservationRequest(
-                name=grant.reservation,
-                instance=self.instance,
-                incarnation=self.incarnation,
-                blocks=hold.blocks,
-                deadline=wall_deadline,
-            )
-            # An unanswered reservation may be held all the same, so it is released too.
-            reserved.append(state.upstream.address)
-            if not await self._reserve_one(state, wanted):
-                complete = False
-                break
-        if complete and not waiting.granted.done():
+        """Reserve the members of a group, and queue the request again when that fails."""
+        members = [
+            Member(state.upstream.address, hold.blocks)
+            for state, hold in zip(grant.engines, grant.holds, strict=True)
+        ]
+        deadline = grant.ticket.deadline
+        if not await self.reservations.reserve(grant.reservation, members, deadline):
+            self._requeue(waiting, grant)
+        elif waiting.granted.done():
+            # Its request stopped waiting meanwhile.
+            self.release(grant)
+        else:
             waiting.granted.set_result(grant)
-            return
-        await self._release_members(grant.reservation, reserved)
-        self._requeue(waiting, grant)
-
-    async def _reserve_one(self, state: UpstreamState, wanted: ReservationRequest) -> bool:
-        try:
-            return await self.engines.reserve(state.upstream.address, wanted, self.call_timeout)
-        except CallFailedError:
-            return False
-
-    async def _release_members(self, name: str, addresses: list[str]) -> None:
-        """Release on each member; what can't be reached is kept for the orphan controller."""
-        for address in addresses:
-            try:
-                await self.engines.release(address, name, self.call_timeout)
-            except CallFailedError:
-                self.failed_releases[(address, name)] = self.clock()
 
     def _requeue(self, waiting: _Waiting, grant: Grant) -> None:
         """A group did not come together: give back, wait a random while, queue again."""
         now = self.clock()
-        for hold in grant.holds:
-            self.ledger.give_back(hold.key)
-            state = self.fleet.by_name.get(hold.upstream)
-            if state is not None:
-                state.end_work(hold.key, now)
+        self._give_back(grant)
         if waiting.granted.done():
             self.pump()
             return
--- a/pondpin/settings.py
+++ b/pondpin/settings.py
@@ -68,7 +68,7 @@
     known: tuple[EndpointText, ...] = ()
     heartbeat_seconds: float = Field(default=1.0, gt=0)
     lost_after_heartbeats: int = Field(default=4, ge=1)
-    fan_out: int = Field(default=6, ge=1)
+    fan_out: int = Field(default=2, ge=1)
 
 
 @dataclass(frozen=True, kw_only=True, config=STRICT)
--- a/pondpin/standins/local_fleet.py
+++ b/pondpin/standins/local_fleet.py
@@ -1,6 +1,8 @@
 """A whole deployment in one process on loopback addresses, for the demo, tests and experiments."""
 
 import hashlib
+import itertools
+import os
 import socket
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -19,7 +21,6 @@
 
 HOST = "127.0.0.1"
 SHARED_KEY = "a key for stand-ins and demonstrations only"
-PROBE_PORT = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -71,12 +72,23 @@
     tls: Tls | None = None
 
 
+# Below the range that the system takes ports for outgoing connections from, so that none of
+# those can take a port between its choice and its use; each process begins elsewhere.
+FIRST_PORT, PORTS = 10_000, 20_000
+_PORT_NUMBERS = itertools.count(os.getpid() * 131)
+
+
 def free_port(host: str = HOST) -> int:
-    """A TCP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((host, PROBE_PORT))
-        port: int = probe.getsockname()[1]
-        return port
+    """A TCP port that is free now and that this process did not give before."""
+    for number in _PORT_NUMBERS:
+        port = FIRST_PORT + number % PORTS
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError("the count has no end")
 
 
 def key_hash(key: str) -> str:
--- a/pondpin/tests/test_membership.py
+++ b/pondpin/tests/test_membership.py
@@ -5,7 +5,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pondpin.membership import Peer, alive_peers, forget_lost, note_heartbeat, note_list
+from pondpin.membership import (
+    Peer,
+    alive_peers,
+    forget_lost,
+    note_heartbeat,
+    note_list,
+    silence_allowed,
+)
 
 
 def peer(incarnation: int = 1, **changes: object) -> Peer:
@@ -36,6 +43,10 @@
         self.assertEqual((table["b1"].revision, table["b1"].listed), (7, "leaving"))
         self.assertIn("c1", table)
 
+    def test_many_peers_are_heard_rarely(self) -> None:
+        self.assertEqual(silence_allowed(3, 2, 1.0, 4), 4.0)
+        self.assertEqual(silence_allowed(360, 2, 1.0, 4), 270.0)
+
     def test_silence_is_loss(self) -> None:
         table = note_heartbeat({}, peer())
         self.assertEqual(len(alive_peers(table, 13.0, 4.0)), 1)
--- a/pondpin/tests/test_scheduler.py
+++ b/pondpin/tests/test_scheduler.py
@@ -15,8 +15,10 @@
 from pondpin.fair_queue import Flow
 from pondpin.fleet import Fleet, UpstreamState, label_upstream
 from pondpin.http_client import CallFailedError
+from pondpin.identity import Identity
 from pondpin.invariants import Invariants
 from pondpin.ledger import Ledger
+from pondpin.reservations import Reservations
 from pondpin.scheduler import Grant, Scheduler, Ticket
 from pondpin.tests.support import FakeClock, run_async
 
@@ -79,8 +81,9 @@
     return LoadReport(**(values | changes))
 
 
-def make_scheduler(count: int = 4, seed: int = 1, failing: float = 0.0) -> Scheduler:
+def make_scheduler(engines: FakeEngines | None = None, count: int = 4, seed: int = 1) -> Scheduler:
     clock = FakeClock()
+    engines = engines if engines is not None else FakeEngines(random.Random(seed))
     fleet = Fleet("dc-a")
     for number in range(count):
         name = f"e{number}"
@@ -100,11 +103,8 @@
     return Scheduler(
         fleet=fleet,
         ledger=Ledger(invariants),
-        engines=FakeEngines(rng, failing),  # type: ignore[arg-type]
-        instance="a1",
-        incarnation=1,
+        reservations=Reservations(engines, Identity("a1", 1, "dc-a"), clock, clock, 1.0),  # type: ignore[arg-type]
         clock=clock,
-        wall_clock=clock,
         random=rng,
         policy=Policy(),
     )
@@ -197,7 +197,8 @@
 
     async def compete(self, seed: int, sizes: list[int], failing: float) -> None:
         """Requests that compete for groups, with lost answers, until all have ended."""
-        scheduler = make_scheduler(seed=seed, failing=failing)
+        engines = FakeEngines(random.Random(seed), failing)
+        scheduler = make_scheduler(engines, seed=seed)
         clock: Any = scheduler.clock
         served: list[str] = []
 
@@ -218,12 +219,10 @@
             await asyncio.sleep(0)
             clock.advance(0.01)
             for state in scheduler.fleet.by_name.values():
-                held = sum(scheduler.engines.held.get(state.upstream.address, {}).values())  # type: ignore[attr-defined]
+                held = sum(engines.held.get(state.upstream.address, {}).values())
                 made = 1.0 + clock() - 1000.0
                 state.take_report(make_report(made_at=made, blocks_held=held), clock())
-            for address, name in list(scheduler.failed_releases):
-                scheduler.engines.held.get(address, {}).pop(name, None)  # type: ignore[attr-defined]
-                del scheduler.failed_releases[(address, name)]
+            await scheduler.reservations.repeat_failed(1e9)
             scheduler.pump()
         results = await asyncio.gather(*tasks, return_exceptions=True)
         refused = [error for error in results if isinstance(error, PondpinError)]
@@ -231,7 +230,7 @@
         self.assertEqual(others, [])
         self.assertEqual(len(served) + len(refused), len(sizes))
         await asyncio.gather(*scheduler.tasks)
-        for address, name in scheduler.failed_releases:
-            scheduler.engines.held.get(address, {}).pop(name, None)  # type: ignore[attr-defined]
+        while scheduler.reservations.failed_at:
+            await scheduler.reservations.repeat_failed(1e9)
         self.assertEqual(scheduler.ledger.held_blocks, 0)
-        self.assertEqual(scheduler.engines.total(), 0)  # type: ignore[attr-defined]
+        self.assertEqual(engines.total(), 0)
--- a/pondpin/tools/measure_peers.py
+++ b/pondpin/tools/measure_peers.py
@@ -15,7 +15,13 @@
 import msgspec
 
 from pondpin.controllers.configuration import ConfigurationStore
-from pondpin.controllers.peers import GrpcPeers, HeartbeatController, PeerBook, SelfReport
+from pondpin.controllers.peers import (
+    GrpcPeers,
+    HeartbeatController,
+    PeerBook,
+    Rhythm,
+    SelfReport,
+)
 from pondpin.decisions import DecisionLog
 from pondpin.identity import Identity
 from pondpin.metrics import Metrics
@@ -54,7 +60,12 @@
         self.store = ConfigurationStore(metrics, lambda _: None)
         self.address = address
         self.book = PeerBook(
-            self.identity, address, self._report, lambda _: None, steady_now, lost_after=60.0
+            self.identity,
+            address,
+            self._report,
+            lambda _: None,
+            steady_now,
+            Rhythm(1.0, fan_out, 4),
         )
         self.peers = GrpcPeers(metrics, lambda: None)
         self.beats = HeartbeatController(
--- a/pondpin/tools/units.py
+++ b/pondpin/tools/units.py
@@ -39,7 +39,7 @@
     "peers.listen.tls.require_client": "peers always show a certificate under TLS",
     "peers.known": "IP:port of peers to begin with; the platform's list adds others",
     "peers.heartbeat_seconds": "s between rounds of heartbeats",
-    "peers.lost_after_heartbeats": "rounds after which a silent peer counts as lost",
+    "peers.lost_after_heartbeats": "rounds of silence before a peer is lost; more with many peers",
     "peers.fan_out": "peers told in each round",
     "caller_limits": "bounds on what callers send",
     "caller_limits.body_bytes": "bytes of one body",
