Adapters, KV export of the stand-in, operators over TLS; a refused resume is no 'not run'

Cause: reading the code again: a stream that broke before its first token and whose resume was refused ended as 'not run', though the engine may have run it. A test with engines that restart at once showed it. The issue names adapters, export and import of KV by the stand-in, and TLS for operators, whose client spoke plain text. Change: a resume marks the request as one that may have run; adapters named like models go to engines that say they loaded them; pondpinctl and pondpin-report speak TLS with PONDPIN_OPERATOR_AUTHORITY; stand-ins answer /healthz, /readyz and /metrics; find_faults in parts.

--- a/pondpin/calls.py
+++ b/pondpin/calls.py
@@ -37,6 +37,7 @@
     model: str
     stream: bool
     hashes: tuple[int, ...]
+    adapter: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/pondpin/configuration.py
+++ b/pondpin/configuration.py
@@ -55,6 +55,14 @@
     chars_per_token: float = Field(default=4.0, gt=0)
 
 
+@dataclass(frozen=True, kw_only=True, config=STRICT)
+class Adapter:
+    """An adapter of a model; callers name it as they name a model."""
+
+    model: Name
+    labels: LabelMap = Field(default_factory=dict)
+
+
 @dataclass(frozen=True, kw_only=True, config=STRICT)
 class Upstream:
     """An engine or a plain service.
@@ -168,6 +176,7 @@
     accounts: dict[Name, Account]
     rules: tuple[Rule, ...]
     classes: tuple[LengthClass, ...] = ()
+    adapters: dict[Name, Adapter] = Field(default_factory=dict)
     placements: tuple[Placement, ...] = ()
     policy: Policy = Field(default_factory=lambda: Policy())
     objectives: tuple[Objective, ...] = ()
@@ -182,6 +191,15 @@
 
 def find_faults(configuration: Configuration) -> list[FieldError]:
     """Faults between the parts of a configuration that decodes."""
+    return [
+        *_find_upstream_faults(configuration),
+        *_find_account_faults(configuration),
+        *_find_name_faults(configuration),
+        *_find_model_faults(configuration),
+    ]
+
+
+def _find_upstream_faults(configuration: Configuration) -> list[FieldError]:
     faults: list[FieldError] = []
     for name, upstream in configuration.upstreams.items():
         path = f"upstreams.{name}"
@@ -194,6 +212,11 @@
         FieldError("upstreams", f"address {address} stands twice")
         for address in sorted(_repeated(addresses))
     ]
+    return faults
+
+
+def _find_account_faults(configuration: Configuration) -> list[FieldError]:
+    faults: list[FieldError] = []
     owners: dict[str, str] = {}
     for name, account in configuration.accounts.items():
         for key in account.keys_sha256:
@@ -201,22 +224,37 @@
                 fault = f"the same key as accounts.{owners[key]}"
                 faults.append(FieldError(f"accounts.{name}.keys_sha256", fault))
             owners[key] = name
-    for part, names in (
-        ("rules", [rule.name for rule in configuration.rules]),
-        ("classes", [item.name for item in configuration.classes]),
-    ):
-        faults += [
-            FieldError(part, f"name {name!r} stands twice") for name in sorted(_repeated(names))
-        ]
+    return faults
+
+
+def _find_name_faults(configuration: Configuration) -> list[FieldError]:
+    named = {
+        "rules": [rule.name for rule in configuration.rules],
+        "classes": [item.name for item in configuration.classes],
+    }
+    faults = [
+        FieldError(part, f"name {name!r} stands twice")
+        for part, names in named.items()
+        for name in sorted(_repeated(names))
+    ]
+    for i, objective in enumerate(configuration.objectives):
+        if objective.length_class and objective.length_class not in named["classes"]:
+            fault = f"unknown class {objective.length_class!r}"
+            faults.append(FieldError(f"objectives[{i}].length_class", fault))
+    return faults
+
+
+def _find_model_faults(configuration: Configuration) -> list[FieldError]:
+    faults: list[FieldError] = []
+    for name, adapter in configuration.adapters.items():
+        if adapter.model not in configuration.models:
+            faults.append(FieldError(f"adapters.{name}.model", f"unknown model {adapter.model!r}"))
+        if name in configuration.models:
+            faults.append(FieldError(f"adapters.{name}", "a model has the same name"))
     for i, placement in enumerate(configuration.placements):
         if placement.model not in configuration.models:
             fault = f"unknown model {placement.model!r}"
             faults.append(FieldError(f"placements[{i}].model", fault))
-    known = {item.name for item in configuration.classes}
-    for i, objective in enumerate(configuration.objectives):
-        if objective.length_class and objective.length_class not in known:
-            fault = f"unknown class {objective.length_class!r}"
-            faults.append(FieldError(f"objectives[{i}].length_class", fault))
     return faults
 
 
--- a/pondpin/engine_protocol.py
+++ b/pondpin/engine_protocol.py
@@ -19,6 +19,7 @@
     max_tokens: int
     priority: int
     deadline: float
+    adapter: str = ""
     start_offset: int = 0
     members: int = 1
     reservation: str = ""
@@ -107,6 +108,12 @@
     events: tuple[CacheEvent, ...]
 
 
+class KvBlocks(msgspec.Struct, frozen=True):
+    """Body of POST /v1/kv (import) and answer of GET /v1/kv (export): cached prefix blocks."""
+
+    blocks: tuple[int, ...]
+
+
 class Order(msgspec.Struct, frozen=True, kw_only=True):
     """Body of POST /v1/orders: the state that the engine shall take."""
 
--- a/pondpin/filters/complete.py
+++ b/pondpin/filters/complete.py
@@ -172,6 +172,7 @@
                 deadline=call.deadline,
                 selector=rule.upstreams,
                 model=prompt.model,
+                adapter=prompt.adapter,
                 excluded=progress.excluded,
             )
         )
@@ -211,6 +212,8 @@
         following = self._decide(call, progress, result.failure)
         if following.step is Step.RESUME:
             progress.resumed = 1
+            # A refused resume says nothing of what the engine ran before it.
+            progress.may_have_run = True
             self._note_failure(call, grant, result.failure, following.step.value)
             result = await self._receive(call, grant, progress, resume=True)
         if result.failure is not None:
@@ -313,6 +316,7 @@
             max_tokens=prompt.max_tokens,
             priority=grant.priority,
             deadline=self._wall_clock() + left,
+            adapter=prompt.adapter,
             start_offset=progress.delivered,
             members=len(grant.engines),
             reservation=grant.reservation,
--- a/pondpin/filters/describe.py
+++ b/pondpin/filters/describe.py
@@ -120,7 +120,14 @@
             "max_tokens": str(prompt.max_tokens),
             "stream": str(prompt.stream).lower(),
         }
-        call.decision.model = prompt.model
+        configuration = call.snapshot.configuration
+        described = configuration.models[prompt.model].labels
+        labels |= {f"model.{name}": value for name, value in described.items()}
+        if prompt.adapter:
+            adapter = configuration.adapters[prompt.adapter]
+            labels["adapter"] = prompt.adapter
+            labels |= {f"adapter.{name}": value for name, value in adapter.labels.items()}
+        call.decision.model = prompt.adapter or prompt.model
         call.decision.prompt_tokens = prompt.tokens
         return await proceed(replace(call, labels=labels, prompt=prompt))
 
@@ -137,6 +144,9 @@
         self, call: Call, model: str, text: str, max_tokens: int, stream: bool
     ) -> Prompt:
         configuration: Configuration = call.snapshot.configuration
+        adapter = model if model in configuration.adapters else ""
+        if adapter:
+            model = configuration.adapters[adapter].model
         described = configuration.models.get(model)
         if described is None:
             raise PondpinError(Code.UNKNOWN_MODEL, f"no model {model!r}")
@@ -149,4 +159,4 @@
         tokens = count_tokens(len(encoded), described.chars_per_token)
         block_bytes = int(BLOCK_TOKENS * described.chars_per_token)
         hashes = hash_prefixes(encoded, block_bytes)
-        return Prompt(text, tokens, max_tokens, model, stream, hashes)
+        return Prompt(text, tokens, max_tokens, model, stream, hashes, adapter)
--- a/pondpin/fleet.py
+++ b/pondpin/fleet.py
@@ -63,6 +63,10 @@
         """Whether the present incarnation is known to leave: sticky until a new one is seen."""
         return self.listed_leaving or self.leaving_incarnation == self.incarnation
 
+    def has_adapter(self, name: str) -> bool:
+        """Whether the engine says that it has loaded an adapter."""
+        return self.report is not None and name in self.report.adapters
+
     def mark_leaving(self, incarnation: int | None = None) -> bool:
         """Note the first or another sign of leaving; True when it is news."""
         marked = self.incarnation if incarnation is None else incarnation
--- a/pondpin/http_client.py
+++ b/pondpin/http_client.py
@@ -2,12 +2,18 @@
 
 import asyncio
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any, Protocol
 
 from twisted.internet import error as net_error
 from twisted.internet.defer import Deferred, succeed
-from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
+from twisted.internet.endpoints import (
+    TCP4ClientEndpoint,
+    TCP6ClientEndpoint,
+    wrapClientTLS,
+)
 from twisted.internet.protocol import Protocol as TwistedProtocol
+from twisted.internet.ssl import Certificate, optionsForClientTLS
 from twisted.python.failure import Failure
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http_headers import Headers
@@ -78,14 +84,19 @@
 class _NumericEndpoints:
     """Connects by IP number, without the resolver and its threads."""
 
-    def __init__(self, reactor: Any, connect_timeout: float) -> None:
+    def __init__(self, reactor: Any, connect_timeout: float, authority: str) -> None:
         self._reactor = reactor
         self._timeout = connect_timeout
+        self._authority = authority
 
     def endpointForURI(self, uri: Any) -> Any:
         host = uri.host.decode("ascii").strip("[]")
         kind = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
-        return kind(self._reactor, host, uri.port, timeout=self._timeout)
+        endpoint: Any = kind(self._reactor, host, uri.port, timeout=self._timeout)
+        if uri.scheme != b"https":
+            return endpoint
+        trusted = Certificate.loadPEM(Path(self._authority).read_bytes())
+        return wrapClientTLS(optionsForClientTLS(host, trustRoot=trusted), endpoint)
 
 
 class OpenStream(TwistedProtocol):
@@ -208,15 +219,20 @@
 
 
 class HttpClient:
-    """Makes HTTP calls by IP number; nothing is retried here."""
+    """Makes HTTP calls by IP number; nothing is retried here.
+
+    authority is the PEM file that https servers' certificates must be signed by.
+    """
 
-    def __init__(self, reactor: Any, connect_timeout: float, per_host: int = 512) -> None:
+    def __init__(
+        self, reactor: Any, connect_timeout: float, per_host: int = 512, authority: str = ""
+    ) -> None:
         pool = HTTPConnectionPool(reactor, persistent=True)
         pool.maxPersistentPerHost = per_host
         pool.retryAutomatically = False
         pool.cachedConnectionTimeout = 30
         self._pool = pool
-        endpoints = _NumericEndpoints(reactor, connect_timeout)
+        endpoints = _NumericEndpoints(reactor, connect_timeout, authority)
         self._kept = Agent.usingEndpointFactory(reactor, endpoints, pool)
         self._fresh = Agent.usingEndpointFactory(reactor, endpoints)
         self._is_cut = False
--- a/pondpin/scheduler.py
+++ b/pondpin/scheduler.py
@@ -58,6 +58,7 @@
     deadline: float
     selector: str
     model: str
+    adapter: str = ""
     excluded: frozenset[str] = frozenset()
 
 
@@ -189,12 +190,12 @@
                 if queued.item.not_before <= now and self._try_grant(queued, now):
                     progress = True
 
-    def candidates(
-        self, selector: str, model: str, excluded: frozenset[str]
-    ) -> list[UpstreamState]:
-        """The engines that a rule allows for a model, less the excluded ones if others are left."""
-        allowed = self.fleet.select(selector, {"kind": "engine", "model": model})
-        others = [state for state in allowed if state.name not in excluded]
+    def candidates(self, ticket: Ticket) -> list[UpstreamState]:
+        """The engines that the rule allows, less the excluded ones if others are left."""
+        allowed = self.fleet.select(ticket.selector, {"kind": "engine", "model": ticket.model})
+        if ticket.adapter:
+            allowed = [state for state in allowed if state.has_adapter(ticket.adapter)]
+        others = [state for state in allowed if state.name not in ticket.excluded]
         return others or allowed
 
     def wait_seconds(self, ticket: Ticket, look: _Look) -> float:
@@ -212,7 +213,7 @@
 
     def _look(self, ticket: Ticket, now: float) -> _Look:
         """What the engines are now to a request."""
-        allowed = self.candidates(ticket.selector, ticket.model, ticket.excluded)
+        allowed = self.candidates(ticket)
         views = self.fleet.views(self.fleet.in_service(allowed, now), now)
         if not views:
             return _Look(allowed, views, None, None)
--- a/pondpin/standins/engine.py
+++ b/pondpin/standins/engine.py
@@ -14,6 +14,7 @@
     CacheEvents,
     EngineError,
     HeldWork,
+    KvBlocks,
     LoadReport,
     Order,
     OrderAnswer,
@@ -36,6 +37,7 @@
     Submission,
 )
 from pondpin.standins.faults import Faults
+from pondpin.standins.health import Health
 
 EVENT_STREAM = {"content-type": "text/event-stream"}
 IDLE_SECONDS = 0.5
@@ -52,6 +54,8 @@
     report_lag: float = 0.2
     cache_loss: float = 0.0
     load_seconds: float = 1.0
+    adapters: tuple[str, ...] = ()
+    kv_seconds_per_block: float = 0.0002
     shape: EngineShape = field(default_factory=EngineShape)
 
 
@@ -97,6 +101,8 @@
         self.server.route("/faults", self._set_faults)
         self.server.route("/audit", self._audit)
         self.server.route("/leave", self._leave)
+        self.server.route("/v1/kv", self._kv)
+        Health(self.server, "engine")
         self._restart()
 
     def _restart(self) -> None:
@@ -109,7 +115,7 @@
         self.role = self.options.role
         self.fence = 0
         self.stale_orders = 0
-        self.adapters: tuple[str, ...] = ()
+        self.adapters: tuple[str, ...] = self.options.adapters
         self.ordered_at = -1e9
         self.fences_taken: list[int] = []
         self.replies_by_key: dict[StreamKey, Reply] = {}
@@ -237,7 +243,8 @@
             message = msgspec.json.decode(incoming.body, type=StreamRequest)
         except msgspec.MsgspecError as error:
             raise PondpinError(Code.INVALID_FIELD, str(error)) from error
-        if self.state == "leaving" or message.model != self.served_model:
+        lacks_adapter = message.adapter and message.adapter not in self.adapters
+        if self.state == "leaving" or message.model != self.served_model or lacks_adapter:
             headers = {"pondpin-upstream-state": self.state}
             body = msgspec.json.encode(EngineError("leaving or another model"))
             reply.send(503, headers, body)
@@ -327,6 +334,17 @@
         ]
         reply.send_json(CacheEvents(self.incarnation, tuple(kept[:5000])))
 
+    async def _kv(self, incoming: Incoming, reply: Reply) -> None:
+        """Export the blocks of the prefix cache, or import some; importing takes time."""
+        if not await self._gate(reply):
+            return
+        if incoming.method == "GET":
+            reply.send_json(KvBlocks(tuple(self.model.cache)))
+            return
+        wanted = msgspec.json.decode(incoming.body, type=KvBlocks).blocks
+        await asyncio.sleep(len(wanted) * self.options.kv_seconds_per_block)
+        reply.send_json(KvBlocks(self.model.import_blocks(wanted, wall_now())))
+
     async def _orders(self, incoming: Incoming, reply: Reply) -> None:
         if not await self._gate(reply):
             return
--- a/pondpin/standins/engine_model.py
+++ b/pondpin/standins/engine_model.py
@@ -334,6 +334,11 @@
             self.cache.move_to_end(value)
         self._shrink_cache()
 
+    def import_blocks(self, blocks: tuple[int, ...], now: float) -> tuple[int, ...]:
+        """Put another engine's blocks in the prefix cache; returns those that are kept."""
+        self._remember(blocks, now)
+        return tuple(block for block in blocks if block in self.cache)
+
     def _shrink_cache(self) -> None:
         """Drop the least recently used blocks that no longer fit in free memory."""
         room = max(0, self.shape.blocks - self.held_blocks())
--- a/pondpin/standins/local_fleet.py
+++ b/pondpin/standins/local_fleet.py
@@ -36,6 +36,7 @@
     checks_fences: bool = True
     report_lag: float = 0.2
     cache_loss: float = 0.0
+    adapters: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -141,6 +142,7 @@
                 checks_fences=spec.checks_fences,
                 report_lag=spec.report_lag,
                 cache_loss=spec.cache_loss,
+                adapters=spec.adapters,
                 shape=spec.shape,
             )
             engine = Engine(self.reactor, options)
@@ -215,7 +217,7 @@
             data_center=spec.data_center,
             shared_key=SHARED_KEY,
             callers=Listener(address=f"{HOST}:{free_port()}", tls=self.spec.tls),
-            operators=Listener(address=f"{HOST}:{free_port()}"),
+            operators=Listener(address=f"{HOST}:{free_port()}", tls=self.spec.tls),
             platform=PlatformSettings(address=self.platform_address, retry_seconds=0.2),
             peers=Peers(
                 listen=Listener(address=self.peer_addresses[spec.name], tls=self.spec.tls),
--- a/pondpin/standins/platform.py
+++ b/pondpin/standins/platform.py
@@ -21,6 +21,7 @@
 )
 from pondpin.runtime import Ready, run, run_command, steady_now, stop_on_signals
 from pondpin.standins.faults import Faults
+from pondpin.standins.health import Health
 
 READS_PER_SECOND = 2000
 FILE_POLL_SECONDS = 0.5
@@ -73,6 +74,7 @@
         self.server.route(INSTANCES_PATH, self._instances)
         self.server.route("/faults", self._set_faults)
         self.server.route("/publish", self._publish)
+        Health(self.server, "platform")
 
     async def publish(self, document: bytes) -> int:
         """Publish a new value; returns its revision."""
--- a/pondpin/standins/service.py
+++ b/pondpin/standins/service.py
@@ -11,6 +11,7 @@
 from pondpin.network import Endpoint, parse_endpoint
 from pondpin.runtime import Ready, run, run_command, stop_on_signals
 from pondpin.standins.faults import Faults
+from pondpin.standins.health import Health
 
 
 class ServiceAnswer(msgspec.Struct, frozen=True):
@@ -55,6 +56,7 @@
         self.server.route("/faults", self._set_faults)
         self.server.route("/audit", self._audit)
         self.server.route("/leave", self._leave)
+        Health(self.server, "service")
 
     async def _call(self, incoming: Incoming, reply: Reply) -> None:
         await self.thawed.wait()
--- a/pondpin/tests/test_entry.py
+++ b/pondpin/tests/test_entry.py
@@ -1,12 +1,22 @@
 """The whole path: callers, entry instances, engines, services, platform."""
 
 import asyncio
+import dataclasses
 
 import msgspec
 
 from pondpin.codes import Code, Ran
 from pondpin.network import Endpoint
-from pondpin.tests.support import KEY, OTHER_KEY, FleetCase, question, sample_document, wait_until
+from pondpin.standins.faults import Faults
+from pondpin.tests.support import (
+    KEY,
+    OTHER_KEY,
+    FleetCase,
+    question,
+    sample_document,
+    sample_spec,
+    wait_until,
+)
 
 
 class WholePathTest(FleetCase):
@@ -47,6 +57,24 @@
 
         self.drive(test)
 
+    def test_a_refused_resume_does_not_make_it_not_run(self) -> None:
+        async def test() -> None:
+            engines = self.fleet.engines_by_name.values()
+            for engine in engines:
+                engine.apply_faults(Faults(slow=500.0))
+            asking = asyncio.create_task(self.caller.ask(question("no token yet")))
+            await wait_until(lambda: any(engine.model.running for engine in engines))
+            for engine in engines:
+                # Restarted at once: it is there, and does not know the stream.
+                engine.die()
+                engine.apply_faults(Faults())
+            asked = await asking
+            self.assertFalse(asked.whole)
+            self.assertIs(asked.ran, Ran.UNKNOWN)
+
+        document = sample_document(policy={"attempts": 1})
+        self.drive(test, dataclasses.replace(sample_spec(), document=document))
+
     def test_a_stream_is_resumed_elsewhere_after_its_instance_died(self) -> None:
         async def test() -> None:
             asking = asyncio.create_task(self.caller.ask(question("long answer", max_tokens=300)))
@@ -97,6 +125,45 @@
         self.drive(test)
 
 
+class AdapterTest(FleetCase):
+    def test_a_request_goes_where_its_adapter_is_loaded(self) -> None:
+        async def test() -> None:
+            for number in range(4):
+                asked = await self.caller.ask(question(f"number {number}", model="rider-tl"))
+                self.assertTrue(asked.whole, asked.code)
+            engines = self.fleet.engines_by_name
+            submitted = {name: item.model.totals.submitted for name, item in engines.items()}
+            self.assertEqual(submitted, {"e1": 0, "e2": 0, "e3": 0, "e4": 4})
+            asked = await self.caller.ask(question(model="rider-en"))
+            self.assertIs(asked.code, Code.NO_UPSTREAM)
+
+        spec = sample_spec()
+        last = dataclasses.replace(spec.engines[3], adapters=("rider-tl",))
+        adapters = {name: {"model": "rider"} for name in ("rider-tl", "rider-en")}
+        changed = dataclasses.replace(
+            spec,
+            engines=(*spec.engines[:3], last),
+            document=sample_document(adapters=adapters),
+        )
+        self.drive(test, changed)
+
+    def test_the_stand_in_exports_and_imports_its_cache(self) -> None:
+        async def test() -> None:
+            await self.caller.ask(question("prefix " * 2000))
+            engines = self.fleet.engines_by_name
+            source = next(name for name, item in engines.items() if item.model.cache)
+            target = next(name for name, item in engines.items() if not item.model.cache)
+            urls = {
+                name: f"http://{self.fleet.addresses_by_name[name]}/v1/kv"
+                for name in (source, target)
+            }
+            exported = await self.client.call("GET", urls[source])
+            await self.client.call("POST", urls[target], body=exported.body)
+            self.assertEqual(set(engines[target].model.cache), set(engines[source].model.cache))
+
+        self.drive(test)
+
+
 class OnceTest(FleetCase):
     async def post(self, entry: str, token: str, key: str = KEY) -> tuple[int, dict[str, str]]:
         headers = {"authorization": f"Bearer {key}", "pondpin-token": token}
--- a/pondpin/tests/test_tls.py
+++ b/pondpin/tests/test_tls.py
@@ -1,6 +1,7 @@
 """TLS: callers over it, peers by it, keys that change without a restart."""
 
 import asyncio
+import contextlib
 import dataclasses
 import datetime
 import os
@@ -10,9 +11,10 @@
 from pathlib import Path
 
 from pondpin.controllers.peers import GrpcPeers, PeerUnreachableError
+from pondpin.http_client import CallFailedError, HttpClient
 from pondpin.metrics import Metrics
 from pondpin.settings import Tls
-from pondpin.tests.support import FleetCase, sample_spec, wait_until
+from pondpin.tests.support import FleetCase, sample_spec, the_loop, wait_until
 from pondpin.tls import PeerTls, ReloadingContext
 from pondpin.tools.authority import make_authority, make_certificate
 from pondpin.wire.peer_pb2 import HeartbeatRequest
@@ -36,6 +38,7 @@
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder)
             files = make_files(path)
+            make_authority(path / "other", NOW)
             self.drive(lambda: self.check(path), dataclasses.replace(sample_spec(), tls=files))
 
     async def check(self, path: Path) -> None:
@@ -55,6 +58,17 @@
         answer = await reader.read()
         self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer[:200])
         writer.close()
+        # An operator who trusts the authority is answered, another is not.
+        _, reactor = the_loop()
+        address = entries["a1"].operators
+        for authority, good in (("authority.pem", True), ("other/authority.pem", False)):
+            client = HttpClient(reactor, 1.0, authority=str(path / authority))
+            with contextlib.ExitStack() as stack:
+                if not good:
+                    stack.enter_context(self.assertRaises(CallFailedError))
+                status = await client.call("GET", f"https://{address}/v1/status")
+                self.assertEqual(status.status, 200)
+            await client.close()
         # A peer without a certificate of the authority is not heard.
         stranger = ssl.create_default_context(cafile=str(path / "authority.pem"))
         stranger.set_alpn_protocols(["h2"])
--- a/pondpin/tools/capacity.py
+++ b/pondpin/tools/capacity.py
@@ -138,7 +138,7 @@
             0.0,
             0.0,
             target.accounts * 500.0,
-            "usage of the 24 busiest rides on heartbeats",
+            "usage of the 10 busiest rides on heartbeats",
         ),
         Row(
             "decision records",
--- a/pondpin/tools/ctl.py
+++ b/pondpin/tools/ctl.py
@@ -16,14 +16,13 @@
 from pondpin.decisions import Decision, tell
 from pondpin.filters.rule import find_class, find_rule
 from pondpin.fleet import label_upstream
-from pondpin.http_client import HttpClient
 from pondpin.reading import read_configuration, read_or_exit
 from pondpin.runtime import USAGE_STATUS, Ready, run, run_command
 from pondpin.selectors import SelectorError, parse_selector
 from pondpin.settings import read_settings, settings_schema
 from pondpin.tools.authority import make_authority, make_certificate
 from pondpin.tools.differences import tell_differences
-from pondpin.tools.operator_client import OperatorClient, OperatorError
+from pondpin.tools.operator_client import OperatorClient, OperatorError, make_client
 from pondpin.tools.tables import make_console, print_json, print_rows
 
 FAULT_STATUS = 1
@@ -39,7 +38,7 @@
     """A command that asks instances."""
 
     async def work(reactor: Any) -> int:
-        client = HttpClient(reactor, 2.0)
+        client = make_client(reactor)
         try:
             return await asking(OperatorClient(client), make_console())
         except OperatorError as error:
--- a/pondpin/tools/measure_peers.py
+++ b/pondpin/tools/measure_peers.py
@@ -29,12 +29,12 @@
 from pondpin.peer_server import PeerListener, PeerServer
 from pondpin.runtime import Ready, run, run_command, set_up_logs, steady_now
 from pondpin.standins.local_fleet import HOST, free_port, key_hash
+from pondpin.usage_shares import ACCOUNTS_TOLD
 from pondpin.wire.peer_pb2 import AccountUsage, ForwardReply, ForwardRequest
 
 COUNTS = (8, 20, 60, 120)
 SECONDS = 10.0
 SETTLE_SECONDS = 3.0
-ACCOUNTS_TOLD = 24
 FORCE_LIMIT_SECONDS = 30.0
 WITH_PLATFORM_PART = 0.5
 
--- a/pondpin/tools/operator_client.py
+++ b/pondpin/tools/operator_client.py
@@ -11,7 +11,10 @@
 from pondpin.http_server import ErrorAnswer
 
 TOKEN_VARIABLE = "PONDPIN_OPERATOR_TOKEN"
+# A PEM file: with it, operators' addresses are spoken to over TLS.
+AUTHORITY_VARIABLE = "PONDPIN_OPERATOR_AUTHORITY"
 SECONDS = 5.0
+CONNECT_SECONDS = 2.0
 OK = 200
 
 
@@ -19,6 +22,11 @@
     """An instance gave no answer, or refused."""
 
 
+def make_client(reactor: Any) -> HttpClient:
+    """A client for operators' addresses, with the authority of the environment."""
+    return HttpClient(reactor, CONNECT_SECONDS, authority=os.environ.get(AUTHORITY_VARIABLE, ""))
+
+
 @dataclass
 class OperatorClient:
     """Asks instances as an operator; the token comes from the environment."""
@@ -42,7 +50,8 @@
         return json.loads(await self.get(address, path))
 
     async def _call(self, method: str, address: str, path: str) -> bytes:
-        url = f"http://{address}{path}"
+        scheme = "https" if os.environ.get(AUTHORITY_VARIABLE) else "http"
+        url = f"{scheme}://{address}{path}"
         body = b"{}" if method == "POST" else b""
         try:
             answer = await self.client.call(method, url, self._headers(), body, timeout=SECONDS)
--- a/pondpin/tools/report.py
+++ b/pondpin/tools/report.py
@@ -12,11 +12,10 @@
 
 from pondpin.burn import RULES, Burn, Count, burn_over, is_alerting
 from pondpin.configuration import Configuration, Objective, decode_configuration
-from pondpin.http_client import HttpClient
 from pondpin.reading import read_configuration, read_or_exit
 from pondpin.runtime import Ready, run, run_command
 from pondpin.tools.objectives import alert_rules, count_events, show_window
-from pondpin.tools.operator_client import OperatorClient, OperatorError
+from pondpin.tools.operator_client import OperatorClient, OperatorError, make_client
 from pondpin.tools.prometheus_text import Samples, merge_texts
 from pondpin.tools.report_page import write_page
 from pondpin.tools.tables import make_console, print_json, print_rows
@@ -170,7 +169,7 @@
     """Report burn over instances at IP:port,IP:port; read them for some seconds."""
 
     async def work(reactor: Any) -> int:
-        http = HttpClient(reactor, 2.0)
+        http = make_client(reactor)
         client = OperatorClient(http)
         addresses = [part.strip() for part in str(at).split(",")]
         try:
--- a/pondpin/usage_shares.py
+++ b/pondpin/usage_shares.py
@@ -7,7 +7,7 @@
 from pondpin.wire.peer_pb2 import AccountUsage
 
 HALF_LIFE_SECONDS = 5.0
-ACCOUNTS_TOLD = 24
+ACCOUNTS_TOLD = 10
 
 
 @dataclass(slots=True)
