--- a/pondpin/controllers/housekeeping.py
+++ b/pondpin/controllers/housekeeping.py
@@ -25,9 +25,11 @@
         self._scheduler = scheduler
 
     async def step(self) -> None:
-        """Pump when anything waits."""
-        if self._scheduler.queue.size:
-            self._scheduler.pump()
+        """Pump while anything waits; an idle instance spends nothing on it."""
+        await self._scheduler.something_waits.wait()
+        self._scheduler.pump()
+        if self._scheduler.queue.size == 0:
+            self._scheduler.something_waits.clear()
 
 
 class HousekeepingController(Controller):
--- a/pondpin/controllers/peers.py
+++ b/pondpin/controllers/peers.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, replace
-from typing import Protocol
+from typing import Any, Protocol
 
 from absl import logging
 from grpclib.client import Channel
@@ -279,6 +279,7 @@
         self._offer = offer
         self._metrics = metrics
         self._fetching = False
+        self._extra: set[asyncio.Task[None]] = set()
         self._timeout = max(1.0, period)
 
     async def step(self) -> None:
@@ -298,6 +299,26 @@
         if reply.peer.revision > self._seen_revision():
             await self.fetch_from(address)
 
+    def hear(self, heard: HeartbeatRequest) -> None:
+        """A peer's heartbeat came in: fetch what it has that is newer."""
+        if heard.revision > self._seen_revision():
+            self._spawn(self.fetch_from(heard.address))
+
+    def spread(self) -> None:
+        """Tell of news at once, in a round out of turn."""
+        self._spawn(self.step())
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._extra.add(task)
+        task.add_done_callback(self._extra.discard)
+
+    async def stop(self) -> None:
+        """Stop, and end what runs out of turn."""
+        await super().stop()
+        for task in list(self._extra):
+            task.cancel()
+
     async def fetch_from(self, address: str) -> None:
         """Fetch a peer's configuration, one fetch at a time."""
         if self._fetching:
--- a/pondpin/entry.py
+++ b/pondpin/entry.py
@@ -25,6 +25,7 @@
     SelfReport,
 )
 from pondpin.decisions import DecisionLog
+from pondpin.engine_attempts import EngineAttempts
 from pondpin.engine_client import HttpEngines
 from pondpin.filters.complete import CompleteFilter
 from pondpin.filters.describe import DescribeFilter
@@ -137,19 +138,23 @@
         timing = self.settings.timing
         self.issuer = TokenIssuer(self.identity, self.once, self.signer, wall_now)
         self.identify = IdentifyFilter()
-        self.complete = CompleteFilter(
+        self.attempts = EngineAttempts(
             identity=self.identity,
-            scheduler=self.scheduler,
             engines=self.engines,
-            fleet=self.fleet,
             watchdog=self.watchdog,
+            clock=steady_now,
+            wall_clock=wall_now,
+            stall_floor=timing.stall_floor,
+            call_timeout=CALL_SECONDS,
+        )
+        complete = CompleteFilter(
+            scheduler=self.scheduler,
+            attempts=self.attempts,
             metrics=self.metrics,
             signer=self.signer,
             clock=steady_now,
             wall_clock=wall_now,
             rng=self.random,
-            stall_floor=timing.stall_floor,
-            call_timeout=CALL_SECONDS,
         )
         serve = ServeFilter(self.services, self.fleet, self.metrics, steady_now)
         forwarder = PeerForwarder(self.book, self.peers)
@@ -159,7 +164,7 @@
             RuleFilter(),
             LimitFilter(steady_now, self.shares),
             SpendFilter(self.once, self.metrics, steady_now),
-            RouteFilter(self.complete, serve),
+            RouteFilter(complete, serve),
         )
         self.callers = Callers(
             identity=self.identity,
@@ -364,7 +369,7 @@
         for task in (*self.callers.serving, *self.caller_server.tasks):
             task.cancel()
         await asyncio.gather(*self.callers.serving, return_exceptions=True)
-        await asyncio.gather(*self.complete.cancels, return_exceptions=True)
+        await asyncio.gather(*self.attempts.cancels, return_exceptions=True)
         self.peers.close()
         await self.http.close()
 
@@ -372,6 +377,7 @@
         """Follow a configuration that came into force."""
         self.fleet.apply(snapshot.configuration)
         self.scheduler.apply(snapshot.configuration.policy)
+        self.heartbeats.spread()
 
     def _live_instances(self) -> list[str]:
         """Peers that are alive and stay."""
@@ -394,6 +400,7 @@
     def _hear(self, heard: HeartbeatRequest) -> None:
         """Take what a peer's heartbeat says beside the peer itself."""
         self.store.raise_floor(heard.revision)
+        self.heartbeats.hear(heard)
         self.shares.hear(heard.instance, tuple(heard.usage))
         for mark in heard.leaving_upstreams:
             name, _, incarnation = mark.partition("/")
--- a/pondpin/filters/complete.py
+++ b/pondpin/filters/complete.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import random
-from dataclasses import dataclass, replace
-from typing import Any
+from dataclasses import replace
 
-from pondpin.answer_writers import AnswerWriter, StreamWriter, WholeWriter
+from pondpin.answer_writers import StreamWriter, WholeWriter
 from pondpin.attempts import (
     AttemptState,
     Failure,
@@ -19,77 +18,41 @@
 from pondpin.codes import Code, Ran
 from pondpin.cursors import Cursor, sign_cursor
 from pondpin.decisions import CANDIDATES_KEPT, AttemptFailed, Candidate, Placed, Waited
-from pondpin.engine_client import EnginePort, StreamRef, says_leaving
-from pondpin.engine_protocol import StreamRequest
+from pondpin.engine_attempts import EngineAttempts, Progress
 from pondpin.errors import PondpinError
 from pondpin.fair_queue import Flow
-from pondpin.fleet import Fleet
-from pondpin.frames import FrameGate
 from pondpin.health import note_failure, note_success
-from pondpin.http_client import CallFailedError, StreamStart
-from pondpin.identity import Identity
 from pondpin.metrics import Metrics
 from pondpin.retry_budget import note_first_attempt, spend_retry
 from pondpin.scheduler import Grant, Scheduler, Ticket
 from pondpin.signing import Signer
-from pondpin.stream_attempt import AttemptResult, StreamAttempt, Watchdog
+from pondpin.stream_attempt import AttemptResult
 
-OK = 200
-CONFLICT = 409
 WORTH_NOTING_SECONDS = 0.005
 # An answer that says that nothing of the request was run.
 HARMLESS_ANSWERS = (Failure.REFUSED, Failure.LEAVING)
 
 
-@dataclass
-class Progress:
-    """What one request has got so far, over all its attempts."""
-
-    writer: AnswerWriter
-    delivered: int = 0
-    attempt: int = 0
-    resumed: int = 0
-    first_token: float | None = None
-    last_token: float | None = None
-    left_upstreams: int = 0
-    may_have_run: bool = False
-    upstream: str = ""
-    signed_attempt: int = -1
-    signed_cursor: str = ""
-    excluded: frozenset[str] = frozenset()
-
-
 class CompleteFilter:
     """Runs completions on engines."""
 
     def __init__(
         self,
-        identity: Identity,
         scheduler: Scheduler,
-        engines: EnginePort,
-        fleet: Fleet,
-        watchdog: Watchdog,
+        attempts: EngineAttempts,
         metrics: Metrics,
         signer: Signer,
         clock: Clock,
         wall_clock: WallClock,
         rng: random.Random,
-        stall_floor: float,
-        call_timeout: float,
     ) -> None:
-        self._identity = identity
         self._scheduler = scheduler
-        self._engines = engines
-        self._fleet = fleet
-        self._watchdog = watchdog
+        self._attempts = attempts
         self._metrics = metrics
         self._signer = signer
         self._clock = clock
         self._wall_clock = wall_clock
         self._random = rng
-        self._stall_floor = stall_floor
-        self._call_timeout = call_timeout
-        self.cancels: set[asyncio.Task[None]] = set()
 
     async def apply(self, call: Call, proceed: Proceed) -> Outcome:
         """See Filter."""
@@ -205,7 +168,7 @@
             state.budget = note_first_attempt(state.budget, policy.retry_ratio, now)
         progress.resumed = 0
         self._metrics.attempts.inc({"upstream": state.name, "result": "started"})
-        result = await self._receive(call, grant, progress, resume=False)
+        result = await self._attempts.receive(call, grant, progress, resume=False)
         if result.failure is None:
             state.health = note_success(state.health, self._clock())
             return result
@@ -215,123 +178,11 @@
             # A refused resume says nothing of what the engine ran before it.
             progress.may_have_run = True
             self._note_failure(call, grant, result.failure, following.step.value)
-            result = await self._receive(call, grant, progress, resume=True)
+            result = await self._attempts.receive(call, grant, progress, resume=True)
         if result.failure is not None:
-            self._cancel(grant)
+            self._attempts.cancel(grant)
         return result
 
-    async def _receive(
-        self, call: Call, grant: Grant, progress: Progress, resume: bool
-    ) -> AttemptResult:
-        attempt = self._make_attempt(call, grant, progress)
-        self._watchdog.add(attempt)
-        try:
-            failure = await self._open(call, grant, progress, attempt, resume)
-            if failure is not None:
-                return AttemptResult(failure)
-            if call.the_prompt.stream:
-                call.the_reply.follow(attempt)
-            try:
-                return await attempt.done
-            finally:
-                if call.the_prompt.stream:
-                    call.the_reply.unfollow()
-        except asyncio.CancelledError:
-            self._cancel(grant)
-            raise
-        finally:
-            attempt.close()
-            self._watchdog.remove(attempt)
-            self._collect(call, progress, attempt)
-
-    def _make_attempt(self, call: Call, grant: Grant, progress: Progress) -> StreamAttempt:
-        key = grant.holds[0].key
-        return StreamAttempt(
-            gate=FrameGate(call.id, progress.attempt, progress.delivered),
-            writer=progress.writer,
-            clock=self._clock,
-            stall_floor=self._stall_floor,
-            predicted_first=grant.choice.prediction.first_token,
-            token_gap=grant.choice.prediction.token_gap,
-            on_first=lambda: grant.lead.note_first_token(key, self._clock()),
-        )
-
-    async def _open(
-        self,
-        call: Call,
-        grant: Grant,
-        progress: Progress,
-        attempt: StreamAttempt,
-        resume: bool,
-    ) -> Failure | None:
-        """Send or resume the request and begin to receive; returns a failure, if any."""
-        try:
-            opening = self._send(call, grant, progress, resume)
-            start = await self._until_stalled(opening, attempt)
-        except CallFailedError as error:
-            return Failure.BROKEN if error.sent else Failure.NOT_SENT
-        if start is None:
-            return Failure.STALLED
-        if says_leaving(start):
-            grant.lead.mark_leaving()
-        if start.status != OK:
-            start.discard()
-            if start.status == CONFLICT:
-                return Failure.BROKEN
-            return Failure.LEAVING if says_leaving(start) else Failure.REFUSED
-        attempt.stream = start.deliver(attempt)
-        return None
-
-    async def _until_stalled(
-        self, opening: "asyncio.Future[StreamStart]", attempt: StreamAttempt
-    ) -> StreamStart | None:
-        """Wait for the headers, or until the watchdog calls the attempt stalled."""
-        try:
-            waited: set[asyncio.Future[Any]] = {opening, attempt.done}
-            await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
-        except asyncio.CancelledError:
-            _drop(opening)
-            raise
-        if opening.done():
-            return opening.result()
-        _drop(opening)
-        return None
-
-    def _send(
-        self, call: Call, grant: Grant, progress: Progress, resume: bool
-    ) -> "asyncio.Future[StreamStart]":
-        address = grant.lead.upstream.address
-        if resume:
-            ref = StreamRef(address, call.id, progress.attempt)
-            return asyncio.ensure_future(self._engines.resume(ref, progress.delivered))
-        prompt = call.the_prompt
-        left = call.deadline - self._clock()
-        request = StreamRequest(
-            request=call.id,
-            attempt=progress.attempt,
-            instance=self._identity.instance,
-            incarnation=self._identity.incarnation,
-            model=prompt.model,
-            prompt=prompt.text,
-            max_tokens=prompt.max_tokens,
-            priority=grant.priority,
-            deadline=self._wall_clock() + left,
-            adapter=prompt.adapter,
-            start_offset=progress.delivered,
-            members=len(grant.engines),
-            reservation=grant.reservation,
-        )
-        return asyncio.ensure_future(self._engines.submit(address, request))
-
-    def _collect(self, call: Call, progress: Progress, attempt: StreamAttempt) -> None:
-        """Carry over what an attempt got."""
-        progress.delivered = attempt.gate.next_offset
-        if attempt.first_token is None:
-            return
-        if progress.first_token is None:
-            progress.first_token = attempt.first_token - call.arrived
-        progress.last_token = attempt.last_token - call.arrived
-
     def _decide(self, call: Call, progress: Progress, failure: Failure) -> NextStep:
         policy = call.snapshot.configuration.policy
         return decide_next(
@@ -377,21 +228,6 @@
         at = self._clock() - call.arrived
         call.decision.events.append(AttemptFailed(at, grant.lead.name, failure.value, following))
 
-    def _cancel(self, grant: Grant) -> None:
-        """Tell the engine to end the attempt, without making the caller wait for it."""
-        ticket = grant.ticket
-        ref = StreamRef(grant.lead.upstream.address, ticket.request, ticket.attempt)
-        task = asyncio.get_running_loop().create_task(self._cancel_now(ref))
-        self.cancels.add(task)
-        task.add_done_callback(self.cancels.discard)
-
-    async def _cancel_now(self, ref: StreamRef) -> None:
-        try:
-            await self._engines.cancel(ref, self._call_timeout)
-        except CallFailedError:
-            # The engine is gone or cut off; what it still holds the orphan controller returns.
-            return
-
     def _outcome(self, call: Call, progress: Progress, code: Code, ran: Ran) -> Outcome:
         return Outcome(
             code=code,
@@ -400,10 +236,3 @@
             last_token=progress.last_token,
             tokens=progress.delivered,
         )
-
-
-def _drop(opening: "asyncio.Future[StreamStart]") -> None:
-    """Stop opening a stream; one that is open already is closed."""
-    if opening.done() and not opening.cancelled() and opening.exception() is None:
-        opening.result().drop()
-    opening.cancel()
--- a/pondpin/scheduler.py
+++ b/pondpin/scheduler.py
@@ -126,6 +126,7 @@
         self.queue: FairQueue[_Waiting] = FairQueue()
         self.chooser = make_policy(self.policy.placement, self.policy.choices)
         self.tasks: set[asyncio.Task[None]] = set()
+        self.something_waits = asyncio.Event()
 
     def apply(self, policy: Policy) -> None:
         """Follow the configuration's policy."""
@@ -144,6 +145,7 @@
         waiting = _Waiting(ticket, asyncio.get_running_loop().create_future())
         cost = float(ticket.prompt_tokens + ticket.max_tokens)
         waiting.place = self.queue.push(waiting, ticket.flow, cost, ticket.weight, now)
+        self.something_waits.set()
         self.pump()
         try:
             async with asyncio.timeout(max(0.0, ticket.deadline - now)):
@@ -379,6 +381,7 @@
         ticket = waiting.ticket
         cost = float(ticket.prompt_tokens + ticket.max_tokens)
         waiting.place = self.queue.push(waiting, ticket.flow, cost, ticket.weight, now)
+        self.something_waits.set()
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/pondpin/standins/engine.py
+++ b/pondpin/standins/engine.py
@@ -166,6 +166,8 @@
                 await self._wait_for_work()
                 continue
             model = self.model
+            # A slow engine's own clock shows that it is slow.
+            model.totals.busy_seconds += seconds * (self.faults.slow - 1.0)
             await asyncio.sleep(seconds * self.faults.slow)
             await self.thawed.wait()
             if model is self.model:
