--- a/samples/once_caller.py
+++ b/samples/once_caller.py
@@ -4,6 +4,7 @@
 import sys
 import urllib.error
 import urllib.request
+from email.message import Message
 
 KEY = "padyak-demo-key"
 TRIES = 3
@@ -18,9 +19,14 @@
     request = urllib.request.Request(f"http://{address}{path}", body, headers, method="POST")
     try:
         with urllib.request.urlopen(request, timeout=10) as answer:
-            return answer.status, dict(answer.headers), json.load(answer)
+            return answer.status, lower_names(answer.headers), json.load(answer)
     except urllib.error.HTTPError as error:
-        return error.code, dict(error.headers), json.load(error)
+        return error.code, lower_names(error.headers), json.load(error)
+
+
+def lower_names(headers: Message) -> dict[str, str]:
+    """Headers by their names in lower case: servers may write them as they like."""
+    return {name.lower(): value for name, value in headers.items()}
 
 
 def unlock(addresses: list[str]) -> str:
