Be ready only after a first look at the upstreams; wait for resumed streams when stopping

Cause: the test that replaces all instances under load failed once: an instance that had a configuration and had heard of no engine yet said it was ready, and refused requests (1011). And a planned stop did not wait for streams that were resumed there, since only calls of the chain were counted. Change: ready after each upstream was polled once, answered or not; resumes count as open calls; a test that stops an instance under a resumed stream. Conclusion: the replacement test is now true for the right reason.

--- a/pondpin/callers.py
+++ b/pondpin/callers.py
@@ -239,7 +239,12 @@
     async def _resume(self, incoming: Incoming, reply: Reply) -> None:
         snapshot = self.the_snapshot()
         account = self._account(incoming, snapshot)
-        await self.resume(incoming, reply, snapshot, account)
+        # A planned stop waits for resumed streams too.
+        self.open_calls += 1
+        try:
+            await self.resume(incoming, reply, snapshot, account)
+        finally:
+            self.open_calls -= 1
 
     def _account(self, incoming: Incoming, snapshot: Snapshot) -> str:
         header = incoming.headers.get("authorization", "")
--- a/pondpin/controllers/load.py
+++ b/pondpin/controllers/load.py
@@ -77,6 +77,7 @@
         except CallFailedError as error:
             state.health = note_failure(state.health, self._clock(), certain=not error.sent)
         finally:
+            state.polled = True
             self._busy.discard(state.name)
         if state.leaving and not was_leaving:
             logging.info("upstream %s leaves", state.name)
--- a/pondpin/entry.py
+++ b/pondpin/entry.py
@@ -74,6 +74,7 @@
         self.reactor = reactor
         self.identity = Identity(settings.instance, time.time_ns(), settings.data_center)
         self.draining = False
+        self._looked = False
         self.random = random.Random()
         self._make_state()
         self._make_clients()
@@ -85,7 +86,12 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer should send calls."""
-        return self.store.snapshot is not None and not self.draining
+        if self.store.snapshot is None or self.draining:
+            return False
+        # Before the first look at the upstreams there is nothing to place requests on; later
+        # a new upstream in the configuration is no reason to stop.
+        self._looked = self._looked or self.fleet.all_polled()
+        return self._looked
 
     def _make_state(self) -> None:
         settings = self.settings
--- a/pondpin/fleet.py
+++ b/pondpin/fleet.py
@@ -56,6 +56,7 @@
     work_by_key: dict[tuple[str, int, str], OwnWork] = field(default_factory=dict)
     returned: deque[Returned] = field(default_factory=lambda: deque(maxlen=RETURNS_KEPT))
     open_calls: int = 0
+    polled: bool = False
     on_relabel: Callable[[], None] = lambda: None
 
     @property
@@ -243,6 +244,10 @@
         ready = [state for state in states if state.report is not None and state.report.model]
         return [state.view(now, self.data_center) for state in ready]
 
+    def all_polled(self) -> bool:
+        """Whether each upstream was asked for its load, and answered or failed."""
+        return all(state.polled for state in self.by_name.values())
+
     def sizes(self, states: list[UpstreamState]) -> Iterator[EngineSize]:
         """The sizes of the engines that have reported."""
         for state in states:
--- a/pondpin/tests/test_lifecycle.py
+++ b/pondpin/tests/test_lifecycle.py
@@ -134,6 +134,25 @@
 
         self.drive(test)
 
+    def test_a_resumed_stream_ends_whole_on_the_stopping_instance(self) -> None:
+        async def test() -> None:
+            entries = {name: item.instance for name, item in self.fleet.entries_by_name.items()}
+            self.balancer.addresses = [self.callers["a1"]]
+            asking = asyncio.create_task(self.caller.ask(question("long", max_tokens=1500)))
+            engines = self.fleet.engines_by_name.values()
+            await wait_until(
+                lambda: any(item.offset > 5 for engine in engines for item in engine.model.running)
+            )
+            self.balancer.addresses = [self.callers["b1"]]
+            await self.fleet.kill_entry("a1")
+            await wait_until(lambda: len(entries["b1"].watchdog.attempts) == 1)
+            await entries["b1"].drain_and_stop()
+            asked = await asking
+            self.assertTrue(asked.whole, asked.code)
+            self.assertEqual(asked.resumes, 1)
+
+        self.drive(test)
+
     def test_all_instances_are_replaced_under_load(self) -> None:
         async def test() -> None:
             stop = False
