Bound the length of a test; end its load when a replacement fails

A load of the replacement test went on when the replacement failed, and could keep the loop busy. Change: the load ends either way; a test over 120 s fails instead of hanging. Conclusion: the cause of that one run is likely, not proved.

--- a/pondpin/tests/support.py
+++ b/pondpin/tests/support.py
@@ -27,6 +27,7 @@
 OTHER_KEY = "other-key"
 MODEL = "rider"
 READY_SECONDS = 10.0
+LONGEST_TEST_SECONDS = 120.0
 
 _LOOP: asyncio.AbstractEventLoop | None = None
 _REACTOR: Any = None
@@ -163,7 +164,9 @@
             self.balancer = Balancer(list(self.callers.values()))
             self.caller = Caller(self.client, self.balancer, steady_now)
             self.once = OnceCaller(self.client, self.balancer, steady_now)
-            await test()
+            # A test that hangs fails; none takes long.
+            async with asyncio.timeout(LONGEST_TEST_SECONDS):
+                await test()
         finally:
             await self.client.close()
             await self.fleet.stop()
--- a/pondpin/tests/test_lifecycle.py
+++ b/pondpin/tests/test_lifecycle.py
@@ -153,6 +153,17 @@
 
         self.drive(test)
 
+    async def replace_all(self) -> None:
+        """Replace one instance after the other, as a platform with a balancer does."""
+        for spec in self.fleet.spec.entries:
+            running = self.fleet.entries_by_name[spec.name]
+            running.instance.drain()
+            self.balancer.mark_down(str(running.callers), 1e12)
+            await running.instance.drain_and_stop()
+            again = await self.fleet.start_entry(spec)
+            await wait_until(lambda again=again: again.instance.ready)
+            self.balancer.down_until_by_address.clear()
+
     def test_all_instances_are_replaced_under_load(self) -> None:
         async def test() -> None:
             stop = False
@@ -167,15 +178,10 @@
                     )
 
             workers = [asyncio.create_task(load(worker)) for worker in range(4)]
-            for spec in self.fleet.spec.entries:
-                running = self.fleet.entries_by_name[spec.name]
-                running.instance.drain()
-                self.balancer.mark_down(str(running.callers), 1e12)
-                await running.instance.drain_and_stop()
-                again = await self.fleet.start_entry(spec)
-                await wait_until(lambda again=again: again.instance.ready)
-                self.balancer.down_until_by_address.clear()
-            stop = True
+            try:
+                await self.replace_all()
+            finally:
+                stop = True
             await asyncio.gather(*workers)
             self.assertGreater(len(done), 20)
             for asked in done:
