--- a/pondpin/codes.py
+++ b/pondpin/codes.py
@@ -67,6 +67,7 @@
     CALLER_GONE = 4006
     OPERATOR_DENIED = 4007
     CONFIGURATION_INVALID = 4008
+    NOT_PROVED = 4009
     INTERNAL = 4999
 
 
@@ -122,5 +123,8 @@
     Code.CALLER_GONE: CodeInfo(499, "The caller closed the connection.", False),
     Code.OPERATOR_DENIED: CodeInfo(403, "The operator's token lacks the right.", False),
     Code.CONFIGURATION_INVALID: CodeInfo(422, "The configuration was refused.", False),
+    Code.NOT_PROVED: CodeInfo(
+        503, "The configuration in force can't be proved fresh: the instance is cut off.", True
+    ),
     Code.INTERNAL: CodeInfo(500, "A fault in pondpin itself.", True),
 }
--- a/pondpin/http_client.py
+++ b/pondpin/http_client.py
@@ -13,14 +13,18 @@
     wrapClientTLS,
 )
 from twisted.internet.protocol import Protocol as TwistedProtocol
-from twisted.internet.ssl import Certificate, optionsForClientTLS
 from twisted.python.failure import Failure
-from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.client import URI, Agent, ResponseDone
+from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import UNKNOWN_LENGTH, IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
+from pondpin.http_connections import CheckedConnections
+
 ANSWER_LIMIT = 64 << 20
+# Idle connections are closed after this many seconds unless the other side says less.
+IDLE_SECONDS = 30.0
 NEVER_CONNECTED = (
     net_error.ConnectError,
     net_error.ConnectionRefusedError,
@@ -95,17 +99,58 @@
         endpoint: Any = kind(self._reactor, host, uri.port, timeout=self._timeout)
         if uri.scheme != b"https":
             return endpoint
+        # A relay speaks no TLS to upstreams and runs without its libraries.
+        from twisted.internet.ssl import Certificate, optionsForClientTLS
+
         trusted = Certificate.loadPEM(Path(self._authority).read_bytes())
         return wrapClientTLS(optionsForClientTLS(host, trustRoot=trusted), endpoint)
 
 
+@implementer(IAgentEndpointFactory)
+class _NoEndpoints:
+    """For an agent that is only used with endpoints of its caller's."""
+
+    def endpointForURI(self, uri: Any) -> Any:
+        raise AssertionError("exact calls bring their endpoint")
+
+
+class _ExactAgent(Agent):
+    """Sends requests whose target and headers are passed on as they are."""
+
+    def request_exact(self, call: "ExactCall", endpoint: Any) -> Any:
+        """Send; the connection is kept for the same host and port."""
+        authority = f"{call.host}:{call.port}".encode()
+        uri = URI(b"http", authority, call.host.encode(), call.port, b"/", b"", b"", b"")
+        headers = Headers()
+        for name, value in call.headers:
+            headers.addRawHeader(name, value)
+        producer: Any = _Bytes(call.body) if call.body else None
+        key = (b"exact", call.host.encode(), call.port)
+        return self._requestWithEndpoint(
+            key, endpoint, call.method, uri, headers, producer, call.target
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class ExactCall:
+    """A request to be sent as it is; target is the path with its query."""
+
+    host: str
+    port: int
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
 class OpenStream(TwistedProtocol):
     """A streamed answer being received."""
 
     transport: Any = None
 
-    def __init__(self, sink: StreamSink) -> None:
+    def __init__(self, sink: StreamSink, response: Any = None) -> None:
         self._sink = sink
+        self._response = response
         self._closed = False
 
     def dataReceived(self, data: bytes) -> None:
@@ -118,7 +163,15 @@
         if self._closed:
             return
         self._closed = True
-        self._sink.on_end(reason is not None and reason.check(ResponseDone) is not None)
+        self._sink.on_end(reason is not None and self._is_whole(reason))
+
+    def _is_whole(self, reason: Failure) -> bool:
+        """Whether the answer ended as its framing says; without a length, a close ends it."""
+        if reason.check(ResponseDone) is not None:
+            return True
+        if reason.check(PotentialDataLoss) is None:
+            return False
+        return bool(getattr(self._response, "closed_cleanly", False))
 
     def pause(self) -> None:
         """Stop reading for now."""
@@ -141,6 +194,13 @@
             if self.transport is not None:
                 self.transport.loseConnection()
 
+    def abort(self) -> None:
+        """Reset the connection, so that the other side stops work; no more calls to the sink."""
+        self._closed = True
+        connection = getattr(self.transport, "_producer", None)
+        if connection is not None and hasattr(connection, "abortConnection"):
+            connection.abortConnection()
+
 
 def _drop_if_answered(answered: "asyncio.Future[Any]") -> None:
     """Close the connection of an answer that came just as its caller stopped waiting."""
@@ -159,14 +219,27 @@
 
     def deliver(self, sink: StreamSink) -> OpenStream:
         """Receive the body into a sink."""
-        stream = OpenStream(sink)
+        stream = OpenStream(sink, self.response)
         self.response.deliverBody(stream)
         return stream
 
+    @property
+    def raw_headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        """All headers but those of the connection, repeated ones too."""
+        return tuple(
+            (name, value)
+            for name, values in self.response.headers.getAllRawHeaders()
+            for value in values
+        )
+
     def drop(self) -> None:
         """Close the connection without reading the body."""
         self.deliver(_Nothing()).close()
 
+    def abort(self) -> None:
+        """Reset the connection without reading the body."""
+        self.deliver(_Nothing()).abort()
+
     def discard(self) -> None:
         """Receive the body without looking at it, so that the connection can be kept."""
         self.response.deliverBody(OpenStream(_Nothing()))
@@ -175,7 +248,11 @@
         """Receive the whole body; raises CallFailedError when it breaks or is too large."""
         collector = _Collector(limit)
         collector.stream = self.deliver(collector)
-        return await collector.done
+        try:
+            return await collector.done
+        except asyncio.CancelledError:
+            collector.stream.abort()
+            raise
 
 
 class _Nothing:
@@ -225,16 +302,23 @@
     """
 
     def __init__(
-        self, reactor: Any, connect_timeout: float, per_host: int = 512, authority: str = ""
+        self,
+        reactor: Any,
+        connect_timeout: float,
+        per_host: int = 512,
+        authority: str = "",
+        idle_seconds: float = IDLE_SECONDS,
     ) -> None:
-        pool = HTTPConnectionPool(reactor, persistent=True)
-        pool.maxPersistentPerHost = per_host
-        pool.retryAutomatically = False
-        pool.cachedConnectionTimeout = 30
+        pool = CheckedConnections(reactor, idle_seconds, per_host)
         self._pool = pool
+        self._reactor = reactor
+        self._connect_timeout = connect_timeout
         endpoints = _NumericEndpoints(reactor, connect_timeout, authority)
         self._kept = Agent.usingEndpointFactory(reactor, endpoints, pool)
         self._fresh = Agent.usingEndpointFactory(reactor, endpoints)
+        make_exact: Any = _ExactAgent.usingEndpointFactory
+        self._exact = make_exact(reactor, _NoEndpoints(), pool)
+        self._exact_fresh = make_exact(reactor, _NoEndpoints())
         self._is_cut = False
         # Hosts and ports that experiments cut off: calls to them fail as on a broken network.
         self.blocked: set[str] = set()
@@ -260,6 +344,22 @@
         raw = Headers({name: [value] for name, value in (headers or {}).items()})
         producer: Any = _Bytes(body) if body else None
         call = agent.request(method.encode(), url.encode(), raw, producer)
+        start = await self._receive(call)
+        self._check_cut(url, sent=True)
+        return start
+
+    async def open_exact(self, call: ExactCall, fresh: bool = False) -> StreamStart:
+        """As open, for a request that is passed on as it is."""
+        place = f"http://{call.host}:{call.port}/"
+        self._check_cut(place, sent=False)
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, call.host, call.port, timeout=self._connect_timeout
+        )
+        agent = self._exact_fresh if fresh else self._exact
+        return await self._receive(agent.request_exact(call, endpoint))
+
+    async def _receive(self, call: Any) -> StreamStart:
+        """Wait for status and headers; raises CallFailedError."""
         answered: asyncio.Future[Any] = call.asFuture(asyncio.get_running_loop())
         try:
             response = await answered
@@ -270,7 +370,6 @@
             raise
         except Exception as error:
             raise CallFailedError(type(error).__name__, sent=True) from None
-        self._check_cut(url, sent=True)
         names = {
             name.decode("latin-1").lower(): values[0].decode("latin-1")
             for name, values in response.headers.getAllRawHeaders()
@@ -301,4 +400,5 @@
 
     async def close(self) -> None:
         """Close the idle connections."""
-        await self._pool.closeCachedConnections().asFuture(asyncio.get_running_loop())
+        pool: Any = self._pool
+        await pool.closeCachedConnections().asFuture(asyncio.get_running_loop())
--- a/pondpin/http_server.py
+++ b/pondpin/http_server.py
@@ -100,6 +100,8 @@
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    target: bytes = b""
+    raw_headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
 class Pausable(Protocol):
@@ -133,6 +135,29 @@
         self._request.setResponseCode(status)
         for name, value in headers.items():
             self._request.setHeader(name, value)
+        self._request.close_if_stopping()
+
+    def start_exact(self, status: int, headers: tuple[tuple[bytes, bytes], ...]) -> None:
+        """As start, with headers as they are; repeated ones stay repeated."""
+        assert not self.started, "an answer starts once"
+        self.started = True
+        if self.gone:
+            return
+        self._request.setResponseCode(status)
+        for name, value in headers:
+            self._request.responseHeaders.addRawHeader(name, value)
+        self._request.close_if_stopping()
+
+    def send_exact(
+        self, status: int, headers: tuple[tuple[bytes, bytes], ...], body: bytes
+    ) -> None:
+        """As send, with headers as they are; an answer that may have no body keeps its length."""
+        bodiless = self._request.method == b"HEAD" or status in http.NO_BODY_CODES
+        if not bodiless:
+            headers = (*headers, (b"content-length", str(len(body)).encode()))
+        self.start_exact(status, headers)
+        self.write(body)
+        self.finish()
 
     def write(self, data: bytes) -> None:
         """Send a piece of the body."""
@@ -162,12 +187,20 @@
         self.send(status, {"content-type": JSON}, msgspec.json.encode(value))
 
     def send_error(
-        self, error: PondpinError, request: str = "", extra: dict[str, str] | None = None
+        self,
+        error: PondpinError,
+        request: str = "",
+        extra: dict[str, str] | None = None,
+        fractions: bool = False,
     ) -> None:
-        """Send an error with its code, outcome and retry advice."""
+        """Send an error with its code, outcome and retry advice.
+
+        fractions: the caller understands a Retry-After of less than a second.
+        """
         headers = {"content-type": JSON, "pondpin-ran": error.ran.value} | (extra or {})
         if error.retry_after is not None:
-            headers["retry-after"] = str(max(1, round(error.retry_after)))
+            whole = str(max(1, round(error.retry_after)))
+            headers["retry-after"] = f"{error.retry_after:.2f}" if fractions else whole
         body = msgspec.json.encode(describe_error(error, request))
         self.send(error.status, headers, body)
 
@@ -265,6 +298,12 @@
             query=dict(urllib.parse.parse_qsl(query, keep_blank_values=True)),
             headers=headers,
             body=body,
+            target=self.uri,
+            raw_headers=tuple(
+                (name, value)
+                for name, values in self.requestHeaders.getAllRawHeaders()
+                for value in values
+            ),
         )
         reply = Reply(self)
         self.notifyFinish().addErrback(lambda _: reply.mark_gone())
@@ -283,6 +322,14 @@
             self._release()
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
 
+    def close_if_stopping(self) -> None:
+        """When the server stops: tell the caller that the connection ends with this answer."""
+        if not self.server.stopping:
+            return
+        self.responseHeaders.setRawHeaders(b"connection", [b"close"])
+        if self.channel is not None:
+            cast(Any, self.channel).persistent = False
+
     def abort_connection(self) -> None:
         """Cut the connection at once."""
         if self.channel is not None:
@@ -332,6 +379,7 @@
         channel.requestFactory = BoundedRequest
         # The bound is kept by the inner channel, not by the one that negotiates the protocol.
         channel._channel.totalHeadersSize = self.server.limits.header_bytes
+        channel.timeOut = self.server.limits.idle_seconds
         self.server.channels.add(channel)
         return channel
 
@@ -349,6 +397,7 @@
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     refusals_by_code: dict[Code, int] = field(default_factory=dict)
     port: Any = None
+    stopping: bool = False
     channels: "weakref.WeakSet[Any]" = field(default_factory=weakref.WeakSet)
 
     def __post_init__(self) -> None:
@@ -373,6 +422,17 @@
         assert self.port is not None
         return Endpoint(endpoint.host, self.port.getHost().port)
 
+    def set_idle(self, seconds: float) -> None:
+        """Change how long idle connections are kept, for the open ones too."""
+        for channel in list(self.channels):
+            inner = channel._channel
+            inner.timeOut = seconds
+            # While a request is served the channel has no timer, but one to go back to.
+            if inner._savedTimeOut:
+                inner._savedTimeOut = seconds
+            elif inner.transport is not None:
+                inner.setTimeout(seconds)
+
     async def close(self) -> None:
         """Stop listening."""
         if self.port is not None:
--- /dev/null
+++ b/pondpin/platform/documents.py
@@ -0,0 +1,200 @@
+"""Decodes what the platform publishes: the operator's configuration and the workers' entries."""
+
+from collections import defaultdict
+
+import msgspec
+
+from pondpin.network import parse_endpoint
+from pondpin.relay.model import (
+    CallerBounds,
+    ClientAccount,
+    EngineProfile,
+    ListedUpstream,
+    RelayConfiguration,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+
+KINDS = {"safe": RouteKind.SAFE, "unsafe": RouteKind.UNSAFE, "streaming": RouteKind.STREAM}
+DRAINING = "draining"
+MILLISECOND = 0.001
+MILLION = 1e6
+
+
+class WireShare(msgspec.Struct, frozen=True):
+    """One service of a split route."""
+
+    service: str
+    weight: float
+
+
+class WireRoute(msgspec.Struct, frozen=True, rename="camel"):
+    """A route; with trafficSplit, service is absent. timeoutMs 0 or absent means no bound."""
+
+    name: str
+    host: str
+    path_prefix: str
+    route_type: str
+    timeout_ms: float = 0.0
+    target_latency_ms: float = 1000.0
+    priority: int = 5
+    service: str = ""
+    traffic_split: tuple[WireShare, ...] = ()
+    max_attempts: int = 1
+    public: bool = False
+    stream_resume: bool = False
+    gap_aim_ms: float = msgspec.field(name="gap_aim_ms", default=0.0)
+
+
+class WireEngine(msgspec.Struct, frozen=True):
+    """The engine figures of a service; times in ms, read_per_s in tokens."""
+
+    slots: int
+    memory_tokens: int = msgspec.field(name="kvCapacityTokens")
+    step_ms: float
+    stride: int = 1
+    per_seq_ms: float = 0.0
+    context_per_k: float = 0.0
+    read_per_s: float = 1e6
+    pairs_per_m: float = 0.0
+    chunk: int = 2048
+    hop_ms: float = 0.0
+
+
+class WireService(msgspec.Struct, frozen=True, rename="camel"):
+    """A service; maxConns is shared by all callers of one worker."""
+
+    name: str
+    health_path: str = "/healthz"
+    max_conns: int = 64
+    engine: WireEngine | None = None
+
+
+class WireLimits(msgspec.Struct, frozen=True, rename="camel"):
+    """Bounds on callers."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 << 20
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class WireTenant(msgspec.Struct, frozen=True, rename="camel"):
+    """A tenant: what the product calls a client account."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class WireConfiguration(msgspec.Struct, frozen=True):
+    """The operator's document."""
+
+    version: int
+    routes: tuple[WireRoute, ...]
+    services: tuple[WireService, ...]
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
+    tenants: tuple[WireTenant, ...] = ()
+
+
+class WireServer(msgspec.Struct, frozen=True):
+    """A worker's entry; state says draining some time before a planned end."""
+
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str = "ready"
+
+
+_CONFIGURATION = msgspec.json.Decoder(WireConfiguration)
+_SERVER = msgspec.json.Decoder(WireServer)
+
+
+class PlatformDecoder:
+    """The product's Decoder for the platform's documents."""
+
+    def configuration(self, value: bytes) -> RelayConfiguration:
+        """Decode the configuration; raises ValueError."""
+        wire = _CONFIGURATION.decode(value)
+        routes: dict[str, list[Route]] = defaultdict(list)
+        for route in wire.routes:
+            routes[route.host].append(_decode_route(route))
+        for found in routes.values():
+            found.sort(key=lambda route: len(route.prefix), reverse=True)
+        return RelayConfiguration(
+            version=wire.version,
+            routes_by_host={host: tuple(found) for host, found in routes.items()},
+            services_by_name={item.name: _decode_service(item) for item in wire.services},
+            accounts_by_key={
+                key: ClientAccount(tenant.name, tenant.priority)
+                for tenant in wire.tenants
+                for key in tenant.api_keys
+            },
+            bounds=CallerBounds(
+                header_bytes=wire.limits.max_header_bytes,
+                body_bytes=wire.limits.max_body_bytes,
+                header_seconds=wire.limits.header_timeout_ms * MILLISECOND,
+                idle_seconds=wire.limits.idle_timeout_ms * MILLISECOND,
+            ),
+        )
+
+    def upstream(self, key: str, value: bytes) -> ListedUpstream:
+        """Decode a worker's entry, whose id is the last part of its key; raises ValueError."""
+        wire = _SERVER.decode(value)
+        endpoint = parse_endpoint(wire.address)
+        return ListedUpstream(
+            id=key.rpartition("/")[2],
+            service=wire.service,
+            host=endpoint.host,
+            port=endpoint.port,
+            data_center=wire.zone,
+            slots=max(1, wire.slots),
+            leaving=wire.state == DRAINING,
+        )
+
+
+def _decode_route(wire: WireRoute) -> Route:
+    kind = KINDS.get(wire.route_type)
+    if kind is None:
+        raise ValueError(f"route {wire.name}: unknown routeType {wire.route_type!r}")
+    shares = tuple(ServiceShare(share.service, share.weight) for share in wire.traffic_split)
+    if not shares and not wire.service:
+        raise ValueError(f"route {wire.name}: names no service")
+    return Route(
+        name=wire.name,
+        host=wire.host,
+        prefix=wire.path_prefix,
+        kind=kind,
+        timeout=wire.timeout_ms * MILLISECOND,
+        target=wire.target_latency_ms * MILLISECOND,
+        priority=wire.priority,
+        shares=shares or (ServiceShare(wire.service, 1.0),),
+        attempts=max(1, wire.max_attempts),
+        public=wire.public,
+        resumable=wire.stream_resume and kind is RouteKind.STREAM,
+        gap_target=wire.gap_aim_ms * MILLISECOND,
+    )
+
+
+def _decode_service(wire: WireService) -> Service:
+    return Service(wire.name, wire.health_path, wire.max_conns, _decode_engine(wire.engine))
+
+
+def _decode_engine(wire: WireEngine | None) -> EngineProfile | None:
+    if wire is None:
+        return None
+    return EngineProfile(
+        slots=wire.slots,
+        memory=wire.memory_tokens,
+        stride=max(1, wire.stride),
+        step=wire.step_ms * MILLISECOND,
+        per_writer=wire.per_seq_ms * MILLISECOND,
+        per_context_k=wire.context_per_k * MILLISECOND,
+        read_rate=wire.read_per_s,
+        pair_cost=wire.pairs_per_m * MILLISECOND / MILLION,
+        chunk=wire.chunk,
+        hop=wire.hop_ms * MILLISECOND,
+    )
--- /dev/null
+++ b/pondpin/platform/requests.py
@@ -0,0 +1,126 @@
+"""Translates requests to workers and answers of workers, header by header."""
+
+from collections.abc import Iterable, Sequence
+
+from pondpin.relay.model import AnswerHead, Load, RequestFacts
+from pondpin.relay.ports import Forwarded
+
+ATTEMPT_ID = b"x-attempt-id"
+DEADLINE = b"x-deadline-ms"
+TOKENS = b"x-token-usage"
+RESUME_AFTER = b"last-event-id"
+TENANT = b"x-tenant"
+EXPECT_INSTANCE = b"x-expect-instance"
+PRIORITY = b"priority"
+HELPERS = b"helpers"
+LOAD = b"x-instance-load"
+NOT_EXECUTED = b"x-not-executed"
+AT_FAULT = b"at-server"
+SIGNATURE = b"x-instance-signature"
+BEARER = b"bearer "
+MISDIRECTED = 421
+MILLISECONDS = 1000.0
+
+# Headers that concern one connection only.
+CONNECTION_HEADERS = frozenset(
+    (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
+     b"upgrade", b"content-length", b"expect", b"proxy-authorization", b"proxy-authenticate")
+)  # fmt: skip
+# Headers of a caller that never reach a worker: pondpin sets them itself, or keeps the key.
+OWNED_HEADERS = frozenset(
+    (b"authorization", DEADLINE, TENANT, EXPECT_INSTANCE, PRIORITY, HELPERS, b"expect-version")
+)
+
+RawHeaders = Sequence[tuple[bytes, bytes]]
+
+
+def _first(headers: RawHeaders, name: bytes) -> bytes:
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return b""
+
+
+def _number(text: bytes) -> float | None:
+    try:
+        return float(text)
+    except ValueError:
+        return None
+
+
+def _numbers(text: bytes) -> list[int]:
+    return [int(part) for part in text.split(b",") if part.strip().isdigit()]
+
+
+def _named_by_connection(headers: RawHeaders) -> set[bytes]:
+    return {
+        part.strip().lower()
+        for key, value in headers
+        if key.lower() == b"connection"
+        for part in value.split(b",")
+    }
+
+
+class PlatformDialect:
+    """The product's Dialect for the platform's headers."""
+
+    def read_request(self, headers: RawHeaders) -> RequestFacts:
+        """What a caller's headers say; what is missing or no number is left at its default."""
+        bearer = _first(headers, b"authorization")
+        key = bearer[len(BEARER) :].strip() if bearer.lower().startswith(BEARER) else b""
+        milliseconds = _number(_first(headers, DEADLINE))
+        tokens = _numbers(_first(headers, TOKENS))
+        return RequestFacts(
+            attempt_id=_first(headers, ATTEMPT_ID).decode("latin-1"),
+            host=_first(headers, b"host").decode("latin-1").partition(":")[0].lower(),
+            key=key.decode("latin-1"),
+            deadline=None if milliseconds is None else milliseconds / MILLISECONDS,
+            prompt_tokens=tokens[0] if tokens else 0,
+            answer_tokens=tokens[1] if len(tokens) > 1 else 0,
+            resume_after=_first(headers, RESUME_AFTER).decode("latin-1"),
+        )
+
+    def forward_headers(self, headers: RawHeaders, sent: Forwarded) -> list[tuple[bytes, bytes]]:
+        """The headers that a worker gets."""
+        dropped = CONNECTION_HEADERS | OWNED_HEADERS | _named_by_connection(headers)
+        if sent.resume_after:
+            dropped = dropped | {RESUME_AFTER}
+        passed = [(key, value) for key, value in headers if key.lower() not in dropped]
+        milliseconds = max(1, int(sent.seconds_left * MILLISECONDS))
+        passed.append((b"X-Deadline-Ms", str(milliseconds).encode()))
+        passed.append((b"X-Expect-Instance", sent.upstream.encode()))
+        passed.append((b"Priority", str(sent.rank).encode()))
+        if sent.account:
+            passed.append((b"X-Tenant", sent.account.encode()))
+        if sent.resume_after:
+            passed.append((b"Last-Event-Id", sent.resume_after.encode()))
+        if sent.parts:
+            places = (
+                f"{part.host}:{part.port}" + (f"/{part.lease}" if part.lease else "")
+                for part in sent.parts
+            )
+            passed.append((b"Helpers", ",".join(places).encode()))
+        return passed
+
+    def read_head(self, status: int, headers: Iterable[tuple[bytes, bytes]]) -> AnswerHead:
+        """The head of a worker's answer, without what concerns its connection only."""
+        raw = tuple(headers)
+        passed = tuple(pair for pair in raw if pair[0].lower() not in CONNECTION_HEADERS)
+        content = _first(raw, b"content-type")
+        return AnswerHead(
+            status=status,
+            attempt_id=_first(raw, ATTEMPT_ID).decode("latin-1"),
+            not_executed=status == MISDIRECTED or bool(_first(raw, NOT_EXECUTED)),
+            load=_read_load(_first(raw, LOAD)),
+            events=content.lower().startswith(b"text/event-stream"),
+            signed=bool(_first(raw, SIGNATURE)),
+            at_fault=_first(raw, AT_FAULT).decode("latin-1"),
+            headers=passed,
+        )
+
+
+def _read_load(text: bytes) -> Load | None:
+    numbers = _numbers(text)
+    if len(numbers) < 3:
+        return None
+    return Load(running=numbers[0], waiting=numbers[1], slots=numbers[2])
--- /dev/null
+++ b/pondpin/relay/attempt.py
@@ -0,0 +1,244 @@
+"""One attempt at an upstream: sends the request, checks the head, passes whole events on."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from pondpin.clocks import Clock
+from pondpin.http_client import CallFailedError, ExactCall, HttpClient, OpenStream, StreamStart
+from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall, WholeReply
+from pondpin.relay.events import EventSplitter
+from pondpin.relay.model import AnswerHead
+from pondpin.relay.planner import Plan
+from pondpin.relay.ports import Dialect, Forwarded, PartPlace
+
+OK = 200
+FIRST_FAILURE = 300
+
+
+@dataclass(frozen=True, slots=True)
+class Patience:
+    """Seconds of silence after which an attempt counts as stalled, before and after the first
+    event; None waits until the deadline."""
+
+    first: float | None
+    gap: float | None
+
+
+class Watcher(Protocol):
+    """Is told what an attempt hears of its upstream."""
+
+    def head(self, head: AnswerHead) -> None:
+        """The head of the answer came."""
+        ...
+
+    def first_event(self) -> None:
+        """The first event of this attempt came."""
+        ...
+
+    def heard(self, now: float) -> None:
+        """Any byte came."""
+        ...
+
+
+class EventSink:
+    """Passes the whole events of an answer on to the caller, in order and none twice."""
+
+    def __init__(
+        self,
+        call: RelayCall,
+        progress: Progress,
+        clock: Clock,
+        begin: Callable[[], None],
+        watcher: Watcher,
+    ) -> None:
+        self._call = call
+        self._progress = progress
+        self._clock = clock
+        self._begin = begin
+        self._watcher = watcher
+        self._splitter = EventSplitter()
+        self._seen = False
+        self.heard_at = clock()
+        self.ended: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self.stream: OpenStream | None = None
+
+    def on_data(self, data: bytes) -> None:
+        """Take a piece of the body."""
+        self.heard_at = self._clock()
+        self._watcher.heard(self.heard_at)
+        try:
+            events = self._splitter.feed(data)
+        except ValueError:
+            self._finish(False)
+            return
+        fresh = [item for item in events if self._is_new(item.number)]
+        if not fresh:
+            return
+        if not self._seen:
+            self._seen = True
+            self._watcher.first_event()
+        self._begin()
+        for item in fresh:
+            self._progress.note_event(item.number, self.heard_at)
+        self._call.reply.write(b"".join(item.data for item in fresh))
+
+    def _is_new(self, number: int) -> bool:
+        return number < 0 or number > self._progress.last_number
+
+    def on_end(self, whole: bool) -> None:
+        """Take the end; half an event at the end means that the answer was cut."""
+        self._finish(whole and not self._splitter.has_rest)
+
+    def _finish(self, whole: bool) -> None:
+        if not self.ended.done():
+            self.ended.set_result(whole)
+
+
+class Attempts:
+    """Runs attempts over HTTP."""
+
+    def __init__(self, http: HttpClient, dialect: Dialect, clock: Clock) -> None:
+        self._http = http
+        self._dialect = dialect
+        self._clock = clock
+
+    async def run(
+        self,
+        call: RelayCall,
+        plan: Plan,
+        parts: tuple[PartPlace, ...],
+        progress: Progress,
+        patience: Patience,
+        watcher: Watcher,
+    ) -> AttemptEnd:
+        """Make the attempt. Never raises but for cancellation, which drops the connection."""
+        began = self._clock()
+        exact = self._exact_call(call, plan, parts, progress, began)
+        # A call that may not be repeated gets a new connection: failing to connect then
+        # proves that nothing was sent.
+        fresh = not call.route.idempotent
+        try:
+            start = await asyncio.wait_for(
+                self._http.open_exact(exact, fresh), self._limit(call, patience.first, began)
+            )
+        except CallFailedError as error:
+            kind = EndKind.BROKEN if error.sent else EndKind.NOT_SENT
+            return AttemptEnd(kind, str(error))
+        except TimeoutError:
+            return AttemptEnd(EndKind.STALLED, "no answer in time")
+        head = self._dialect.read_head(start.status, start.raw_headers)
+        watcher.head(head)
+        fault = self._check_head(call, head)
+        if fault:
+            start.abort()
+            return AttemptEnd(EndKind.INVALID, fault)
+        if head.events and head.status == OK:
+            return await self._pass_events(call, start, head, progress, patience, watcher, began)
+        return await self._read_whole(call, start, head, began)
+
+    def _exact_call(
+        self,
+        call: RelayCall,
+        plan: Plan,
+        parts: tuple[PartPlace, ...],
+        progress: Progress,
+        now: float,
+    ) -> ExactCall:
+        listed = plan.lead.listed
+        resume = str(progress.last_number) if progress.events else ""
+        sent = Forwarded(
+            upstream=listed.id,
+            account=call.account,
+            seconds_left=call.deadline - now,
+            rank=call.rank,
+            resume_after=resume if progress.last_number >= 0 else "",
+            parts=parts,
+        )
+        headers = self._dialect.forward_headers(call.incoming.raw_headers, sent)
+        return ExactCall(
+            host=listed.host,
+            port=listed.port,
+            method=call.incoming.method.encode("latin-1"),
+            target=call.incoming.target,
+            headers=tuple(headers),
+            body=call.incoming.body,
+        )
+
+    def _limit(self, call: RelayCall, patience: float | None, began: float) -> float:
+        left = max(0.0, call.deadline - self._clock())
+        if patience is None:
+            return left
+        return min(left, max(0.0, began + patience - self._clock()))
+
+    def _check_head(self, call: RelayCall, head: AnswerHead) -> str:
+        """Why the answer can't belong to the request, empty when it does."""
+        if head.attempt_id and head.attempt_id != call.id:
+            return f"an answer to {head.attempt_id}"
+        if head.status < FIRST_FAILURE and not head.attempt_id:
+            return "a success without the request's id"
+        if head.status < FIRST_FAILURE and not head.signed:
+            return "a success without a signature"
+        return ""
+
+    async def _read_whole(
+        self, call: RelayCall, start: StreamStart, head: AnswerHead, began: float
+    ) -> AttemptEnd:
+        try:
+            body = await asyncio.wait_for(start.read(), self._limit(call, None, began))
+        except CallFailedError as error:
+            return AttemptEnd(EndKind.BROKEN, str(error))
+        except TimeoutError:
+            return AttemptEnd(EndKind.STALLED, "the answer stopped")
+        if head.not_executed:
+            return AttemptEnd(EndKind.NOT_EXECUTED, f"status {head.status}", at_fault=head.at_fault)
+        answer = WholeReply(head.status, head.headers, body)
+        return AttemptEnd(EndKind.ANSWERED, answer=answer)
+
+    async def _pass_events(
+        self,
+        call: RelayCall,
+        start: StreamStart,
+        head: AnswerHead,
+        progress: Progress,
+        patience: Patience,
+        watcher: Watcher,
+        began: float,
+    ) -> AttemptEnd:
+        def begin() -> None:
+            if not progress.head_sent:
+                progress.head_sent = True
+                call.reply.start_exact(head.status, head.headers)
+
+        sink = EventSink(call, progress, self._clock, begin, watcher)
+        sink.heard_at = began
+        stream = start.deliver(sink)
+        sink.stream = stream
+        call.reply.follow(stream)
+        try:
+            whole = await self._wait_for_end(call, sink, progress, patience)
+        finally:
+            call.reply.unfollow()
+            if not sink.ended.done() or not sink.ended.result():
+                stream.abort()
+        if whole is None:
+            return AttemptEnd(EndKind.STALLED, "no event in time")
+        if not whole:
+            return AttemptEnd(EndKind.BROKEN, "the stream broke off")
+        begin()
+        return AttemptEnd(EndKind.DONE)
+
+    async def _wait_for_end(
+        self, call: RelayCall, sink: EventSink, progress: Progress, patience: Patience
+    ) -> bool | None:
+        """Whether the stream ended whole; None when it stalled or the deadline passed."""
+        before = progress.events
+        while True:
+            limit = patience.first if progress.events == before else patience.gap
+            left = self._limit(call, limit, sink.heard_at)
+            done, _ = await asyncio.wait((sink.ended,), timeout=left)
+            if done:
+                return sink.ended.result()
+            if self._limit(call, limit, sink.heard_at) <= 0:
+                return None
--- /dev/null
+++ b/pondpin/relay/call.py
@@ -0,0 +1,104 @@
+"""A relayed request on its way, and how its attempts end."""
+
+import enum
+from dataclasses import dataclass, field
+
+from pondpin.http_server import Incoming, Reply
+from pondpin.relay.model import RelayConfiguration, RequestFacts, Route
+
+# Callers give a stream up after the longest of these, also before its first event.
+PATIENCE_SECONDS = 2.0
+PATIENCE_TARGETS = 4.0
+PATIENCE_GAPS = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class RelayCall:
+    """An admitted request; arrived and deadline are by the steady clock."""
+
+    incoming: Incoming
+    reply: Reply
+    facts: RequestFacts
+    route: Route
+    service: str
+    account: str
+    rank: int
+    configuration: RelayConfiguration
+    arrived: float
+    deadline: float
+
+    @property
+    def id(self) -> str:
+        """The id that the caller gave."""
+        return self.facts.attempt_id
+
+    @property
+    def patience(self) -> float:
+        """Seconds of silence after which the caller gives a stream up."""
+        route = self.route
+        longest = max(PATIENCE_TARGETS * route.target, PATIENCE_GAPS * route.gap_target)
+        return max(PATIENCE_SECONDS, longest)
+
+
+class EndKind(enum.Enum):
+    """How an attempt ended."""
+
+    DONE = "done"
+    ANSWERED = "answered"
+    NOT_EXECUTED = "not executed"
+    NOT_SENT = "not sent"
+    BROKEN = "broken"
+    STALLED = "stalled"
+    INVALID = "invalid"
+
+
+@dataclass(frozen=True, slots=True)
+class WholeReply:
+    """An upstream's whole answer."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnd:
+    """The end of an attempt; at_fault names another upstream that made it fail."""
+
+    kind: EndKind
+    detail: str = ""
+    answer: WholeReply | None = None
+    at_fault: str = ""
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the upstream may have run the request."""
+        return self.kind not in (EndKind.NOT_EXECUTED, EndKind.NOT_SENT)
+
+
+@dataclass(slots=True)
+class Progress:
+    """What a request's attempts have done so far."""
+
+    attempts: int = 0
+    may_have_run: bool = False
+    tried: frozenset[str] = frozenset()
+    upstream: str = ""
+    events: int = 0
+    last_number: int = -1
+    first_at: float | None = None
+    last_at: float = 0.0
+    longest_gap: float = 0.0
+    head_sent: bool = False
+    notes: list[str] = field(default_factory=list)
+
+    def note_event(self, number: int, now: float) -> None:
+        """An event went to the caller."""
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            self.longest_gap = max(self.longest_gap, now - self.last_at)
+        self.last_at = now
+        self.events += 1
+        if number >= 0:
+            self.last_number = number
--- /dev/null
+++ b/pondpin/relay/digests.py
@@ -0,0 +1,129 @@
+"""What instances tell each other several times a second, and the table of those heard.
+
+A digest answers the last digest of its receiver (echo), so that the receiver can date what it
+says by its own clock, however long the datagram waited.
+"""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from pondpin.relay.upstreams import WorkDigest
+
+DIGEST_FORMAT = 1
+MILLISECONDS = 1000.0
+# A peer that was silent for so long is not counted among the live ones: several digests.
+ALIVE_SECONDS = 1.2
+FORGET_SECONDS = 60.0
+
+
+class EjectedDigest(msgspec.Struct, frozen=True, array_like=True):
+    """An upstream that its sender ejected, and for how many more ms."""
+
+    upstream: str
+    left: int
+
+
+class Digest(msgspec.Struct, frozen=True, array_like=True):
+    """One instance's state for one peer; times in ms, -1 where nothing is known.
+
+    boot is a random number of the sender's life; stamp is the sender's steady clock;
+    echo_boot and echo repeat the boot and stamp of the receiver's last digest.
+    """
+
+    format: int
+    instance: str
+    boot: int
+    host: str
+    sequence: int
+    stamp: int
+    echo_boot: int
+    echo: int
+    revision: int
+    proof_age: int
+    list_tag: int
+    list_age: int
+    reads_source: bool
+    leaving: tuple[str, ...]
+    ejected: tuple[EjectedDigest, ...]
+    work: tuple[WorkDigest, ...]
+    hosts: tuple[str, ...]
+
+
+_DECODER = msgspec.msgpack.Decoder(Digest)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode_digest(digest: Digest) -> bytes:
+    """A digest as a datagram."""
+    return _ENCODER.encode(digest)
+
+
+def decode_digest(data: bytes) -> Digest | None:
+    """A digest from a datagram; None for anything else."""
+    try:
+        digest = _DECODER.decode(data)
+    except msgspec.MsgspecError:
+        return None
+    return digest if digest.format == DIGEST_FORMAT else None
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSeen:
+    """A peer as last heard; heard_at by this process's steady clock."""
+
+    instance: str
+    boot: int
+    host: str
+    sequence: int
+    stamp: int
+    heard_at: float
+    reads_source: bool
+
+
+class PeerTable:
+    """Peers by their host."""
+
+    def __init__(self, own_boot: int) -> None:
+        self._own_boot = own_boot
+        self.by_host: dict[str, PeerSeen] = {}
+
+    def take(self, digest: Digest, now: float) -> bool:
+        """Note a digest; False for one's own, or one that was overtaken by a later one."""
+        if digest.boot == self._own_boot:
+            return False
+        known = self.by_host.get(digest.host)
+        if known is not None and known.boot == digest.boot and digest.sequence <= known.sequence:
+            return False
+        self.by_host[digest.host] = PeerSeen(
+            digest.instance,
+            digest.boot,
+            digest.host,
+            digest.sequence,
+            digest.stamp,
+            now,
+            digest.reads_source,
+        )
+        return True
+
+    def alive(self, now: float) -> list[PeerSeen]:
+        """Peers heard lately."""
+        return [peer for peer in self.by_host.values() if now - peer.heard_at < ALIVE_SECONDS]
+
+    def forget(self, now: float) -> list[PeerSeen]:
+        """Drop peers that are long silent; returns them."""
+        gone = [peer for peer in self.by_host.values() if now - peer.heard_at > FORGET_SECONDS]
+        for peer in gone:
+            del self.by_host[peer.host]
+        return gone
+
+    def rank(self, instance: str, now: float) -> int:
+        """How many live peers come before this instance among those the source answers."""
+        return sum(1 for peer in self.alive(now) if peer.reads_source and peer.instance < instance)
+
+
+def asked_at(digest: Digest, own_boot: int) -> float | None:
+    """When this process sent the digest that the peer had heard; None when it had heard none."""
+    if digest.echo < 0 or digest.echo_boot != own_boot:
+        return None
+    return digest.echo / MILLISECONDS
--- /dev/null
+++ b/pondpin/relay/engine_choice.py
@@ -0,0 +1,258 @@
+"""Chooses the engine that answers a streamed request, and those that read parts of its prompt."""
+
+import math
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from pondpin.relay.forecast import (
+    EngineLoad,
+    disturbance,
+    first_event_seconds,
+    first_late,
+    pass_seconds,
+    read_seconds,
+)
+from pondpin.relay.model import EngineProfile
+
+# Numbers of engines that are compared for one prompt; an engine lets 16 others help.
+PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
+# A prompt whose reading is below this share of its own pause target disturbs nobody who
+# writes under that target: it counts as light.
+LIGHT_SHARE = 0.5
+# Free slots kept on each engine of the light pool, for what peers place unseen.
+SPARE_SLOTS = 2
+# The light pool is sized for this multiple of the light streams in flight, and some more.
+POOL_GROWTH = 1.25
+POOL_MARGIN = 4
+# Worth that a heavy part costs on an engine of the light pool beside what it disturbs now.
+POOL_WORTH = 0.6
+# Worth of a second of waiting as a share of a request's, so that of two sure ways the
+# faster is taken.
+HASTE = 0.02
+# Worth lost for each further engine that reads a part: each may fail or be late.
+PART_WORTH = 0.03
+# Seconds that a request waits for each one that is already too many on an engine.
+QUEUE_SECONDS = 0.25
+# Share of an engine's memory that is given out; answers grow while they are written.
+MEMORY_SHARE = 0.95
+# Tokens of a prompt against the worth of an answer: fitted to no site, only its growth counts.
+WORTH_TOKENS = 3500.0
+WORTH_POWER = 0.75
+SMALLEST_WORTH = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """A streamed request to be placed; targets in seconds."""
+
+    prompt_tokens: int
+    answer_tokens: int
+    target: float
+    gap_target: float
+
+    @property
+    def worth(self) -> float:
+        """The weight of the request against others."""
+        return worth_of(self.prompt_tokens)
+
+    @property
+    def tokens(self) -> int:
+        """Memory that it needs in the end."""
+        return self.prompt_tokens + self.answer_tokens
+
+
+@dataclass(frozen=True, slots=True)
+class EngineView:
+    """An engine that may get work."""
+
+    id: str
+    load: EngineLoad
+    local: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EngineChoice:
+    """Where a request goes; helpers and lead read a part each.
+
+    lease_tokens is the memory to set aside at each helper, 0 when the lead holds all.
+    first_event is the forecast in seconds, loss the worth expected to be lost.
+    """
+
+    lead: str
+    helpers: tuple[str, ...]
+    part_seconds: float
+    lease_tokens: int
+    first_event: float
+    loss: float
+    pool: int
+
+
+def worth_of(tokens: int) -> float:
+    """The weight of a request by its size."""
+    return max(SMALLEST_WORTH, float((tokens / WORTH_TOKENS) ** WORTH_POWER))
+
+
+def is_light(profile: EngineProfile, prompt_tokens: int, gap_target: float) -> bool:
+    """Whether a prompt can be read beside writers of its own kind."""
+    return read_seconds(profile, prompt_tokens) <= LIGHT_SHARE * gap_target
+
+
+def pool_size(profile: EngineProfile, light_in_flight: int, engines: int) -> int:
+    """How many engines, in the common order, serve light requests."""
+    room = max(1, profile.slots - SPARE_SLOTS)
+    needed = math.ceil((POOL_GROWTH * light_in_flight + POOL_MARGIN) / room)
+    return max(1, min(engines, needed))
+
+
+def choose_engines(
+    profile: EngineProfile,
+    job: Job,
+    engines: Sequence[EngineView],
+    light_in_flight: int,
+    rng: random.Random,
+) -> EngineChoice | None:
+    """The best way found to serve a job; engines come in the order common to all instances.
+
+    None when no engine, or no group with leases, has the memory.
+    """
+    if not engines:
+        return None
+    pool = pool_size(profile, light_in_flight, len(engines))
+    if is_light(profile, job.prompt_tokens, job.gap_target):
+        return _choose_light(profile, job, engines, pool, rng)
+    return _choose_heavy(profile, job, engines, pool, rng)
+
+
+def _has_memory(profile: EngineProfile, load: EngineLoad, tokens: int) -> bool:
+    return load.tokens + tokens <= profile.memory * MEMORY_SHARE
+
+
+def _choose_light(
+    profile: EngineProfile,
+    job: Job,
+    engines: Sequence[EngineView],
+    pool: int,
+    rng: random.Random,
+) -> EngineChoice | None:
+    inside = list(engines[:pool])
+    pair = rng.sample(inside, min(2, len(inside)))
+    best = min(pair, key=lambda view: _light_score(profile, job, view))
+    if _is_crowded(profile, job, best):
+        best = min(engines, key=lambda view: (_light_score(profile, job, view), rng.random()))
+    seconds = read_seconds(profile, job.prompt_tokens)
+    first = first_event_seconds(profile, best.load, (), seconds, job.prompt_tokens)
+    waiting = max(0, best.load.in_flight + 1 - profile.slots) * QUEUE_SECONDS
+    loss = job.worth * first_late(first + waiting, job.target)
+    return EngineChoice(best.id, (), seconds, 0, first + waiting, loss, pool)
+
+
+def _is_crowded(profile: EngineProfile, job: Job, view: EngineView) -> bool:
+    load = view.load
+    busy = load.in_flight >= profile.slots - 1 or load.reading > job.gap_target / 2
+    return busy or not _has_memory(profile, load, job.tokens)
+
+
+def _light_score(profile: EngineProfile, job: Job, view: EngineView) -> float:
+    """Seconds that placing a light job here costs it and those beside it."""
+    load = view.load
+    over = max(0, load.in_flight + 1 - profile.slots)
+    score = load.reading + pass_seconds(profile, load) / 2 + over * QUEUE_SECONDS
+    score += load.in_flight / profile.slots * 0.05
+    if not _has_memory(profile, load, job.tokens):
+        score += job.target
+    return score
+
+
+def _choose_heavy(
+    profile: EngineProfile,
+    job: Job,
+    engines: Sequence[EngineView],
+    pool: int,
+    rng: random.Random,
+) -> EngineChoice | None:
+    alone = read_seconds(profile, job.prompt_tokens)
+    best: EngineChoice | None = None
+    for count in PART_COUNTS:
+        if count > len(engines):
+            break
+        choice = _choose_parts(profile, job, engines, pool, count, alone / count, rng)
+        if choice is not None and (best is None or choice.loss < best.loss):
+            best = choice
+    return best
+
+
+def _choose_parts(
+    profile: EngineProfile,
+    job: Job,
+    engines: Sequence[EngineView],
+    pool: int,
+    count: int,
+    part: float,
+    rng: random.Random,
+) -> EngineChoice | None:
+    """The cheapest count engines for parts of part seconds each."""
+    costs = {
+        view.id: _part_cost(profile, job, view, index < pool, part)
+        for index, view in enumerate(engines)
+    }
+    ranked = sorted(engines, key=lambda view: (costs[view.id], rng.random()))
+    chosen = ranked[:count]
+    lease = _lease_tokens(profile, job, chosen, count)
+    if lease is None:
+        return None
+    lead = _choose_lead(profile, job, chosen, lease)
+    if lead is None:
+        return None
+    helpers = [view for view in chosen if view.id != lead.id]
+    first = first_event_seconds(
+        profile, lead.load, [view.load for view in helpers], part, job.prompt_tokens
+    )
+    first += max(0, lead.load.in_flight + 1 - profile.slots) * QUEUE_SECONDS
+    loss = sum(costs[view.id] for view in chosen)
+    loss += job.worth * (first_late(first, job.target) + HASTE * first / job.target)
+    loss += PART_WORTH * count
+    names = tuple(view.id for view in helpers)
+    return EngineChoice(lead.id, names, part, lease, first, loss, pool)
+
+
+def _part_cost(
+    profile: EngineProfile, job: Job, view: EngineView, in_pool: bool, part: float
+) -> float:
+    cost = disturbance(profile, view.load, part)
+    if in_pool:
+        # Light streams will come here soon, with targets about as short as those there now.
+        cost += POOL_WORTH * min(1.0, part / 0.1)
+    return cost + job.worth * HASTE * view.load.reading / job.target
+
+
+def _lease_tokens(
+    profile: EngineProfile, job: Job, chosen: Sequence[EngineView], count: int
+) -> int | None:
+    """Memory to set aside at each helper: 0 when one engine can hold all, None when none can."""
+    if any(_has_memory(profile, view.load, job.tokens) for view in chosen):
+        return 0
+    if count == 1:
+        return None
+    return math.ceil(job.prompt_tokens / count)
+
+
+def _choose_lead(
+    profile: EngineProfile, job: Job, chosen: Sequence[EngineView], lease: int
+) -> EngineView | None:
+    """The engine that writes the answer: one with memory, a free slot and few short writers."""
+    own = job.tokens if lease == 0 else lease + job.answer_tokens
+    if lease and not all(_has_memory(profile, view.load, own) for view in chosen):
+        return None
+    fitting = [view for view in chosen if _has_memory(profile, view.load, own)]
+    if not fitting:
+        return None
+    return min(
+        fitting,
+        key=lambda view: (
+            max(0, view.load.in_flight + 1 - profile.slots),
+            sum(item.worth for item in view.load.writers if item.gap_target < job.gap_target),
+            view.load.tokens,
+            not view.local,
+        ),
+    )
--- /dev/null
+++ b/pondpin/relay/entry.py
@@ -0,0 +1,310 @@
+"""Puts a relaying instance together: sockets, beliefs, decisions, controllers."""
+
+import asyncio
+import random
+import secrets
+import sys
+from typing import Any
+
+import pondpin
+from pondpin.controllers.base import Controller
+from pondpin.controllers.peers import GrpcPeers
+from pondpin.http_client import HttpClient
+from pondpin.http_server import Incoming, Reply, ServerLimits, WebServer
+from pondpin.metrics import Metrics
+from pondpin.network import Endpoint, parse_endpoint
+from pondpin.peer_server import PeerListener
+from pondpin.platform.documents import PlatformDecoder
+from pondpin.platform.orders import PlatformLeases
+from pondpin.platform.paths import READY_PATH
+from pondpin.platform.requests import PlatformDialect
+from pondpin.platform.store import PlatformStore
+from pondpin.relay.admission import Beliefs
+from pondpin.relay.attempt import Attempts
+from pondpin.relay.document_server import DocumentServer
+from pondpin.relay.gossip import Gossip, GossipAddress, GossipController
+from pondpin.relay.handler import RelayBounds, RelayHandler
+from pondpin.relay.leases import Leases
+from pondpin.relay.log import EventLog
+from pondpin.relay.log_events import (
+    ConfigurationTaken,
+    FreshnessChanged,
+    PublishedRefused,
+    Reloaded,
+    Started,
+    Stopped,
+    Stopping,
+    UpstreamLeaving,
+)
+from pondpin.relay.model import RelayConfiguration
+from pondpin.relay.planner import Planner
+from pondpin.relay.probe import ProbeController
+from pondpin.relay.publication import ListChange, Publication
+from pondpin.relay.reader import ReaderController
+from pondpin.relay.retry_window import RetryBounds
+from pondpin.relay.upstreams import UpstreamTable
+from pondpin.runtime import steady_now, wall_now
+from pondpin.settings import RelaySettings
+
+CONNECT_SECONDS = 0.6
+# Upstreams close idle connections; a short time keeps few of them and rarely meets a closing.
+IDLE_SECONDS = 4.0
+# The bound of a key leaves this much for the way to the upstream and the clocks' rates.
+KEY_MARGIN_SECONDS = 0.4
+LOG_FLUSH_SECONDS = 0.1
+DRAIN_POLL_SECONDS = 0.1
+# The balancer takes an instance out after two questions a second apart.
+BALANCER_SECONDS = 3.0
+# Everything that is still open is cut this long before the process would be killed.
+STOP_MARGIN_SECONDS = 0.4
+SENDING_SECONDS = 10.0
+BODIES_SHARE = 0.25
+MEBIBYTE = 1 << 20
+MILLISECONDS = 1000.0
+IDLE_MARGIN_SECONDS = 2.0
+
+
+class RelayEntry:
+    """One instance that relays."""
+
+    def __init__(self, reactor: Any, settings: RelaySettings) -> None:
+        self.reactor = reactor
+        self.settings = settings
+        self.boot = secrets.randbits(48)
+        self.rng = random.Random(self.boot)
+        self._fresh: bool | None = None
+        self._make_beliefs()
+        self._make_gossip()
+        self._make_serving()
+        self._make_controllers()
+
+    def _make_beliefs(self) -> None:
+        settings = self.settings
+        self.log = EventLog(settings.instance, steady_now, wall_now, sys.stdout.fileno())
+        self.metrics = Metrics(settings.instance, settings.data_center)
+        self.metrics.started.set({}, wall_now())
+        self.table = UpstreamTable(settings.data_center)
+        self.publication = Publication(
+            PlatformDecoder(), self._take_configuration, self._take_list, self._note_refused
+        )
+        self.http = HttpClient(self.reactor, CONNECT_SECONDS, idle_seconds=IDLE_SECONDS)
+
+    def _make_gossip(self) -> None:
+        settings = self.settings
+        documents = parse_endpoint(settings.peers.documents)
+        self.peers = GrpcPeers(self.metrics, lambda: None)
+        self.gossip = Gossip(
+            instance=settings.instance,
+            boot=self.boot,
+            address=GossipAddress(documents.host, settings.peers.ports[0], documents.port),
+            seeds=tuple(parse_endpoint(address).host for address in settings.peers.known),
+            publication=self.publication,
+            table=self.table,
+            peers=self.peers,
+            log=self.log,
+            clock=steady_now,
+            rng=self.rng,
+            reads_source=lambda: self.reader.answers,
+        )
+        self.document_server = PeerListener(DocumentServer(self.publication, steady_now))
+
+    def _make_serving(self) -> None:
+        settings = self.settings
+        planner = Planner(
+            self.table, steady_now, self.rng, lambda: self.gossip.tell_soon(), settings.use_parts
+        )
+        prefix = f"{settings.instance}-{self.boot:x}"
+        self.leases = Leases(PlatformLeases(self.http), prefix, self.log)
+        dialect = PlatformDialect()
+        self.handler = RelayHandler(
+            dialect=dialect,
+            attempts=Attempts(self.http, dialect, steady_now),
+            planner=planner,
+            table=self.table,
+            leases=self.leases,
+            beliefs=self.beliefs,
+            sharers=lambda: 1 + len(self.gossip.known.alive(steady_now())),
+            bounds=self._bounds,
+            log=self.log,
+            metrics=self.metrics,
+            clock=steady_now,
+            rng=self.rng,
+        )
+        self.caller_server = WebServer(self.reactor, self._server_limits(None))
+        self.caller_server.route("", self.handler.handle)
+        self.ready_server = WebServer(self.reactor)
+        self.ready_server.route(READY_PATH, self._show_ready)
+        self.metrics_server = WebServer(self.reactor)
+        self.metrics_server.route("/metrics", self._show_metrics)
+
+    def _make_controllers(self) -> None:
+        source = PlatformStore(self.http, self.settings.source)
+        self.reader = ReaderController(
+            source,
+            self.publication,
+            lambda now: self.gossip.known.rank(self.settings.instance, now),
+            lambda: self.gossip.send(steady_now()),
+            self.log,
+            steady_now,
+            self.rng,
+        )
+        self.controllers: tuple[Controller, ...] = (
+            self.reader,
+            GossipController(self.gossip, self.publication, steady_now),
+            ProbeController(self.table, self.publication, self.http, self.log, steady_now),
+            HousekeepingController(self),
+        )
+
+    def _bounds(self) -> RelayBounds:
+        limits = self.settings.limits
+        retries = RetryBounds(
+            limits.retry_ratio, limits.retry_allowance, limits.retry_window_seconds
+        )
+        return RelayBounds(limits.key_ms / MILLISECONDS, retries)
+
+    def _server_limits(self, configuration: RelayConfiguration | None) -> ServerLimits:
+        held = int(self.settings.limits.memory_mebibytes * MEBIBYTE * BODIES_SHARE)
+        if configuration is None:
+            return ServerLimits(bodies_held_bytes=held)
+        bounds = configuration.bounds
+        return ServerLimits(
+            body_bytes=bounds.body_bytes,
+            bodies_held_bytes=held,
+            header_bytes=bounds.header_bytes,
+            send_seconds=bounds.header_seconds + SENDING_SECONDS,
+            idle_seconds=bounds.idle_seconds + IDLE_MARGIN_SECONDS,
+        )
+
+    def beliefs(self) -> Beliefs:
+        """What requests are admitted by now."""
+        bound = self.settings.limits.key_ms / MILLISECONDS - KEY_MARGIN_SECONDS
+        return Beliefs(self.publication.configuration, self.publication.proof, bound)
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send connections."""
+        if self.caller_server.stopping or not self.table.by_id:
+            return False
+        beliefs = self.beliefs()
+        return beliefs.proof_age(steady_now()) < beliefs.key_bound
+
+    async def start(self) -> Endpoint:
+        """Listen, then learn what is published."""
+        settings = self.settings
+        self.log.open()
+        self.log.write(
+            Started(
+                instance=settings.instance,
+                data_center=settings.data_center,
+                boot=self.boot,
+                version=pondpin.__version__,
+            )
+        )
+        documents = parse_endpoint(settings.peers.documents)
+        await self.document_server.start(documents.host, documents.port)
+        self.gossip.listen(self.reactor)
+        self.ready_server.listen(self.reactor, parse_endpoint(settings.ready))
+        if settings.metrics_port:
+            place = Endpoint(documents.host, settings.metrics_port)
+            self.metrics_server.listen(self.reactor, place)
+        bound = self.caller_server.listen(self.reactor, parse_endpoint(settings.callers))
+        for controller in self.controllers:
+            controller.start()
+        return bound
+
+    async def drain_and_stop(self) -> None:
+        """A planned stop: not ready at once; what is open runs on until the grace period ends."""
+        began = steady_now()
+        self.caller_server.stopping = True
+        grace = self.settings.limits.grace_seconds
+        self.log.write(Stopping(open_requests=self.handler.open_requests, grace=grace))
+        while steady_now() - began < grace - STOP_MARGIN_SECONDS:
+            out = steady_now() - began >= BALANCER_SECONDS
+            if out and not self.handler.open_requests and not len(self.caller_server.channels):
+                break
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Close everything now."""
+        self.log.write(Stopped(open_requests=self.handler.open_requests))
+        for controller in self.controllers:
+            await controller.stop()
+        for server in (self.caller_server, self.ready_server, self.metrics_server):
+            await server.close()
+        for task in list(self.caller_server.tasks):
+            task.cancel()
+        await asyncio.gather(*self.caller_server.tasks, return_exceptions=True)
+        await self.leases.settle()
+        self.gossip.close()
+        self.document_server.close()
+        self.peers.close()
+        self.log.flush()
+
+    def reload(self, settings: RelaySettings) -> None:
+        """Take what may change while running: limits and seeds."""
+        self.settings = settings
+        hosts = {parse_endpoint(address).host for address in settings.peers.known}
+        self.gossip.hosts.update(hosts - {self.gossip.address.host})
+        self.log.write(Reloaded(outcome="taken"))
+
+    def refuse_reload(self, reason: str) -> None:
+        """The settings file is faulty: the ones in force stay."""
+        self.log.write(Reloaded(outcome="refused", reason=reason))
+
+    def note_freshness(self) -> None:
+        """Log when keys begin or cease to be accepted."""
+        beliefs = self.beliefs()
+        age = beliefs.proof_age(steady_now())
+        fresh = age < beliefs.key_bound
+        if fresh != self._fresh:
+            self._fresh = fresh
+            told = -1.0 if age == float("inf") else round(age, 3)
+            revision = self.publication.revision
+            self.log.write(FreshnessChanged(fresh=fresh, age=told, revision=revision))
+
+    def _take_configuration(self, configuration: RelayConfiguration) -> None:
+        self.caller_server.limits = self._server_limits(configuration)
+        self.caller_server.set_idle(self.caller_server.limits.idle_seconds)
+        self.metrics.revision.set({}, configuration.version)
+        self.log.write(
+            ConfigurationTaken(
+                version=configuration.version,
+                revision=self.publication.revision,
+                routes=sum(len(found) for found in configuration.routes_by_host.values()),
+                accounts=len(set(configuration.accounts_by_key.values())),
+            )
+        )
+
+    def _take_list(self, change: ListChange) -> None:
+        for name in self.table.take_list(change.listed, change.missing):
+            self.log.write(UpstreamLeaving(upstream=name, source="list"))
+
+    def _note_refused(self, key: str, reason: str) -> None:
+        self.metrics.configurations.inc({"source": "platform", "result": "refused"})
+        self.log.write(PublishedRefused(key=key, reason=reason))
+
+    async def _show_ready(self, incoming: Incoming, reply: Reply) -> None:
+        reply.send(200 if self.ready else 503, {}, b"")
+
+    async def _show_metrics(self, incoming: Incoming, reply: Reply) -> None:
+        content, headers = self.metrics.render(incoming.headers.get("accept", ""))
+        reply.send(200, headers, content)
+
+
+class HousekeepingController(Controller):
+    """Writes the log out and keeps the gauges."""
+
+    period = LOG_FLUSH_SECONDS
+
+    def __init__(self, entry: RelayEntry) -> None:
+        super().__init__()
+        self._entry = entry
+
+    async def step(self) -> None:
+        """One round."""
+        entry = self._entry
+        entry.note_freshness()
+        entry.log.flush()
+        entry.metrics.open_requests.set({}, entry.handler.open_requests)
+        entry.metrics.peers_alive.set({}, len(entry.gossip.known.alive(steady_now())))
--- /dev/null
+++ b/pondpin/relay/forecast.py
@@ -0,0 +1,92 @@
+"""Forecasts what a model engine does with a request, from its published figures.
+
+An engine works in passes. A pass with writers plays stride token steps, and the reading of
+prompts happens inside passes, so reading lengthens the pauses of those who write.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from pondpin.relay.model import EngineProfile
+
+# A stream is surely in time while its pause is forecast under this share of the target, and
+# surely late above the other; forecasts of a worker's pauses err by about a sixth (passes
+# begin at any time, peers' loads are up to two digests old).
+SURE_SHARE = 0.7
+LATE_SHARE = 1.1
+# The same for the first event, where queues and other instances' choices add more spread.
+FIRST_SURE_SHARE = 0.6
+FIRST_LATE_SHARE = 1.2
+TOKENS_PER_K = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Writers:
+    """Streams on an engine with the same target for their pauses; worth is their sum."""
+
+    gap_target: float
+    count: int
+    worth: float
+
+
+@dataclass(frozen=True, slots=True)
+class EngineLoad:
+    """An engine as believed now: reading is seconds of prompts still to be read."""
+
+    in_flight: int
+    reading: float
+    tokens: int
+    writers: tuple[Writers, ...]
+
+
+def read_seconds(profile: EngineProfile, tokens: int) -> float:
+    """Seconds that one engine takes to read a prompt alone."""
+    pairs = tokens * tokens / 2
+    return tokens / profile.read_rate + pairs * profile.pair_cost
+
+
+def pass_seconds(profile: EngineProfile, load: EngineLoad) -> float:
+    """Seconds of a pass with the engine's writers, without any reading."""
+    count = sum(writers.count for writers in load.writers)
+    if not count:
+        return 0.0
+    context = load.tokens / TOKENS_PER_K * profile.per_context_k
+    return profile.stride * (profile.step + count * profile.per_writer + context)
+
+
+def late_share(seconds: float, target: float, sure: float, late: float) -> float:
+    """How likely something forecast to take seconds misses its target, 0 to 1."""
+    if target <= 0:
+        return 0.0
+    return min(1.0, max(0.0, (seconds / target - sure) / (late - sure)))
+
+
+def disturbance(profile: EngineProfile, load: EngineLoad, added: float) -> float:
+    """Worth that an engine's writers lose when added seconds of reading join the next pass."""
+    before = pass_seconds(profile, load) + load.reading
+    return sum(
+        writers.worth * (_pause_late(before + added, writers) - _pause_late(before, writers))
+        for writers in load.writers
+    )
+
+
+def _pause_late(pause: float, writers: Writers) -> float:
+    return late_share(pause, writers.gap_target, SURE_SHARE, LATE_SHARE)
+
+
+def first_event_seconds(
+    profile: EngineProfile, lead: EngineLoad, parts: Sequence[EngineLoad], part: float, tokens: int
+) -> float:
+    """Seconds to the first event when every engine of parts reads part seconds of the prompt.
+
+    The lead's own writing starts after the last part and takes a pass for the first event.
+    """
+    slowest = max(pass_seconds(profile, load) / 2 + load.reading + part for load in (*parts, lead))
+    context = tokens / TOKENS_PER_K * profile.per_context_k
+    own_pass = profile.stride * (profile.step + profile.per_writer + context)
+    return slowest + max(own_pass, pass_seconds(profile, lead))
+
+
+def first_late(seconds: float, target: float) -> float:
+    """How likely a first event forecast after seconds misses its target."""
+    return late_share(seconds, target, FIRST_SURE_SHARE, FIRST_LATE_SHARE)
--- /dev/null
+++ b/pondpin/relay/gossip.py
@@ -0,0 +1,273 @@
+"""Sends and receives digests over datagrams, and fetches from peers what they have newer."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from twisted.internet.protocol import DatagramProtocol
+
+from pondpin.clocks import Clock
+from pondpin.controllers.base import Controller
+from pondpin.controllers.peers import PeerPort, PeerUnreachableError
+from pondpin.relay.digests import (
+    DIGEST_FORMAT,
+    MILLISECONDS,
+    Digest,
+    EjectedDigest,
+    PeerSeen,
+    PeerTable,
+    asked_at,
+    decode_digest,
+    encode_digest,
+)
+from pondpin.relay.freshness import peer_proof
+from pondpin.relay.log import EventLog
+from pondpin.relay.log_events import FetchFailed, PeerChanged, UpstreamLeaving
+from pondpin.relay.publication import Bundle, Publication
+from pondpin.relay.upstreams import UpstreamTable
+from pondpin.wire.peer_pb2 import FetchConfigurationRequest
+
+# Two digests fit between a choice that needs peers' loads and the end of a usual pass.
+PERIOD_SECONDS = 0.2
+# Out of turn digests are at least so far apart.
+URGENT_SECONDS = 0.03
+# Hosts that are not heard are tried this often.
+HELLO_SECONDS = 1.0
+# Each digest goes to at most so many peers: all of them in a fleet of today's size.
+FAN_OUT = 16
+HOSTS_TOLD = 6
+FETCH_SECONDS = 1.0
+# Leaving upstreams are told for a while; the list then says it too.
+LEAVING_TOLD = 32
+
+_BUNDLE = msgspec.msgpack.Decoder(Bundle)
+
+
+@dataclass(frozen=True, slots=True)
+class GossipAddress:
+    """Where this instance's peers listen: the same ports on every machine."""
+
+    host: str
+    datagram_port: int
+    document_port: int
+
+
+@dataclass
+class Gossip(DatagramProtocol):
+    """The task that owns the datagram socket and the table of peers."""
+
+    instance: str
+    boot: int
+    address: GossipAddress
+    seeds: tuple[str, ...]
+    publication: Publication
+    table: UpstreamTable
+    peers: PeerPort
+    log: EventLog
+    clock: Clock
+    rng: random.Random
+    reads_source: Callable[[], bool]
+    hosts: set[str] = field(default_factory=set)
+    sequence: int = 0
+    bytes_out: int = 0
+    bytes_in: int = 0
+
+    def __post_init__(self) -> None:
+        """Set up the table."""
+        self.known = PeerTable(self.boot)
+        self._hello_at = 0.0
+        self._sent_at = 0.0
+        self._fetching = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._alive: set[str] = set()
+        self._port: Any = None
+        self.transport: Any = None
+        self.hosts.update(self.seeds)
+        self.hosts.discard(self.address.host)
+
+    def listen(self, reactor: Any) -> None:
+        """Open the socket."""
+        host, port = self.address.host, self.address.datagram_port
+        self._port = reactor.listenUDP(port, self, interface=host, maxPacketSize=65536)
+
+    def close(self) -> None:
+        """Close the socket and end fetches."""
+        if self._port is not None:
+            self._port.stopListening()
+            self._port = None
+        for task in self._tasks:
+            task.cancel()
+
+    def datagramReceived(self, data: bytes, addr: Any) -> None:
+        """Take a peer's digest."""
+        self.bytes_in += len(data)
+        digest = decode_digest(data)
+        if digest is not None:
+            self.take(digest, self.clock())
+
+    def take(self, digest: Digest, now: float) -> None:
+        """Believe what a digest says, dated by this process's clock."""
+        if not self.known.take(digest, now):
+            return
+        self.hosts.add(digest.host)
+        self.hosts.update(digest.hosts)
+        self.hosts.discard(self.address.host)
+        self._take_proofs(digest, now)
+        for name in digest.leaving:
+            if self.table.mark_leaving(name):
+                self.log.write(UpstreamLeaving(upstream=name, source=f"peer {digest.instance}"))
+        for ejected in digest.ejected:
+            self.table.suspect(ejected.upstream, now + ejected.left / MILLISECONDS)
+        self.table.take_peer_work(digest.instance, digest.work, now)
+
+    def _take_proofs(self, digest: Digest, now: float) -> None:
+        asked = asked_at(digest, self.boot)
+        newer = digest.revision > self.publication.seen_revision
+        if asked is not None:
+            if digest.proof_age >= 0:
+                age = digest.proof_age / MILLISECONDS
+                self.publication.note_proof(peer_proof(digest.revision, asked, age))
+            newer = newer or self._is_list_newer(digest, asked)
+        if newer and not self._fetching:
+            self._fetching = True
+            self._spawn(self._fetch(digest.host))
+
+    def _is_list_newer(self, digest: Digest, asked: float) -> bool:
+        if digest.list_age < 0:
+            return False
+        at = asked - digest.list_age / MILLISECONDS
+        if digest.list_tag == self.publication.list_tag:
+            self.publication.note_list_current(at)
+            return False
+        return self.publication.list_at is None or at > self.publication.list_at
+
+    async def _fetch(self, host: str) -> None:
+        sent_at = self.clock()
+        address = f"{host}:{self.address.document_port}"
+        try:
+            reply = await self.peers.fetch(address, FetchConfigurationRequest(), FETCH_SECONDS)
+            bundle = _BUNDLE.decode(reply.document)
+            self.publication.take_bundle(bundle, sent_at, self.clock())
+        except (PeerUnreachableError, msgspec.MsgspecError) as error:
+            self.log.write(FetchFailed(peer=host, reason=str(error)))
+        finally:
+            self._fetching = False
+
+    def tell_soon(self) -> None:
+        """Send a digest out of turn, so that peers learn of a big choice."""
+        if self.clock() - self._sent_at >= URGENT_SECONDS:
+            self.send(self.clock())
+
+    def send(self, now: float) -> None:
+        """Send a digest to the live peers, and now and then to hosts that are not heard."""
+        if self._port is None:
+            return
+        self._sent_at = now
+        self._note_alive(now)
+        targets = self.known.alive(now)
+        if len(targets) > FAN_OUT:
+            targets = self.rng.sample(targets, FAN_OUT)
+        base = self.describe(now)
+        for peer in targets:
+            self._post(base, peer.host, peer)
+        if now - self._hello_at >= HELLO_SECONDS:
+            self._hello_at = now
+            heard = {peer.host for peer in self.known.alive(now)}
+            silent = sorted(self.hosts - heard)
+            for host in self.rng.sample(silent, min(FAN_OUT, len(silent))):
+                self._post(base, host, self.known.by_host.get(host))
+            self.known.forget(now)
+
+    def _post(self, base: Digest, host: str, peer: PeerSeen | None) -> None:
+        self.sequence += 1
+        digest = msgspec.structs.replace(
+            base,
+            sequence=self.sequence,
+            echo_boot=peer.boot if peer is not None else 0,
+            echo=peer.stamp if peer is not None else -1,
+        )
+        data = encode_digest(digest)
+        self.bytes_out += len(data)
+        try:
+            self.transport.write(data, (host, self.address.datagram_port))
+        except OSError as error:
+            # A datagram is allowed to be lost; the next one goes out in a moment.
+            self.log.write(FetchFailed(peer=host, reason=f"datagram: {error}"))
+
+    def describe(self, now: float) -> Digest:
+        """What this instance tells, but for the echo."""
+        publication = self.publication
+        proof = publication.proof
+        proof_age = proof.age(now) if proof is not None else -0.001
+        list_at = publication.list_at
+        works = (state.digest(now) for state in self.table.by_id.values())
+        others = [host for host in self.hosts if host in self.known.by_host]
+        return Digest(
+            format=DIGEST_FORMAT,
+            instance=self.instance,
+            boot=self.boot,
+            host=self.address.host,
+            sequence=0,
+            stamp=int(now * MILLISECONDS),
+            echo_boot=0,
+            echo=-1,
+            revision=publication.revision,
+            proof_age=_round_up(proof_age),
+            list_tag=publication.list_tag,
+            list_age=-1 if list_at is None else _round_up(now - list_at),
+            reads_source=self.reads_source(),
+            leaving=self._leaving_told(),
+            ejected=self._ejected(now),
+            work=tuple(work for work in works if work is not None),
+            hosts=tuple(self.rng.sample(others, min(HOSTS_TOLD, len(others)))),
+        )
+
+    def _leaving_told(self) -> tuple[str, ...]:
+        listed = [state.id for state in self.table.by_id.values() if state.leaving]
+        return tuple(listed[:LEAVING_TOLD])
+
+    def _ejected(self, now: float) -> tuple[EjectedDigest, ...]:
+        return tuple(
+            EjectedDigest(state.id, int((state.health.ejected_until - now) * MILLISECONDS))
+            for state in self.table.by_id.values()
+            if state.health.is_ejected(now)
+        )
+
+    def _note_alive(self, now: float) -> None:
+        alive = {peer.instance for peer in self.known.alive(now)}
+        for name in alive - self._alive:
+            self.log.write(PeerChanged(peer=name, alive=True, alive_peers=len(alive)))
+        for name in self._alive - alive:
+            self.log.write(PeerChanged(peer=name, alive=False, alive_peers=len(alive)))
+        self._alive = alive
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _round_up(seconds: float) -> int:
+    """Milliseconds that never tell an age too small; -1 for a negative one."""
+    return -1 if seconds < 0 else int(seconds * MILLISECONDS) + 1
+
+
+class GossipController(Controller):
+    """Sends a digest each period."""
+
+    period = PERIOD_SECONDS
+
+    def __init__(self, gossip: Gossip, publication: Publication, clock: Clock) -> None:
+        super().__init__()
+        self._gossip = gossip
+        self._publication = publication
+        self._clock = clock
+
+    async def step(self) -> None:
+        """One round."""
+        now = self._clock()
+        self._publication.settle(now)
+        self._gossip.send(now)
--- /dev/null
+++ b/pondpin/relay/handler.py
@@ -0,0 +1,417 @@
+"""Serves relayed requests: admission, attempts, retries within the budget, the final answer."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from pondpin.clocks import Clock
+from pondpin.codes import Code, Ran
+from pondpin.errors import PondpinError
+from pondpin.http_server import Incoming, Reply
+from pondpin.metrics import Metrics
+from pondpin.relay.admission import Admitted, Beliefs, admit, check_proof
+from pondpin.relay.attempt import Attempts, Patience
+from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall
+from pondpin.relay.leases import LeaseGroup, Leases
+from pondpin.relay.log import EventLog
+from pondpin.relay.log_events import (
+    AttemptEnded,
+    CallerGone,
+    Ended,
+    Placed,
+    Refused,
+    UpstreamEjected,
+    UpstreamLeaving,
+)
+from pondpin.relay.model import AnswerHead, RouteKind
+from pondpin.relay.planner import Plan, Planner
+from pondpin.relay.ports import Dialect
+from pondpin.relay.retry_window import RetryBounds, RetryWindow
+from pondpin.relay.routing import pick_service
+from pondpin.relay.upstreams import UpstreamTable
+
+MISDIRECTED = 421
+FIRST_SERVER_ERROR = 500
+# A second try at another upstream begins after this multiple of the forecast, but not before
+# the shortest, and while the caller still has time for it.
+FORECAST_PATIENCE = 2.0
+SHORTEST_PATIENCE = 0.8
+# What depends on an upstream that died is refused by the platform's engines after 1.5 s.
+HELPED_PATIENCE = 1.9
+PATIENCE_SHARE = 0.6
+GAP_PATIENCE_SHARE = 0.6
+SAFE_PATIENCE_TARGETS = 2.5
+LEASE_TRIES = 3
+# A caller whose request found no place comes back after this, in seconds.
+RETRY_SECONDS = 0.4
+# A silence that is shorter says nothing of an upstream.
+SILENT_SECONDS = 0.75
+
+
+@dataclass(frozen=True, slots=True)
+class RelayBounds:
+    """Bounds of the deployment, in seconds; key_bound is how long a lost key may still count."""
+
+    key_bound: float = 5.0
+    retries: RetryBounds = field(default_factory=RetryBounds)
+
+
+@dataclass
+class RelayHandler:
+    """Takes requests off the callers' server and relays them."""
+
+    dialect: Dialect
+    attempts: Attempts
+    planner: Planner
+    table: UpstreamTable
+    leases: Leases
+    beliefs: Callable[[], Beliefs]
+    sharers: Callable[[], int]
+    bounds: Callable[[], RelayBounds]
+    log: EventLog
+    metrics: Metrics
+    clock: Clock
+    rng: random.Random
+
+    def __post_init__(self) -> None:
+        """Set up the state."""
+        self.open_requests = 0
+        self._windows: dict[str, RetryWindow] = {}
+
+    async def handle(self, incoming: Incoming, reply: Reply) -> None:
+        """Serve one request."""
+        arrived = self.clock()
+        facts = self.dialect.read_request(incoming.raw_headers)
+        self.open_requests += 1
+        try:
+            admitted = admit(self.beliefs(), facts, incoming.path, arrived)
+            call = self._make_call(incoming, reply, admitted, arrived)
+            self._window(call.service).note_request(arrived)
+            await self._serve_unless_gone(call)
+        except PondpinError as error:
+            self._refuse(incoming, reply, facts.attempt_id, error, arrived)
+        finally:
+            self.open_requests -= 1
+
+    def _make_call(
+        self, incoming: Incoming, reply: Reply, admitted: Admitted, arrived: float
+    ) -> RelayCall:
+        return RelayCall(
+            incoming=incoming,
+            reply=reply,
+            facts=self.dialect.read_request(incoming.raw_headers),
+            route=admitted.route,
+            service=pick_service(admitted.route.shares, self.rng.random()),
+            account=admitted.account,
+            rank=admitted.rank,
+            configuration=admitted.configuration,
+            arrived=arrived,
+            deadline=arrived + admitted.seconds,
+        )
+
+    async def _serve_unless_gone(self, call: RelayCall) -> None:
+        """Serve; a caller that leaves ends the work unless it may not be repeated."""
+        task = asyncio.ensure_future(self._serve(call))
+        if call.route.kind is not RouteKind.UNSAFE:
+            call.reply.on_gone = lambda: _cancel(task)
+        try:
+            await task
+        except asyncio.CancelledError:
+            if not task.cancelled():
+                task.cancel()
+                raise
+            after = round((self.clock() - call.arrived) * 1000)
+            self.log.write(
+                CallerGone(request=call.id, route=call.route.name, after_ms=after, events=0)
+            )
+            self._count(call, Code.CALLER_GONE, Ran.UNKNOWN)
+
+    async def _serve(self, call: RelayCall) -> None:
+        progress = Progress()
+        while True:
+            end = await self._attempt(call, progress)
+            progress.may_have_run = progress.may_have_run or end.may_have_run
+            if end.kind is EndKind.DONE:
+                self._finish_stream(call, progress)
+                return
+            again = self._may_try_again(call, progress, end)
+            self._note_attempt(call, progress, end, again)
+            if again:
+                continue
+            if end.answer is not None and not progress.head_sent:
+                self._send_whole(call, progress, end)
+                return
+            raise self._final_error(call, progress, end)
+
+    async def _attempt(self, call: RelayCall, progress: Progress) -> AttemptEnd:
+        """Plan and run one attempt; raises PondpinError when nothing can take the request."""
+        plan, group = await self._plan(call, progress)
+        key = self.planner.begin(call, plan)
+        keeper = asyncio.ensure_future(self.leases.keep(group)) if group is not None else None
+        progress.upstream = plan.lead.id
+        began = self.clock()
+        try:
+            beliefs = self.beliefs()
+            self._check_still_allowed(call, beliefs)
+            progress.attempts += 1
+            self._note_placed(call, progress, plan, group, beliefs)
+            end = await self.attempts.run(
+                call,
+                plan,
+                group.places if group is not None else plan.places,
+                progress,
+                self._patience(call, plan),
+                _Watcher(self, plan, key),
+            )
+        finally:
+            self.planner.end(plan, key)
+            if keeper is not None and group is not None:
+                keeper.cancel()
+                self.leases.release(group)
+        self._judge(plan, end, began)
+        return end
+
+    def _check_still_allowed(self, call: RelayCall, beliefs: Beliefs) -> None:
+        """The key must still hold at the moment of sending."""
+        if call.account:
+            admit(beliefs, call.facts, call.incoming.path, self.clock())
+            check_proof(beliefs.proof_age(self.clock()), beliefs.key_bound)
+
+    async def _plan(self, call: RelayCall, progress: Progress) -> tuple[Plan, LeaseGroup | None]:
+        avoid: frozenset[str] = frozenset()
+        for _ in range(LEASE_TRIES):
+            plan = self.planner.plan(call, progress, avoid)
+            if plan is None:
+                break
+            if plan.choice is None or not plan.choice.lease_tokens:
+                return plan, None
+            group, refusing = await self.leases.take(call.id, plan.places, plan.choice.lease_tokens)
+            if group is not None:
+                return plan, group
+            avoid |= frozenset(refusing)
+        ran = Ran.UNKNOWN if progress.may_have_run else Ran.NOT_RUN
+        raise PondpinError(Code.NO_UPSTREAM, call.service, ran, retry_after=RETRY_SECONDS)
+
+    def _patience(self, call: RelayCall, plan: Plan) -> Patience:
+        if not call.route.idempotent:
+            return Patience(None, None)
+        if call.route.kind is RouteKind.SAFE:
+            return Patience(max(0.5, SAFE_PATIENCE_TARGETS * call.route.target), None)
+        forecast = plan.choice.first_event if plan.choice is not None else 0.0
+        shortest = HELPED_PATIENCE if plan.helpers else SHORTEST_PATIENCE
+        first = max(shortest, FORECAST_PATIENCE * forecast + 0.4, PATIENCE_SHARE * call.patience)
+        return Patience(first, GAP_PATIENCE_SHARE * call.patience)
+
+    def _may_try_again(self, call: RelayCall, progress: Progress, end: AttemptEnd) -> bool:
+        """Whether another upstream may get the request now; spends the budget."""
+        if end.kind is EndKind.ANSWERED and not _is_retryable_answer(call, end):
+            return False
+        if progress.may_have_run and not call.route.idempotent:
+            return False
+        if progress.attempts >= call.route.attempts and end.kind is not EndKind.NOT_SENT:
+            return False
+        now = self.clock()
+        if now >= call.deadline or progress.attempts > call.route.attempts:
+            return False
+        progress.tried |= {progress.upstream}
+        if not self.table.usable(call.service, now, progress.tried):
+            return False
+        return self._window(call.service).spend(now, self.sharers())
+
+    def _final_error(self, call: RelayCall, progress: Progress, end: AttemptEnd) -> PondpinError:
+        ran = Ran.UNKNOWN if progress.may_have_run else Ran.NOT_RUN
+        detail = f"{end.kind.value}: {end.detail}"
+        if not progress.may_have_run:
+            return PondpinError(Code.NO_UPSTREAM, detail, ran, retry_after=RETRY_SECONDS)
+        if self.clock() >= call.deadline:
+            return PondpinError(Code.DEADLINE, detail, ran)
+        if end.kind is EndKind.STALLED:
+            return PondpinError(Code.UPSTREAM_STALLED, detail, ran)
+        code = Code.UPSTREAM_LOST if call.route.idempotent else Code.OUTCOME_UNKNOWN
+        return PondpinError(code, detail, ran)
+
+    def _judge(self, plan: Plan, end: AttemptEnd, began: float) -> None:
+        """Note what an attempt's end says of its upstream."""
+        now = self.clock()
+        name = plan.lead.id
+        result = end.kind.value
+        self.metrics.attempts.inc({"upstream": plan.lead.listed.service, "result": result})
+        if end.at_fault and end.at_fault != name:
+            self._note_failure(end.at_fault, now, "named as at fault", True)
+            return
+        if end.kind is EndKind.NOT_EXECUTED:
+            return
+        if end.kind is EndKind.STALLED and now - began < SILENT_SECONDS:
+            # The request's own time was over; that says nothing of the upstream.
+            return
+        failing = end.kind in (EndKind.NOT_SENT, EndKind.STALLED)
+        if failing or end.kind in (EndKind.BROKEN, EndKind.INVALID):
+            silent = plan.lead.heard_at < began
+            certain = failing and silent
+            self._note_failure(name, now, end.detail, certain)
+        elif end.answer is not None and end.answer.status >= FIRST_SERVER_ERROR:
+            self._note_failure(name, now, f"status {end.answer.status}", False)
+        else:
+            self.table.note_success(name, now)
+
+    def _note_failure(self, name: str, now: float, reason: str, certain: bool) -> None:
+        if self.table.note_failure(name, now, certain):
+            left = self.table.by_id[name].health.ejected_until - now
+            self.log.write(UpstreamEjected(upstream=name, reason=reason, seconds=round(left, 2)))
+
+    def note_head(self, plan: Plan, head: AnswerHead) -> None:
+        """The head of an answer came: take what it says of its upstream."""
+        now = self.clock()
+        plan.lead.heard_at = now
+        if head.load is not None:
+            plan.lead.told, plan.lead.told_at = head.load, now
+        if head.status == MISDIRECTED and self.table.mark_leaving(plan.lead.id):
+            self.log.write(UpstreamLeaving(upstream=plan.lead.id, source="misdirected"))
+
+    def _send_whole(self, call: RelayCall, progress: Progress, end: AttemptEnd) -> None:
+        answer = end.answer
+        assert answer is not None, "only answered attempts are sent whole"
+        progress.first_at = self.clock()
+        call.reply.send_exact(answer.status, answer.headers, answer.body)
+        code = Code.OK if answer.status < FIRST_SERVER_ERROR else Code.UPSTREAM_REFUSED
+        self._note_end(call, progress, answer.status, code)
+
+    def _finish_stream(self, call: RelayCall, progress: Progress) -> None:
+        call.reply.finish()
+        self._note_end(call, progress, 200, Code.OK)
+
+    def _note_end(self, call: RelayCall, progress: Progress, status: int, code: Code) -> None:
+        now = self.clock()
+        first = progress.first_at if progress.first_at is not None else now
+        self.log.write(
+            Ended(
+                request=call.id,
+                route=call.route.name,
+                status=status,
+                upstream=progress.upstream,
+                attempts=progress.attempts,
+                first_ms=round((first - call.arrived) * 1000),
+                total_ms=round((now - call.arrived) * 1000),
+                events=progress.events,
+                longest_gap_ms=round(progress.longest_gap * 1000),
+            )
+        )
+        self.metrics.ttft.observe({"class": call.route.kind.value}, first - call.arrived)
+        self._count(call, code, Ran.RAN)
+
+    def _count(self, call: RelayCall, code: Code, ran: Ran) -> None:
+        labels = {"class": call.route.kind.value}
+        self.metrics.requests.inc(labels | {"code": str(int(code)), "ran": ran.value})
+        self.metrics.duration.observe(labels, self.clock() - call.arrived)
+
+    def _refuse(
+        self, incoming: Incoming, reply: Reply, request: str, error: PondpinError, arrived: float
+    ) -> None:
+        """Send an error's answer, or cut an answer that had begun."""
+        now = self.clock()
+        age = self.beliefs().proof_age(now)
+        self.log.write(
+            Refused(
+                request=request,
+                code=error.code.name,
+                detail=error.detail,
+                after_ms=round((now - arrived) * 1000),
+                proof_age_ms=-1 if age == float("inf") else round(age * 1000),
+                retry_after=error.retry_after or 0.0,
+            )
+        )
+        labels = {"class": "refused", "code": str(int(error.code)), "ran": error.ran.value}
+        self.metrics.requests.inc(labels)
+        if reply.started:
+            reply.abort()
+            return
+        reply.send_error(error, request, fractions=True)
+
+    def _note_placed(
+        self,
+        call: RelayCall,
+        progress: Progress,
+        plan: Plan,
+        group: LeaseGroup | None,
+        beliefs: Beliefs,
+    ) -> None:
+        now = self.clock()
+        load = plan.lead.load(now)
+        choice = plan.choice
+        self.log.write(
+            Placed(
+                request=call.id,
+                attempt=progress.attempts,
+                route=call.route.name,
+                version=call.configuration.version,
+                proof_age_ms=round(min(beliefs.proof_age(now), 1e6) * 1000),
+                upstream=plan.lead.id,
+                in_flight=load.in_flight,
+                reading_ms=round(load.reading * 1000),
+                candidates=plan.candidates,
+                first_event_ms=round(choice.first_event * 1000) if choice is not None else 0,
+                loss=round(choice.loss, 3) if choice is not None else 0.0,
+                pool=choice.pool if choice is not None else 0,
+                helpers=tuple(state.id for state in plan.helpers),
+                leases=len(group.places) if group is not None else 0,
+                resume_after=str(progress.last_number) if progress.events else "",
+            )
+        )
+
+    def _note_attempt(
+        self, call: RelayCall, progress: Progress, end: AttemptEnd, again: bool
+    ) -> None:
+        if end.kind is EndKind.ANSWERED and not again:
+            return
+        self.log.write(
+            AttemptEnded(
+                request=call.id,
+                attempt=progress.attempts,
+                upstream=progress.upstream,
+                result=end.kind.value,
+                detail=end.detail,
+                after_ms=round((self.clock() - call.arrived) * 1000),
+                events=progress.events,
+                next="elsewhere" if again else "final answer",
+            )
+        )
+
+    def _window(self, service: str) -> RetryWindow:
+        window = self._windows.get(service)
+        if window is None:
+            window = RetryWindow(self.bounds().retries)
+            self._windows[service] = window
+        return window
+
+
+@dataclass(frozen=True, slots=True)
+class _Watcher:
+    """Notes what an attempt hears of its upstream."""
+
+    handler: RelayHandler
+    plan: Plan
+    key: int
+
+    def head(self, head: AnswerHead) -> None:
+        """See Watcher."""
+        self.handler.note_head(self.plan, head)
+
+    def first_event(self) -> None:
+        """See Watcher."""
+        self.handler.planner.note_first(self.plan, self.key)
+
+    def heard(self, now: float) -> None:
+        """See Watcher."""
+        self.plan.lead.heard_at = now
+
+
+def _cancel(task: "asyncio.Future[None]") -> None:
+    task.cancel()
+
+
+def _is_retryable_answer(call: RelayCall, end: AttemptEnd) -> bool:
+    """Whether an upstream's own failure may be tried again elsewhere."""
+    answer = end.answer
+    assert answer is not None, "an answered attempt has its answer"
+    return call.route.idempotent and answer.status >= FIRST_SERVER_ERROR
--- /dev/null
+++ b/pondpin/relay/leases.py
@@ -0,0 +1,102 @@
+"""Memory leases for prompts that lie on several engines: all or nothing, renewed while in use.
+
+A lease is short and renewed, so the memory of a holder that died is back soon. Nothing is
+waited for while leases are held, so groups of several instances can't block each other.
+"""
+
+import asyncio
+import itertools
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from pondpin.http_client import CallFailedError
+from pondpin.relay.log import EventLog
+from pondpin.relay.log_events import LeasesEnded
+from pondpin.relay.ports import LeaseAnswer, LeasePort, PartPlace
+
+# A dead holder's memory is free again after this: under the 4 s that the deployments allow.
+HOLD_SECONDS = 3.4
+# Two renewals may be lost before a lease lapses.
+RENEW_SECONDS = 1.0
+ORDER_SECONDS = 0.4
+RELEASE_TRIES = 3
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseGroup:
+    """The leases of one request."""
+
+    request: str
+    places: tuple[PartPlace, ...]
+    tokens: int
+
+
+class Leases:
+    """Takes, renews and returns groups of leases."""
+
+    def __init__(self, port: LeasePort, prefix: str, log: EventLog) -> None:
+        self._port = port
+        self._prefix = prefix
+        self._log = log
+        self._numbers = itertools.count(1)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.orders = 0
+
+    async def take(
+        self, request: str, places: Sequence[PartPlace], tokens: int
+    ) -> tuple[LeaseGroup | None, tuple[str, ...]]:
+        """Lease tokens at every place, or at none; also the upstreams that did not give it."""
+        name = f"{self._prefix}-{next(self._numbers)}"
+        named = tuple(
+            PartPlace(place.upstream, place.host, place.port, f"{name}-{index}")
+            for index, place in enumerate(places)
+        )
+        group = LeaseGroup(request, named, tokens)
+        answers = await asyncio.gather(*(self._reserve(place, tokens) for place in named))
+        failed = tuple(
+            place.upstream for place, held in zip(named, answers, strict=True) if not held
+        )
+        if not failed:
+            return group, ()
+        self._log.write(LeasesEnded(request=request, outcome="refused", detail=",".join(failed)))
+        self.release(group)
+        return None, failed
+
+    async def keep(self, group: LeaseGroup) -> None:
+        """Renew until cancelled."""
+        while True:
+            await asyncio.sleep(RENEW_SECONDS)
+            await asyncio.gather(*(self._reserve(place, group.tokens) for place in group.places))
+
+    def release(self, group: LeaseGroup) -> None:
+        """Give all back, in a task of its own."""
+        for place in group.places:
+            task = asyncio.get_running_loop().create_task(self._release(group, place))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def settle(self) -> None:
+        """Wait until what is being given back is back or lapses."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _reserve(self, place: PartPlace, tokens: int) -> bool:
+        self.orders += 1
+        try:
+            answer = await self._port.reserve(
+                place.host, place.port, place.lease, tokens, HOLD_SECONDS, ORDER_SECONDS
+            )
+        except CallFailedError:
+            return False
+        return answer is LeaseAnswer.HELD
+
+    async def _release(self, group: LeaseGroup, place: PartPlace) -> None:
+        reason = ""
+        for _ in range(RELEASE_TRIES):
+            self.orders += 1
+            try:
+                await self._port.release(place.host, place.port, place.lease, ORDER_SECONDS)
+                return
+            except CallFailedError as error:
+                reason = str(error)
+        detail = f"{place.upstream}: {reason}"
+        self._log.write(LeasesEnded(request=group.request, outcome="left to lapse", detail=detail))
--- /dev/null
+++ b/pondpin/relay/log_events.py
@@ -0,0 +1,195 @@
+"""The lines of the structured log: one type for each decision or change of belief.
+
+Ages are in seconds unless a name says ms. No event carries a key, a body or a prompt.
+"""
+
+import msgspec
+
+
+class LogEvent(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag_field="event"):
+    """Base of all lines."""
+
+
+class Started(LogEvent, frozen=True, kw_only=True, tag="started"):
+    """The process is up."""
+
+    instance: str
+    data_center: str
+    boot: int
+    version: str
+
+
+class Stopping(LogEvent, frozen=True, kw_only=True, tag="stopping"):
+    """A planned stop began."""
+
+    open_requests: int
+    grace: float
+
+
+class Stopped(LogEvent, frozen=True, kw_only=True, tag="stopped"):
+    """The process ends."""
+
+    open_requests: int
+
+
+class Reloaded(LogEvent, frozen=True, kw_only=True, tag="reloaded"):
+    """Settings were read again."""
+
+    outcome: str
+    reason: str = ""
+
+
+class SourceChanged(LogEvent, frozen=True, kw_only=True, tag="source"):
+    """The published source answers again, or stopped answering."""
+
+    answers: bool
+    reason: str
+    failures: int
+
+
+class PeerChanged(LogEvent, frozen=True, kw_only=True, tag="peer"):
+    """A peer is heard, or was lost."""
+
+    peer: str
+    alive: bool
+    alive_peers: int
+
+
+class FetchFailed(LogEvent, frozen=True, kw_only=True, tag="fetch_failed"):
+    """A peer could not be told or asked something."""
+
+    peer: str
+    reason: str
+
+
+class ConfigurationTaken(LogEvent, frozen=True, kw_only=True, tag="configuration"):
+    """A version is in force."""
+
+    version: int
+    revision: int
+    routes: int
+    accounts: int
+
+
+class PublishedRefused(LogEvent, frozen=True, kw_only=True, tag="published_refused"):
+    """A published value is unsound; the last good one stays in force."""
+
+    key: str
+    reason: str
+
+
+class UpstreamLeaving(LogEvent, frozen=True, kw_only=True, tag="upstream_leaving"):
+    """An upstream gets no new work."""
+
+    upstream: str
+    source: str
+
+
+class UpstreamEjected(LogEvent, frozen=True, kw_only=True, tag="upstream_ejected"):
+    """An upstream failed too often and is left alone for a while."""
+
+    upstream: str
+    reason: str
+    seconds: float
+
+
+class UpstreamBack(LogEvent, frozen=True, kw_only=True, tag="upstream_back"):
+    """An ejected upstream answered its liveness check."""
+
+    upstream: str
+
+
+class FreshnessChanged(LogEvent, frozen=True, kw_only=True, tag="freshness"):
+    """Whether the version in force is proved young enough to accept keys."""
+
+    fresh: bool
+    age: float
+    revision: int
+
+
+class Placed(LogEvent, frozen=True, kw_only=True, tag="placed"):
+    """An attempt goes to an upstream."""
+
+    request: str
+    attempt: int
+    route: str
+    version: int
+    proof_age_ms: int
+    upstream: str
+    in_flight: int
+    reading_ms: int
+    candidates: int
+    first_event_ms: int = 0
+    loss: float = 0.0
+    pool: int = 0
+    helpers: tuple[str, ...] = ()
+    leases: int = 0
+    resume_after: str = ""
+
+
+class AttemptEnded(LogEvent, frozen=True, kw_only=True, tag="attempt_ended"):
+    """An attempt did not bring the whole answer."""
+
+    request: str
+    attempt: int
+    upstream: str
+    result: str
+    detail: str
+    after_ms: int
+    events: int
+    next: str
+
+
+class Refused(LogEvent, frozen=True, kw_only=True, tag="refused"):
+    """A request was refused before it went to any upstream, or after all said no."""
+
+    request: str
+    code: str
+    detail: str
+    after_ms: int
+    route: str = ""
+    version: int = 0
+    proof_age_ms: int = -1
+    retry_after: float = 0.0
+
+
+class Ended(LogEvent, frozen=True, kw_only=True, tag="ended"):
+    """A request got its final answer."""
+
+    request: str
+    route: str
+    status: int
+    upstream: str
+    attempts: int
+    first_ms: int
+    total_ms: int
+    events: int
+    longest_gap_ms: int = 0
+    detail: str = ""
+
+
+class CallerGone(LogEvent, frozen=True, kw_only=True, tag="caller_gone"):
+    """The caller closed its connection before the end."""
+
+    request: str
+    route: str
+    after_ms: int
+    events: int
+
+
+class LeasesEnded(LogEvent, frozen=True, kw_only=True, tag="leases"):
+    """Memory leases of a request were refused or could not be given back."""
+
+    request: str
+    outcome: str
+    detail: str
+
+
+class LinesDropped(LogEvent, frozen=True, kw_only=True, tag="lines_dropped"):
+    """Lines that were left out in the last second, by the bound or a full pipe."""
+
+    routine: int
+    important: int
+
+
+ROUTINE = (Placed, Ended, CallerGone)
--- /dev/null
+++ b/pondpin/relay/model.py
@@ -0,0 +1,162 @@
+"""What the relay knows of its deployment: routes, services, accounts and upstreams.
+
+All times are in seconds, all sizes of prompts and memory in tokens.
+"""
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+
+class RouteKind(enum.Enum):
+    """What may be done with a request of a route."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """A service and its share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where the requests of a host and path prefix go, and within which bounds."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout: float
+    target: float
+    priority: int
+    shares: tuple[ServiceShare, ...]
+    attempts: int
+    public: bool
+    resumable: bool
+    gap_target: float
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is RouteKind.SAFE or self.resumable
+
+
+@dataclass(frozen=True, slots=True)
+class EngineProfile:
+    """How a model engine spends its time; published with its service.
+
+    step: seconds of a token step; per_writer and per_context_k: seconds added to it by each
+    writing request and by each thousand tokens of their contexts; read_rate: prompt tokens
+    read a second; pair_cost: seconds for each pair of a token and one before it; chunk: most
+    tokens read in a step; stride: steps of a pass that has writers; hop: seconds a step takes
+    longer while a prompt lies on several engines.
+    """
+
+    slots: int
+    memory: int
+    stride: int
+    step: float
+    per_writer: float
+    per_context_k: float
+    read_rate: float
+    pair_cost: float
+    chunk: int
+    hop: float
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A group of like upstreams; engine is None for a plain service."""
+
+    name: str
+    health_path: str
+    connections: int
+    engine: EngineProfile | None
+
+
+@dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """A client account; priority 0 is the highest."""
+
+    name: str
+    priority: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class CallerBounds:
+    """Bounds on what callers send: bytes and seconds."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 << 20
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class RelayConfiguration:
+    """One published version, decoded; routes of a host are sorted by falling prefix length."""
+
+    version: int
+    routes_by_host: Mapping[str, tuple[Route, ...]]
+    services_by_name: Mapping[str, Service]
+    accounts_by_key: Mapping[str, ClientAccount]
+    bounds: CallerBounds = field(default_factory=CallerBounds)
+
+
+@dataclass(frozen=True, slots=True)
+class ListedUpstream:
+    """An upstream as the published list has it; its id stands for one life of it."""
+
+    id: str
+    service: str
+    host: str
+    port: int
+    data_center: str
+    slots: int
+    leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFacts:
+    """What a caller's headers say; deadline is the seconds that it waits, None when not said."""
+
+    attempt_id: str
+    host: str
+    key: str
+    deadline: float | None
+    prompt_tokens: int
+    answer_tokens: int
+    resume_after: str
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What an upstream says of itself in an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The head of an upstream's answer; not_executed is its word that nothing ran.
+
+    signed: the upstream vouches for the answer. at_fault names the upstream that made it fail,
+    when that is another one.
+    """
+
+    status: int
+    attempt_id: str
+    not_executed: bool
+    load: Load | None
+    events: bool
+    signed: bool
+    at_fault: str
+    headers: tuple[tuple[bytes, bytes], ...]
--- /dev/null
+++ b/pondpin/relay/planner.py
@@ -0,0 +1,147 @@
+"""Plans an attempt: which upstream, which helpers; keeps the ledger of own work."""
+
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from pondpin.clocks import Clock
+from pondpin.relay.call import Progress, RelayCall
+from pondpin.relay.engine_choice import (
+    EngineChoice,
+    EngineView,
+    Job,
+    choose_engines,
+    is_light,
+)
+from pondpin.relay.forecast import read_seconds
+from pondpin.relay.model import EngineProfile
+from pondpin.relay.ports import PartPlace
+from pondpin.relay.upstreams import UpstreamState, UpstreamTable, Work
+from pondpin.service_choice import ServiceView, choose_service
+
+# A choice that puts this much reading on an engine is told to peers at once, in seconds.
+TELL_SECONDS = 0.03
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """An attempt to be made; choice is None for a plain service."""
+
+    lead: UpstreamState
+    helpers: tuple[UpstreamState, ...]
+    choice: EngineChoice | None
+    candidates: int
+
+    @property
+    def places(self) -> tuple[PartPlace, ...]:
+        """Where the helpers are."""
+        return tuple(
+            PartPlace(state.id, state.listed.host, state.listed.port) for state in self.helpers
+        )
+
+
+class Planner:
+    """Chooses among the usable upstreams of a service."""
+
+    def __init__(
+        self,
+        table: UpstreamTable,
+        clock: Clock,
+        rng: random.Random,
+        tell_soon: Callable[[], None],
+        use_parts: bool = True,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._rng = rng
+        self._tell_soon = tell_soon
+        self._use_parts = use_parts
+        self._keys = itertools.count(1)
+
+    def plan(self, call: RelayCall, progress: Progress, avoid: frozenset[str]) -> Plan | None:
+        """The next attempt of a call, None when no upstream can take it now."""
+        now = self._clock()
+        states = self._table.usable(call.service, now, progress.tried | avoid)
+        service = call.configuration.services_by_name.get(call.service)
+        profile = service.engine if service is not None else None
+        if not states:
+            return None
+        if profile is None or call.facts.prompt_tokens <= 0:
+            return self._plan_plain(states, now)
+        return self._plan_engines(call, profile, states, now)
+
+    def _plan_plain(self, states: list[UpstreamState], now: float) -> Plan:
+        views = [
+            ServiceView(state.id, state.in_flight(now), 0, self._is_local(state))
+            for state in states
+        ]
+        name = choose_service(views).id
+        return Plan(self._table.by_id[name], (), None, len(states))
+
+    def _plan_engines(
+        self, call: RelayCall, profile: EngineProfile, states: list[UpstreamState], now: float
+    ) -> Plan | None:
+        job = make_job(call)
+        views = [EngineView(state.id, state.load(now), self._is_local(state)) for state in states]
+        light = sum(state.light_in_flight(now) for state in states)
+        choice = choose_engines(profile, job, views, light, self._rng)
+        if choice is None:
+            return None
+        helpers = tuple(self._table.by_id[name] for name in choice.helpers)
+        return Plan(self._table.by_id[choice.lead], helpers, choice, len(states))
+
+    def _is_local(self, state: UpstreamState) -> bool:
+        return state.listed.data_center == self._table.data_center
+
+    def begin(self, call: RelayCall, plan: Plan) -> int:
+        """Enter an attempt's work in the ledger; returns its key."""
+        now = self._clock()
+        key = next(self._keys)
+        choice = plan.choice
+        if choice is None:
+            plan.lead.work_by_key[key] = Work(0.0, now, 0, 0.0, 1.0, False, True)
+            return key
+        job = make_job(call)
+        lead_tokens = job.tokens
+        if choice.lease_tokens:
+            lead_tokens = choice.lease_tokens + job.answer_tokens
+        profile = call.configuration.services_by_name[call.service].engine
+        light = profile is not None and is_light(profile, job.prompt_tokens, job.gap_target)
+        plan.lead.work_by_key[key] = Work(
+            choice.part_seconds, now, lead_tokens, job.gap_target, job.worth, light, True
+        )
+        for helper in plan.helpers:
+            helper.work_by_key[key] = Work(
+                choice.part_seconds, now, choice.lease_tokens, 0.0, 0.0, False, False
+            )
+        if choice.part_seconds >= TELL_SECONDS:
+            self._tell_soon()
+        return key
+
+    def note_first(self, plan: Plan, key: int) -> None:
+        """The first event came: all parts are read."""
+        for state in (plan.lead, *plan.helpers):
+            work = state.work_by_key.get(key)
+            if work is not None:
+                work.first_event = True
+
+    def end(self, plan: Plan, key: int) -> None:
+        """Take an attempt's work out of the ledger."""
+        for state in (plan.lead, *plan.helpers):
+            state.work_by_key.pop(key, None)
+
+
+def make_job(call: RelayCall) -> Job:
+    """What placement needs to know of a call."""
+    return Job(
+        prompt_tokens=call.facts.prompt_tokens,
+        answer_tokens=call.facts.answer_tokens,
+        target=call.route.target,
+        gap_target=call.route.gap_target or call.route.target,
+    )
+
+
+def alone_seconds(call: RelayCall, profile: EngineProfile) -> float:
+    """Seconds that one engine takes to read a call's prompt."""
+    return read_seconds(profile, call.facts.prompt_tokens)
--- /dev/null
+++ b/pondpin/relay/ports.py
@@ -0,0 +1,82 @@
+"""What the relay needs of the outside, as small protocols; adapters implement them."""
+
+import enum
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from pondpin.relay.model import AnswerHead, RequestFacts
+from pondpin.relay.publication import PublishedItem
+
+RawHeaders = Sequence[tuple[bytes, bytes]]
+
+
+@dataclass(frozen=True, slots=True)
+class PartPlace:
+    """An engine that reads a part of a prompt, with its memory lease if it has one."""
+
+    upstream: str
+    host: str
+    port: int
+    lease: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Forwarded:
+    """What pondpin itself tells an upstream beside the caller's request."""
+
+    upstream: str
+    account: str
+    seconds_left: float
+    rank: int
+    resume_after: str = ""
+    parts: tuple[PartPlace, ...] = ()
+
+
+class Dialect(Protocol):
+    """Reads and writes the headers of callers and upstreams."""
+
+    def read_request(self, headers: RawHeaders) -> RequestFacts:
+        """What a caller's headers say."""
+        ...
+
+    def forward_headers(self, headers: RawHeaders, sent: Forwarded) -> list[tuple[bytes, bytes]]:
+        """The headers that an upstream gets."""
+        ...
+
+    def read_head(self, status: int, headers: Iterable[tuple[bytes, bytes]]) -> AnswerHead:
+        """The head of an upstream's answer."""
+        ...
+
+
+class PublishedSource(Protocol):
+    """Linearizable reads of what the operators publish; they raise CallFailedError."""
+
+    async def read_configuration(self, timeout: float) -> PublishedItem | None:
+        """The newest configuration."""
+        ...
+
+    async def read_upstreams(self, timeout: float) -> tuple[PublishedItem, ...]:
+        """The list of upstreams."""
+        ...
+
+
+class LeaseAnswer(enum.Enum):
+    """What an engine says to a wish for memory."""
+
+    HELD = "held"
+    REFUSED = "refused"
+
+
+class LeasePort(Protocol):
+    """Memory leases at engines; calls raise CallFailedError."""
+
+    async def reserve(
+        self, host: str, port: int, lease: str, tokens: int, hold: float, timeout: float
+    ) -> LeaseAnswer:
+        """Set memory aside, or renew it."""
+        ...
+
+    async def release(self, host: str, port: int, lease: str, timeout: float) -> bool:
+        """Give memory back."""
+        ...
--- /dev/null
+++ b/pondpin/relay/probe.py
@@ -0,0 +1,70 @@
+"""Asks ejected upstreams for their liveness before they get requests again."""
+
+import asyncio
+
+from pondpin.clocks import Clock
+from pondpin.controllers.base import Controller
+from pondpin.http_client import CallFailedError, HttpClient
+from pondpin.relay.log import EventLog
+from pondpin.relay.log_events import UpstreamBack
+from pondpin.relay.model import RelayConfiguration
+from pondpin.relay.publication import Publication
+from pondpin.relay.upstreams import UpstreamState, UpstreamTable
+
+CHECK_SECONDS = 0.25
+# A check waits for a slot like a request; a worker that takes longer is still not well.
+PROBE_SECONDS = 0.5
+OK = 200
+
+
+class ProbeController(Controller):
+    """Probes each ejected upstream once its time is over."""
+
+    period = CHECK_SECONDS
+
+    def __init__(
+        self,
+        table: UpstreamTable,
+        publication: Publication,
+        http: HttpClient,
+        log: EventLog,
+        clock: Clock,
+    ) -> None:
+        super().__init__()
+        self._table = table
+        self._publication = publication
+        self._http = http
+        self._log = log
+        self._clock = clock
+        self.probes = 0
+
+    async def step(self) -> None:
+        """Probe those that are due, at the same time."""
+        now = self._clock()
+        configuration = self._publication.configuration
+        due = [state for state in self._table.by_id.values() if is_due(state, now)]
+        if configuration is not None and due:
+            await asyncio.gather(*(self._probe(state, configuration) for state in due))
+
+    async def _probe(self, state: UpstreamState, configuration: RelayConfiguration) -> None:
+        service = configuration.services_by_name.get(state.listed.service)
+        if service is None:
+            return
+        self.probes += 1
+        listed = state.listed
+        url = f"http://{listed.host}:{listed.port}{service.health_path}"
+        try:
+            answer = await self._http.call("GET", url, timeout=PROBE_SECONDS)
+            passed = answer.status == OK
+        except CallFailedError:
+            passed = False
+        if passed:
+            self._table.probe_passed(state.id)
+            self._log.write(UpstreamBack(upstream=state.id))
+        else:
+            self._table.note_failure(state.id, self._clock(), certain=True)
+
+
+def is_due(state: UpstreamState, now: float) -> bool:
+    """Whether an ejected upstream may be probed."""
+    return state.needs_probe and not state.leaving and not state.health.is_ejected(now)
--- /dev/null
+++ b/pondpin/relay/publication.py
@@ -0,0 +1,188 @@
+"""The published configuration and list of upstreams in force, with proofs of freshness."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+import xxhash
+
+from pondpin.relay.freshness import Proof, later, peer_proof
+from pondpin.relay.model import ListedUpstream, RelayConfiguration
+
+# An upstream's entry may lapse while the list's source is away and is written again within
+# about two seconds of its return: only what is missing for longer is gone.
+RELIST_SECONDS = 2.4
+# A gap between reads that is longer than this counts as an absence of the source.
+ABSENCE_SECONDS = 3.0
+
+
+class PublishedItem(msgspec.Struct, frozen=True, array_like=True):
+    """One published item as it was read; value is opaque here."""
+
+    key: str
+    revision: int
+    value: bytes
+
+
+class Bundle(msgspec.Struct, frozen=True, array_like=True):
+    """All that is published, as instances pass it on; ages in seconds, -1 when unknown."""
+
+    configuration: PublishedItem | None
+    configuration_age: float
+    upstreams: tuple[PublishedItem, ...]
+    list_age: float
+
+
+class Decoder(Protocol):
+    """Turns published values into the product's types; raises ValueError for a bad one."""
+
+    def configuration(self, value: bytes) -> RelayConfiguration:
+        """Decode a configuration."""
+        ...
+
+    def upstream(self, key: str, value: bytes) -> ListedUpstream:
+        """Decode an entry of the list."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class ListChange:
+    """What a reading of the list changed."""
+
+    listed: tuple[ListedUpstream, ...]
+    missing: tuple[str, ...]
+
+
+def tag_of(items: Sequence[PublishedItem]) -> int:
+    """A number that is alike for like lists."""
+    text = ",".join(f"{item.key}@{item.revision}" for item in items)
+    return xxhash.xxh64_intdigest(text.encode())
+
+
+class Publication:
+    """Takes published values; a version in force is only ever replaced by a higher one."""
+
+    def __init__(
+        self,
+        decoder: Decoder,
+        on_configuration: Callable[[RelayConfiguration], None],
+        on_list: Callable[[ListChange], None],
+        on_refused: Callable[[str, str], None],
+    ) -> None:
+        self._decoder = decoder
+        self._on_configuration = on_configuration
+        self._on_list = on_list
+        self._on_refused = on_refused
+        self.configuration: RelayConfiguration | None = None
+        self.item: PublishedItem | None = None
+        self.proof: Proof | None = None
+        self.refused_revision = 0
+        self.list_items: tuple[PublishedItem, ...] = ()
+        self.list_tag = 0
+        self.list_at: float | None = None
+        self._listed_by_key: dict[str, ListedUpstream] = {}
+        self._revision_by_key: dict[str, int] = {}
+        self._missing: set[str] = set()
+        self._relist_until = 0.0
+
+    @property
+    def revision(self) -> int:
+        """Revision of the configuration in force, 0 before the first."""
+        return self.item.revision if self.item is not None else 0
+
+    @property
+    def seen_revision(self) -> int:
+        """The highest revision looked at, in force or refused."""
+        return max(self.revision, self.refused_revision)
+
+    def bundle(self, now: float) -> Bundle:
+        """All that is published, for a peer."""
+        proof_age = self.proof.age(now) if self.proof is not None else -1.0
+        list_age = now - self.list_at if self.list_at is not None else -1.0
+        return Bundle(self.item, proof_age, self.list_items, list_age)
+
+    def take_bundle(self, bundle: Bundle, asked_at: float, now: float) -> None:
+        """Take what a peer had when it was asked, at asked_at of this process's clock."""
+        item = bundle.configuration
+        if item is not None:
+            proof = None
+            if bundle.configuration_age >= 0:
+                proof = peer_proof(item.revision, asked_at, bundle.configuration_age)
+            self.offer_configuration(item, proof)
+        if bundle.list_age >= 0:
+            self.offer_list(bundle.upstreams, asked_at - bundle.list_age, now)
+
+    def offer_configuration(self, item: PublishedItem, proof: Proof | None) -> None:
+        """Take a configuration if it is newer and sound; note the proof of its revision."""
+        if item.revision > self.seen_revision:
+            self._replace(item)
+        if proof is not None and proof.revision == self.revision:
+            self.proof = later(self.proof, proof)
+
+    def note_proof(self, proof: Proof) -> None:
+        """A peer proved a revision; it counts here once that revision is in force."""
+        if proof.revision == self.revision:
+            self.proof = later(self.proof, proof)
+
+    def _replace(self, item: PublishedItem) -> None:
+        try:
+            configuration = self._decoder.configuration(item.value)
+        except ValueError as error:
+            self.refused_revision = item.revision
+            self._on_refused(item.key, str(error))
+            return
+        if self.configuration is not None and configuration.version < self.configuration.version:
+            self._on_refused(item.key, f"version {configuration.version} is not newer")
+            return
+        self.item = item
+        self.configuration = configuration
+        self._on_configuration(configuration)
+
+    def offer_list(self, items: Sequence[PublishedItem], at: float, now: float) -> None:
+        """Take the list as it was at a moment of this process's clock."""
+        if self.list_at is not None and at < self.list_at:
+            return
+        if self.list_at is not None and at - self.list_at > ABSENCE_SECONDS:
+            self._relist_until = now + RELIST_SECONDS
+        self.list_at = at
+        tag = tag_of(items)
+        if tag != self.list_tag:
+            self._take_items(items)
+            self.list_items = tuple(items)
+            self.list_tag = tag
+            self._report(now)
+        self.settle(now)
+
+    def note_list_current(self, at: float) -> None:
+        """A peer found the list unchanged at a later moment."""
+        if self.list_at is not None and at > self.list_at:
+            if at - self.list_at > ABSENCE_SECONDS:
+                self._relist_until = at + RELIST_SECONDS
+            self.list_at = at
+
+    def settle(self, now: float) -> None:
+        """Give up entries that stayed missing after the source's return."""
+        if self._missing and now >= self._relist_until:
+            self._report(now)
+
+    def _take_items(self, items: Sequence[PublishedItem]) -> None:
+        present = {item.key for item in items}
+        for item in items:
+            if self._revision_by_key.get(item.key) == item.revision:
+                continue
+            try:
+                self._listed_by_key[item.key] = self._decoder.upstream(item.key, item.value)
+                self._revision_by_key[item.key] = item.revision
+            except ValueError as error:
+                self._on_refused(item.key, str(error))
+        self._missing = self._listed_by_key.keys() - present
+
+    def _report(self, now: float) -> None:
+        gone: list[str] = []
+        if now >= self._relist_until:
+            for key in self._missing:
+                gone.append(self._listed_by_key.pop(key).id)
+                self._revision_by_key.pop(key, None)
+            self._missing = set()
+        self._on_list(ListChange(tuple(self._listed_by_key.values()), tuple(gone)))
--- /dev/null
+++ b/pondpin/relay/reader.py
@@ -0,0 +1,116 @@
+"""Reads the published values: a few instances read, the others take their proofs over.
+
+Nobody is elected. Each instance reads when the freshest proof it knows of is older than a
+bound that grows with its rank among the live peers, so that the first usually reads alone and
+the next takes over when proofs stop coming.
+"""
+
+import random
+from collections.abc import Callable
+
+from pondpin.clocks import Clock
+from pondpin.controllers.base import Controller
+from pondpin.http_client import CallFailedError
+from pondpin.relay.freshness import Proof
+from pondpin.relay.log import EventLog
+from pondpin.relay.log_events import SourceChanged
+from pondpin.relay.ports import PublishedSource
+from pondpin.relay.publication import Publication
+
+CHECK_SECONDS = 0.05
+# The first in rank reads when the proof is this old: a change is then in force everywhere
+# well within the two seconds that the deployments allow.
+FIRST_AGE_SECONDS = 0.6
+# Each further one waits a little longer, up to the last of them.
+RANK_SECONDS = 0.3
+LAST_RANK = 3
+# A read that takes longer is given up and its connection dropped; slow days of the source
+# need a third of a second.
+READ_SECONDS = 1.0
+FIRST_BACKOFF_SECONDS = 0.25
+LONGEST_BACKOFF_SECONDS = 2.0
+
+
+def is_due(proof_age: float, rank: int) -> bool:
+    """Whether an instance of this rank reads now."""
+    return proof_age >= FIRST_AGE_SECONDS + RANK_SECONDS * min(rank, LAST_RANK)
+
+
+def backoff_seconds(failures: int, draw: float) -> float:
+    """How long to wait after some failures in a row; draw between 0 and 1 is the jitter."""
+    longest = min(LONGEST_BACKOFF_SECONDS, FIRST_BACKOFF_SECONDS * 2.0**failures)
+    return longest * (0.5 + draw / 2)
+
+
+class ReaderController(Controller):
+    """Keeps the proofs young."""
+
+    period = CHECK_SECONDS
+
+    def __init__(
+        self,
+        source: PublishedSource,
+        publication: Publication,
+        rank: Callable[[float], int],
+        on_news: Callable[[], None],
+        log: EventLog,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        super().__init__()
+        self._source = source
+        self._publication = publication
+        self._rank = rank
+        self._on_news = on_news
+        self._log = log
+        self._clock = clock
+        self._rng = rng
+        self._failures = 0
+        self._not_before = 0.0
+        self.reads = 0
+
+    @property
+    def answers(self) -> bool:
+        """Whether the source answered the last read of this instance."""
+        return self._failures == 0
+
+    async def step(self) -> None:
+        """Read if it is due."""
+        now = self._clock()
+        if now < self._not_before or not is_due(self._oldest_age(now), self._rank(now)):
+            return
+        try:
+            await self._read()
+        except CallFailedError as error:
+            self._note_failure(str(error))
+            return
+        if self._failures:
+            self._log.write(SourceChanged(answers=True, reason="", failures=self._failures))
+        self._failures = 0
+
+    def _oldest_age(self, now: float) -> float:
+        publication = self._publication
+        if publication.proof is None or publication.list_at is None:
+            return float("inf")
+        return now - min(publication.proof.at, publication.list_at)
+
+    async def _read(self) -> None:
+        before = self._publication.seen_revision, self._publication.list_tag
+        sent_at = self._clock()
+        self.reads += 1
+        item = await self._source.read_configuration(READ_SECONDS)
+        if item is not None:
+            proof = Proof(item.revision, sent_at)
+            self._publication.offer_configuration(item, proof)
+        sent_at = self._clock()
+        items = await self._source.read_upstreams(READ_SECONDS)
+        self._publication.offer_list(items, sent_at, self._clock())
+        if before != (self._publication.seen_revision, self._publication.list_tag):
+            self._on_news()
+
+    def _note_failure(self, reason: str) -> None:
+        if not self._failures:
+            self._log.write(SourceChanged(answers=False, reason=reason, failures=1))
+        self._failures += 1
+        wait = backoff_seconds(self._failures - 1, self._rng.random())
+        self._not_before = self._clock() + wait
--- /dev/null
+++ b/pondpin/relay/upstreams.py
@@ -0,0 +1,260 @@
+"""The upstreams as this instance knows them: listing, leaving, health, own and peers' work."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+import msgspec
+import xxhash
+
+from pondpin.health import Health, note_failure, note_success
+from pondpin.relay.forecast import EngineLoad, Writers
+from pondpin.relay.model import ListedUpstream, Load
+
+# A peer's word on its work counts for so many seconds; digests come several times a second.
+PEER_LOAD_SECONDS = 1.5
+# What an upstream told of its load in an answer counts for so many seconds.
+TOLD_LOAD_SECONDS = 0.5
+MILLISECONDS = 1000.0
+
+
+class WritersDigest(msgspec.Struct, frozen=True, array_like=True):
+    """Writers with the same pause target (ms); worth is in hundredths."""
+
+    gap_target: int
+    count: int
+    worth: int
+
+
+class WorkDigest(msgspec.Struct, frozen=True, array_like=True):
+    """One instance's work on one upstream; reading in ms."""
+
+    upstream: str
+    in_flight: int
+    light: int
+    reading: int
+    tokens: int
+    writers: tuple[WritersDigest, ...]
+
+
+@dataclass(slots=True)
+class Work:
+    """A request, or a part of a prompt, of this instance on an upstream.
+
+    reading: seconds of reading at its start; writes is False for a part read for another engine.
+    """
+
+    reading: float
+    since: float
+    tokens: int
+    gap_target: float
+    worth: float
+    light: bool
+    writes: bool
+    first_event: bool = False
+
+    def reading_left(self, now: float) -> float:
+        """Seconds of reading that are probably left."""
+        if self.first_event:
+            return 0.0
+        return max(0.0, self.reading - (now - self.since))
+
+
+@dataclass(frozen=True, slots=True)
+class PeerWork:
+    """A peer's digest of its work on an upstream, and when it was made by this clock."""
+
+    work: WorkDigest
+    at: float
+
+
+@dataclass
+class UpstreamState:
+    """One upstream, that is one life of it."""
+
+    listed: ListedUpstream
+    order: int = 0
+    leaving: bool = False
+    health: Health = field(default_factory=Health)
+    needs_probe: bool = False
+    probing: bool = False
+    suspected_until: float = 0.0
+    told: Load | None = None
+    told_at: float = 0.0
+    heard_at: float = 0.0
+    work_by_key: dict[int, Work] = field(default_factory=dict)
+    peer_work_by_instance: dict[str, PeerWork] = field(default_factory=dict)
+
+    @property
+    def id(self) -> str:
+        """The upstream's id."""
+        return self.listed.id
+
+    def usable(self, now: float) -> bool:
+        """Whether new work may go there."""
+        if self.leaving or self.needs_probe:
+            return False
+        return not self.health.is_ejected(now) and now >= self.suspected_until
+
+    def in_flight(self, now: float) -> int:
+        """Requests there, of this instance and of peers; what it told itself may be more."""
+        own = sum(1 for work in self.work_by_key.values() if work.writes)
+        known = own + sum(item.work.in_flight for item in self._peer_work(now))
+        if self.told is not None and now - self.told_at < TOLD_LOAD_SECONDS:
+            return max(known, self.told.running + self.told.waiting)
+        return known
+
+    def light_in_flight(self, now: float) -> int:
+        """Light streams there."""
+        own = sum(1 for work in self.work_by_key.values() if work.light and work.writes)
+        return own + sum(item.work.light for item in self._peer_work(now))
+
+    def load(self, now: float) -> EngineLoad:
+        """The upstream as an engine."""
+        reading, tokens = 0.0, 0
+        sums: dict[int, tuple[int, float]] = {}
+        for work in self.work_by_key.values():
+            reading += work.reading_left(now)
+            tokens += work.tokens
+            if work.writes and work.first_event:
+                _add_writers(sums, round(work.gap_target * MILLISECONDS), 1, work.worth)
+        for item in self._peer_work(now):
+            reading += max(0.0, item.work.reading / MILLISECONDS - (now - item.at))
+            tokens += item.work.tokens
+            for told in item.work.writers:
+                _add_writers(sums, told.gap_target, told.count, told.worth / 100)
+        writers = tuple(
+            Writers(gap / MILLISECONDS, count, worth) for gap, (count, worth) in sums.items()
+        )
+        return EngineLoad(self.in_flight(now), reading, tokens, writers)
+
+    def digest(self, now: float) -> WorkDigest | None:
+        """This instance's work there, None when there is none."""
+        if not self.work_by_key:
+            return None
+        sums: dict[int, tuple[int, float]] = {}
+        for work in self.work_by_key.values():
+            if work.writes and work.first_event:
+                _add_writers(sums, round(work.gap_target * MILLISECONDS), 1, work.worth)
+        works = self.work_by_key.values()
+        return WorkDigest(
+            upstream=self.id,
+            in_flight=sum(1 for work in works if work.writes),
+            light=sum(1 for work in works if work.writes and work.light),
+            reading=round(sum(work.reading_left(now) for work in works) * MILLISECONDS),
+            tokens=sum(work.tokens for work in works),
+            writers=tuple(
+                WritersDigest(gap, count, round(worth * 100))
+                for gap, (count, worth) in sums.items()
+            ),
+        )
+
+    def _peer_work(self, now: float) -> list[PeerWork]:
+        items = self.peer_work_by_instance.values()
+        return [item for item in items if now - item.at < PEER_LOAD_SECONDS]
+
+
+def _add_writers(sums: dict[int, tuple[int, float]], gap: int, count: int, worth: float) -> None:
+    known_count, known_worth = sums.get(gap, (0, 0.0))
+    sums[gap] = (known_count + count, known_worth + worth)
+
+
+class UpstreamTable:
+    """All upstreams by their id. Leaving is sticky for an id; a lapsed entry may come back."""
+
+    def __init__(self, data_center: str) -> None:
+        self.data_center = data_center
+        self.by_id: dict[str, UpstreamState] = {}
+        self._ids_by_service: dict[str, list[str]] = {}
+        self._left: set[str] = set()
+
+    def take_list(self, listed: Iterable[ListedUpstream], missing: Iterable[str]) -> list[str]:
+        """Take a reading of the list; returns the ids that newly leave or are gone."""
+        news: list[str] = []
+        for item in listed:
+            state = self.by_id.get(item.id)
+            if state is None:
+                order = xxhash.xxh32_intdigest(item.id.encode())
+                state = UpstreamState(item, order, leaving=item.id in self._left)
+                self.by_id[item.id] = state
+            state.listed = item
+            if item.leaving and self.mark_leaving(item.id):
+                news.append(item.id)
+        for name in missing:
+            if self.by_id.pop(name, None) is not None:
+                news.append(name)
+        self._sort()
+        return news
+
+    def mark_leaving(self, name: str) -> bool:
+        """Some source says that an upstream leaves; True when that is news."""
+        if name in self._left:
+            return False
+        self._left.add(name)
+        state = self.by_id.get(name)
+        if state is not None:
+            state.leaving = True
+        return True
+
+    @property
+    def left(self) -> frozenset[str]:
+        """Ids that are known to leave."""
+        return frozenset(self._left)
+
+    def of_service(self, service: str) -> list[UpstreamState]:
+        """The upstreams of a service, in the order that all instances share."""
+        return [self.by_id[name] for name in self._ids_by_service.get(service, ())]
+
+    def usable(self, service: str, now: float, tried: frozenset[str]) -> list[UpstreamState]:
+        """Those that may get work; when too many look bad, looks are ignored."""
+        present = [item for item in self.of_service(service) if not item.leaving]
+        fresh = [item for item in present if item.id not in tried]
+        good = [item for item in fresh if item.usable(now)]
+        return good or fresh
+
+    def take_peer_work(self, instance: str, works: Iterable[WorkDigest], at: float) -> None:
+        """Take a peer's work; what it does not name is idle."""
+        for state in self.by_id.values():
+            state.peer_work_by_instance.pop(instance, None)
+        for work in works:
+            state_named = self.by_id.get(work.upstream)
+            if state_named is not None:
+                state_named.peer_work_by_instance[instance] = PeerWork(work, at)
+
+    def note_success(self, name: str, now: float) -> None:
+        """An upstream answered."""
+        state = self.by_id.get(name)
+        if state is not None:
+            state.health = note_success(state.health, now)
+
+    def note_failure(self, name: str, now: float, certain: bool) -> bool:
+        """An upstream failed a request; True when that ejects it."""
+        state = self.by_id.get(name)
+        if state is None:
+            return False
+        before = state.health.ejections
+        state.health = note_failure(state.health, now, certain)
+        ejected = state.health.ejections > before
+        state.needs_probe = state.needs_probe or ejected
+        return ejected
+
+    def suspect(self, name: str, until: float) -> None:
+        """A peer ejected an upstream."""
+        state = self.by_id.get(name)
+        if state is not None and not state.work_by_key:
+            state.suspected_until = max(state.suspected_until, until)
+
+    def probe_passed(self, name: str) -> None:
+        """An ejected upstream answered its liveness check."""
+        state = self.by_id.get(name)
+        if state is not None:
+            state.needs_probe = False
+            state.health = replace(state.health, failures=0)
+
+    def _sort(self) -> None:
+        grouped: dict[str, list[UpstreamState]] = {}
+        for state in self.by_id.values():
+            grouped.setdefault(state.listed.service, []).append(state)
+        self._ids_by_service = {
+            service: [state.id for state in sorted(states, key=lambda item: item.order)]
+            for service, states in grouped.items()
+        }
--- a/pondpin/runtime.py
+++ b/pondpin/runtime.py
@@ -73,6 +73,11 @@
     return stop
 
 
+def call_on_signal(number: int, action: Callable[[], None]) -> None:
+    """Call action on the event loop whenever a signal comes."""
+    asyncio.get_running_loop().add_signal_handler(number, action)
+
+
 def wall_now() -> float:
     """Seconds since the epoch, for what crosses machines."""
     return time.time()
