--- a/pondpin/http_server.py
+++ b/pondpin/http_server.py
@@ -433,6 +433,14 @@
             elif inner.transport is not None:
                 inner.setTimeout(seconds)
 
+    def close_idle(self) -> None:
+        """Close the connections on which no request is open or arriving."""
+        for channel in list(self.channels):
+            inner = channel._channel
+            # A connection that is being closed waits for its unsent bytes first.
+            if inner.transport is not None and not inner.requests:
+                inner.loseConnection()
+
     async def close(self) -> None:
         """Stop listening."""
         if self.port is not None:
--- a/pondpin/relay/attempt.py
+++ b/pondpin/relay/attempt.py
@@ -14,6 +14,8 @@
 from pondpin.relay.ports import Dialect, Forwarded, PartPlace
 
 OK = 200
+# A caller gives a stream up after its patience; another upstream needs the rest of it.
+LONGEST_SHARE = 0.85
 FIRST_FAILURE = 300
 
 
@@ -41,6 +43,10 @@
         """Any byte came."""
         ...
 
+    def silent_until(self, now: float) -> float:
+        """Until when the upstream's silence is explained by what it is known to read."""
+        ...
+
 
 class EventSink:
     """Passes the whole events of an answer on to the caller, in order and none twice."""
@@ -217,7 +223,7 @@
         sink.stream = stream
         call.reply.follow(stream)
         try:
-            whole = await self._wait_for_end(call, sink, progress, patience)
+            whole = await self._wait_for_end(call, sink, progress, patience, watcher)
         finally:
             call.reply.unfollow()
             if not sink.ended.done() or not sink.ended.result():
@@ -230,12 +236,20 @@
         return AttemptEnd(EndKind.DONE)
 
     async def _wait_for_end(
-        self, call: RelayCall, sink: EventSink, progress: Progress, patience: Patience
+        self,
+        call: RelayCall,
+        sink: EventSink,
+        progress: Progress,
+        patience: Patience,
+        watcher: Watcher,
     ) -> bool | None:
         """Whether the stream ended whole; None when it stalled or the deadline passed."""
         before = progress.events
         while True:
             limit = patience.first if progress.events == before else patience.gap
+            if limit is not None:
+                explained = watcher.silent_until(self._clock()) - sink.heard_at
+                limit = max(limit, min(explained, LONGEST_SHARE * call.patience))
             left = self._limit(call, limit, sink.heard_at)
             done, _ = await asyncio.wait((sink.ended,), timeout=left)
             if done:
--- a/pondpin/relay/call.py
+++ b/pondpin/relay/call.py
@@ -1,7 +1,7 @@
 """A relayed request on its way, and how its attempts end."""
 
 import enum
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from pondpin.http_server import Incoming, Reply
 from pondpin.relay.model import RelayConfiguration, RequestFacts, Route
@@ -81,6 +81,7 @@
     """What a request's attempts have done so far."""
 
     attempts: int = 0
+    sends: int = 0
     may_have_run: bool = False
     tried: frozenset[str] = frozenset()
     upstream: str = ""
@@ -90,7 +91,6 @@
     last_at: float = 0.0
     longest_gap: float = 0.0
     head_sent: bool = False
-    notes: list[str] = field(default_factory=list)
 
     def note_event(self, number: int, now: float) -> None:
         """An event went to the caller."""
--- a/pondpin/relay/engine_choice.py
+++ b/pondpin/relay/engine_choice.py
@@ -25,8 +25,10 @@
 # The light pool is sized for this multiple of the light streams in flight, and some more.
 POOL_GROWTH = 1.25
 POOL_MARGIN = 4
-# Worth that a heavy part costs on an engine of the light pool beside what it disturbs now.
-POOL_WORTH = 0.6
+# Worth a second of a heavy part costs on an engine of the light pool beside what it disturbs
+# now: light streams that come meanwhile are late too. From two or three of them a second.
+POOL_WORTH_PER_SECOND = 4.0
+MOST_POOL_WORTH = 8.0
 # Worth of a second of waiting as a share of a request's, so that of two sure ways the
 # faster is taken.
 HASTE = 0.02
@@ -222,7 +224,7 @@
     cost = disturbance(profile, view.load, part)
     if in_pool:
         # Light streams will come here soon, with targets about as short as those there now.
-        cost += POOL_WORTH * min(1.0, part / 0.1)
+        cost += min(MOST_POOL_WORTH, POOL_WORTH_PER_SECOND * part)
     return cost + job.worth * HASTE * view.load.reading / job.target
 
 
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -73,6 +73,7 @@
         self.boot = secrets.randbits(48)
         self.rng = random.Random(self.boot)
         self._fresh: bool | None = None
+        self._stopping_at: float | None = None
         self._make_beliefs()
         self._make_gossip()
         self._make_serving()
@@ -129,6 +130,7 @@
             metrics=self.metrics,
             clock=steady_now,
             rng=self.rng,
+            refuses_new=self._refuses_new,
         )
         self.caller_server = WebServer(self.reactor, self._server_limits(None))
         self.caller_server.route("", self.handler.handle)
@@ -215,16 +217,23 @@
     async def drain_and_stop(self) -> None:
         """A planned stop: not ready at once; what is open runs on until the grace period ends."""
         began = steady_now()
+        self._stopping_at = began
         self.caller_server.stopping = True
         grace = self.settings.limits.grace_seconds
         self.log.write(Stopping(open_requests=self.handler.open_requests, grace=grace))
         while steady_now() - began < grace - STOP_MARGIN_SECONDS:
-            out = steady_now() - began >= BALANCER_SECONDS
+            out = self._refuses_new(steady_now())
+            if out:
+                self.caller_server.close_idle()
             if out and not self.handler.open_requests and not len(self.caller_server.channels):
                 break
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         await self.stop()
 
+    def _refuses_new(self, now: float) -> bool:
+        """Whether a request that arrives now might not end before the process does."""
+        return self._stopping_at is not None and now - self._stopping_at >= BALANCER_SECONDS
+
     async def stop(self) -> None:
         """Close everything now."""
         self.log.write(Stopped(open_requests=self.handler.open_requests))
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -43,8 +43,14 @@
 GAP_PATIENCE_SHARE = 0.6
 SAFE_PATIENCE_TARGETS = 2.5
 LEASE_TRIES = 3
+# Upstreams tried for a request, counting those that no byte reached.
+MOST_ATTEMPTS = 5
 # A caller whose request found no place comes back after this, in seconds.
 RETRY_SECONDS = 0.4
+# A caller that kept its connection to a stopping instance finds another one at once.
+STOPPING_RETRY_SECONDS = 0.05
+# Forecasts of reading err by a few hundred milliseconds.
+READING_SLACK_SECONDS = 0.4
 # A silence that is shorter says nothing of an upstream.
 SILENT_SECONDS = 0.75
 
@@ -73,6 +79,7 @@
     metrics: Metrics
     clock: Clock
     rng: random.Random
+    refuses_new: Callable[[float], bool] = lambda now: False
 
     def __post_init__(self) -> None:
         """Set up the state."""
@@ -85,6 +92,8 @@
         facts = self.dialect.read_request(incoming.raw_headers)
         self.open_requests += 1
         try:
+            if self.refuses_new(arrived):
+                raise PondpinError(Code.DRAINING, retry_after=STOPPING_RETRY_SECONDS)
             admitted = admit(self.beliefs(), facts, incoming.path, arrived)
             call = self._make_call(incoming, reply, admitted, arrived)
             self._window(call.service).note_request(arrived)
@@ -132,6 +141,7 @@
         while True:
             end = await self._attempt(call, progress)
             progress.may_have_run = progress.may_have_run or end.may_have_run
+            progress.sends += end.kind is not EndKind.NOT_SENT
             if end.kind is EndKind.DONE:
                 self._finish_stream(call, progress)
                 return
@@ -209,10 +219,10 @@
             return False
         if progress.may_have_run and not call.route.idempotent:
             return False
-        if progress.attempts >= call.route.attempts and end.kind is not EndKind.NOT_SENT:
+        if progress.sends >= call.route.attempts or progress.attempts >= MOST_ATTEMPTS:
             return False
         now = self.clock()
-        if now >= call.deadline or progress.attempts > call.route.attempts:
+        if now >= call.deadline:
             return False
         progress.tried |= {progress.upstream}
         if not self.table.usable(call.service, now, progress.tried):
@@ -349,6 +359,8 @@
                 upstream=plan.lead.id,
                 in_flight=load.in_flight,
                 reading_ms=round(load.reading * 1000),
+                prompt_tokens=call.facts.prompt_tokens,
+                part_ms=round(choice.part_seconds * 1000) if choice is not None else 0,
                 candidates=plan.candidates,
                 first_event_ms=round(choice.first_event * 1000) if choice is not None else 0,
                 loss=round(choice.loss, 3) if choice is not None else 0.0,
@@ -405,6 +417,10 @@
         """See Watcher."""
         self.plan.lead.heard_at = now
 
+    def silent_until(self, now: float) -> float:
+        """See Watcher."""
+        return self.plan.lead.reads_until(now) + READING_SLACK_SECONDS
+
 
 def _cancel(task: "asyncio.Future[None]") -> None:
     task.cancel()
--- a/pondpin/relay/log_events.py
+++ b/pondpin/relay/log_events.py
@@ -119,6 +119,8 @@
     in_flight: int
     reading_ms: int
     candidates: int
+    prompt_tokens: int = 0
+    part_ms: int = 0
     first_event_ms: int = 0
     loss: float = 0.0
     pool: int = 0
--- a/pondpin/relay/upstreams.py
+++ b/pondpin/relay/upstreams.py
@@ -127,6 +127,14 @@
         )
         return EngineLoad(self.in_flight(now), reading, tokens, writers)
 
+    def reads_until(self, now: float) -> float:
+        """Until when reading that is known of may keep the upstream silent."""
+        ends = [
+            work.since + work.reading for work in self.work_by_key.values() if not work.first_event
+        ]
+        ends += [item.at + item.work.reading / MILLISECONDS for item in self._peer_work(now)]
+        return max(ends, default=0.0)
+
     def digest(self, now: float) -> WorkDigest | None:
         """This instance's work there, None when there is none."""
         if not self.work_by_key:
