Count reading as a queue; avoid data centres that can't be heard; shorter connects

Cause: reading was counted down for all at once although an engine reads one after the other, and a cut data centre was found out request by request.

--- a/pondpin/relay/attempt.py
+++ b/pondpin/relay/attempt.py
@@ -16,6 +16,9 @@
 OK = 200
 # A caller gives a stream up after its patience; another upstream needs the rest of it.
 LONGEST_SHARE = 0.85
+# How often a silent stream is looked at, and how long one is waited for that is cut off.
+LOOK_SECONDS = 0.25
+CUT_SECONDS = 0.5
 FIRST_FAILURE = 300
 
 
@@ -47,6 +50,10 @@
         """Until when the upstream's silence is explained by what it is known to read."""
         ...
 
+    def is_cut(self, now: float) -> bool:
+        """Whether the upstream is probably out of reach."""
+        ...
+
 
 class EventSink:
     """Passes the whole events of an answer on to the caller, in order and none twice."""
@@ -248,11 +255,20 @@
         while True:
             limit = patience.first if progress.events == before else patience.gap
             if limit is not None:
-                explained = watcher.silent_until(self._clock()) - sink.heard_at
-                limit = max(limit, min(explained, LONGEST_SHARE * call.patience))
+                limit = self._explained_limit(call, sink, limit, watcher)
             left = self._limit(call, limit, sink.heard_at)
-            done, _ = await asyncio.wait((sink.ended,), timeout=left)
+            if left <= 0:
+                return None
+            done, _ = await asyncio.wait((sink.ended,), timeout=min(left, LOOK_SECONDS))
             if done:
                 return sink.ended.result()
-            if self._limit(call, limit, sink.heard_at) <= 0:
-                return None
+
+    def _explained_limit(
+        self, call: RelayCall, sink: EventSink, limit: float, watcher: Watcher
+    ) -> float:
+        """The patience with a silent upstream, by what is known of it."""
+        now = self._clock()
+        if watcher.is_cut(now):
+            return min(limit, CUT_SECONDS)
+        explained = watcher.silent_until(now) - sink.heard_at
+        return max(limit, min(explained, LONGEST_SHARE * call.patience))
--- a/pondpin/relay/digests.py
+++ b/pondpin/relay/digests.py
@@ -15,6 +15,11 @@
 # A peer that was silent for so long is not counted among the live ones: several digests.
 ALIVE_SECONDS = 1.2
 FORGET_SECONDS = 60.0
+# Three digests in a row of every peer of a data centre are missing: it is cut off, or all its
+# instances died. What is heard from its upstreams goes before this sign.
+SILENT_SECONDS = 0.65
+# After this the sign is too old to avoid a data centre's upstreams by.
+SILENCE_COUNTS_SECONDS = 10.0
 
 
 class EjectedDigest(msgspec.Struct, frozen=True, array_like=True):
@@ -43,6 +48,7 @@
     proof_age: int
     list_tag: int
     list_age: int
+    data_center: str
     reads_source: bool
     leaving: tuple[str, ...]
     ejected: tuple[EjectedDigest, ...]
@@ -78,6 +84,7 @@
     sequence: int
     stamp: int
     heard_at: float
+    data_center: str
     reads_source: bool
 
 
@@ -102,6 +109,7 @@
             digest.sequence,
             digest.stamp,
             now,
+            digest.data_center,
             digest.reads_source,
         )
         return True
@@ -110,6 +118,18 @@
         """Peers heard lately."""
         return [peer for peer in self.by_host.values() if now - peer.heard_at < ALIVE_SECONDS]
 
+    def silent_centers(self, now: float) -> frozenset[str]:
+        """Data centres whose peers were heard a while ago and are all silent now."""
+        lately: dict[str, float] = {}
+        for peer in self.by_host.values():
+            known = lately.get(peer.data_center, peer.heard_at)
+            lately[peer.data_center] = max(known, peer.heard_at)
+        return frozenset(
+            name
+            for name, heard_at in lately.items()
+            if SILENT_SECONDS < now - heard_at < SILENCE_COUNTS_SECONDS
+        )
+
     def forget(self, now: float) -> list[PeerSeen]:
         """Drop peers that are long silent; returns them."""
         gone = [peer for peer in self.by_host.values() if now - peer.heard_at > FORGET_SECONDS]
--- a/pondpin/relay/engine_choice.py
+++ b/pondpin/relay/engine_choice.py
@@ -31,9 +31,11 @@
 MOST_POOL_WORTH = 8.0
 # Worth of a second of waiting as a share of a request's, so that of two sure ways the
 # faster is taken.
-HASTE = 0.02
+HASTE = 0.06
 # Worth lost for each further engine that reads a part: each may fail or be late.
 PART_WORTH = 0.03
+# Worth that a second of a part costs those whose prompts the engine is reading.
+READER_WORTH = 1.5
 # Seconds that a request waits for each one that is already too many on an engine.
 QUEUE_SECONDS = 0.25
 # Share of an engine's memory that is given out; answers grow while they are written.
@@ -225,6 +227,9 @@
     if in_pool:
         # Light streams will come here soon, with targets about as short as those there now.
         cost += min(MOST_POOL_WORTH, POOL_WORTH_PER_SECOND * part)
+    if view.load.reading > 0:
+        # Whose prompt is being read there waits longer too: parts go before other reading.
+        cost += READER_WORTH * part
     return cost + job.worth * HASTE * view.load.reading / job.target
 
 
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -46,7 +46,8 @@
 from pondpin.runtime import steady_now, wall_now
 from pondpin.settings import RelaySettings
 
-CONNECT_SECONDS = 0.6
+# A way to an upstream takes a few ms; a lost opening packet is sent again after a second.
+CONNECT_SECONDS = 0.3
 # Upstreams close idle connections; a short time keeps few of them and rarely meets a closing.
 IDLE_SECONDS = 4.0
 # The bound of a key leaves this much for the way to the upstream and the clocks' rates.
--- a/pondpin/relay/gossip.py
+++ b/pondpin/relay/gossip.py
@@ -25,7 +25,7 @@
 )
 from pondpin.relay.freshness import peer_proof
 from pondpin.relay.log import EventLog
-from pondpin.relay.log_events import FetchFailed, PeerChanged, UpstreamLeaving
+from pondpin.relay.log_events import DataCenterChanged, FetchFailed, PeerChanged, UpstreamLeaving
 from pondpin.relay.publication import Bundle, Publication
 from pondpin.relay.upstreams import UpstreamTable
 from pondpin.wire.peer_pb2 import FetchConfigurationRequest
@@ -218,6 +218,7 @@
             proof_age=_round_up(proof_age),
             list_tag=publication.list_tag,
             list_age=-1 if list_at is None else _round_up(now - list_at),
+            data_center=self.table.data_center,
             reads_source=self.reads_source(),
             leaving=self._leaving_told(),
             ejected=self._ejected(now),
@@ -236,6 +237,13 @@
             if state.health.is_ejected(now)
         )
 
+    def note_silence(self, now: float) -> None:
+        """Tell the upstreams' table which data centres can't be heard."""
+        silent = self.known.silent_centers(now)
+        for name in silent ^ self.table.silent_centers:
+            self.log.write(DataCenterChanged(data_center=name, silent=name in silent))
+        self.table.silent_centers = silent
+
     def _note_alive(self, now: float) -> None:
         alive = {peer.instance for peer in self.known.alive(now)}
         for name in alive - self._alive:
@@ -270,4 +278,5 @@
         """One round."""
         now = self._clock()
         self._publication.settle(now)
+        self._gossip.note_silence(now)
         self._gossip.send(now)
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -421,6 +421,10 @@
         """See Watcher."""
         return self.plan.lead.reads_until(now) + READING_SLACK_SECONDS
 
+    def is_cut(self, now: float) -> bool:
+        """See Watcher."""
+        return self.handler.table.is_cut(self.plan.lead, now)
+
 
 def _cancel(task: "asyncio.Future[None]") -> None:
     task.cancel()
--- a/pondpin/relay/log_events.py
+++ b/pondpin/relay/log_events.py
@@ -55,6 +55,13 @@
     alive_peers: int
 
 
+class DataCenterChanged(LogEvent, frozen=True, kw_only=True, tag="data_center"):
+    """All peers of a data centre fell silent, or one is heard again."""
+
+    data_center: str
+    silent: bool
+
+
 class FetchFailed(LogEvent, frozen=True, kw_only=True, tag="fetch_failed"):
     """A peer could not be told or asked something."""
 
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -121,10 +121,9 @@
 
     def note_first(self, plan: Plan, key: int) -> None:
         """The first event came: all parts are read."""
+        now = self._clock()
         for state in (plan.lead, *plan.helpers):
-            work = state.work_by_key.get(key)
-            if work is not None:
-                work.first_event = True
+            state.note_read(key, now)
 
     def end(self, plan: Plan, key: int) -> None:
         """Take an attempt's work out of the ledger."""
--- a/pondpin/relay/upstreams.py
+++ b/pondpin/relay/upstreams.py
@@ -14,6 +14,9 @@
 PEER_LOAD_SECONDS = 1.5
 # What an upstream told of its load in an answer counts for so many seconds.
 TOLD_LOAD_SECONDS = 0.5
+# An upstream that was heard this lately proves that its data centre can be reached; the
+# streams of a busy one come every tenth of a second.
+HEARD_SECONDS = 0.6
 MILLISECONDS = 1000.0
 
 
@@ -25,14 +28,21 @@
     worth: int
 
 
+class ReadDigest(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt, or a part of one, that is being read: its age and its whole length in ms."""
+
+    age: int
+    length: int
+
+
 class WorkDigest(msgspec.Struct, frozen=True, array_like=True):
-    """One instance's work on one upstream; reading in ms."""
+    """One instance's work on one upstream."""
 
     upstream: str
     in_flight: int
     light: int
-    reading: int
     tokens: int
+    reads: tuple[ReadDigest, ...]
     writers: tuple[WritersDigest, ...]
 
 
@@ -52,11 +62,26 @@
     writes: bool
     first_event: bool = False
 
-    def reading_left(self, now: float) -> float:
-        """Seconds of reading that are probably left."""
-        if self.first_event:
-            return 0.0
-        return max(0.0, self.reading - (now - self.since))
+    @property
+    def read(self) -> "Read":
+        """Its reading."""
+        return Read(self.since, self.reading)
+
+
+@dataclass(frozen=True, slots=True)
+class Read:
+    """Reading of length seconds that could begin at since, by this process's clock."""
+
+    since: float
+    length: float
+
+
+def reads_end(reads: Iterable[Read]) -> float:
+    """When an engine that reads one after the other is through."""
+    end = 0.0
+    for read in sorted(reads, key=lambda item: item.since):
+        end = max(end, read.since) + read.length
+    return end
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,30 +135,41 @@
 
     def load(self, now: float) -> EngineLoad:
         """The upstream as an engine."""
-        reading, tokens = 0.0, 0
+        tokens = 0
         sums: dict[int, tuple[int, float]] = {}
         for work in self.work_by_key.values():
-            reading += work.reading_left(now)
             tokens += work.tokens
             if work.writes and work.first_event:
                 _add_writers(sums, round(work.gap_target * MILLISECONDS), 1, work.worth)
         for item in self._peer_work(now):
-            reading += max(0.0, item.work.reading / MILLISECONDS - (now - item.at))
             tokens += item.work.tokens
             for told in item.work.writers:
                 _add_writers(sums, told.gap_target, told.count, told.worth / 100)
         writers = tuple(
             Writers(gap / MILLISECONDS, count, worth) for gap, (count, worth) in sums.items()
         )
+        reading = max(0.0, self.reads_until(now) - now)
         return EngineLoad(self.in_flight(now), reading, tokens, writers)
 
     def reads_until(self, now: float) -> float:
-        """Until when reading that is known of may keep the upstream silent."""
-        ends = [
-            work.since + work.reading for work in self.work_by_key.values() if not work.first_event
-        ]
-        ends += [item.at + item.work.reading / MILLISECONDS for item in self._peer_work(now)]
-        return max(ends, default=0.0)
+        """When the reading that is known of should be over."""
+        reads = [work.read for work in self.work_by_key.values() if not work.first_event]
+        for item in self._peer_work(now):
+            reads += [
+                Read(item.at - read.age / MILLISECONDS, read.length / MILLISECONDS)
+                for read in item.work.reads
+            ]
+        return reads_end(reads)
+
+    def note_read(self, key: int, now: float) -> None:
+        """A reading is through: those behind it can't have begun before."""
+        done = self.work_by_key.get(key)
+        if done is None or done.first_event:
+            return
+        done.first_event = True
+        for work in self.work_by_key.values():
+            if not work.first_event and work.since < now:
+                work.since = now
 
     def digest(self, now: float) -> WorkDigest | None:
         """This instance's work there, None when there is none."""
@@ -148,8 +184,14 @@
             upstream=self.id,
             in_flight=sum(1 for work in works if work.writes),
             light=sum(1 for work in works if work.writes and work.light),
-            reading=round(sum(work.reading_left(now) for work in works) * MILLISECONDS),
             tokens=sum(work.tokens for work in works),
+            reads=tuple(
+                ReadDigest(
+                    round((now - work.since) * MILLISECONDS), round(work.reading * MILLISECONDS)
+                )
+                for work in works
+                if not work.first_event
+            ),
             writers=tuple(
                 WritersDigest(gap, count, round(worth * 100))
                 for gap, (count, worth) in sums.items()
@@ -174,6 +216,7 @@
         self.by_id: dict[str, UpstreamState] = {}
         self._ids_by_service: dict[str, list[str]] = {}
         self._left: set[str] = set()
+        self.silent_centers: frozenset[str] = frozenset()
 
     def take_list(self, listed: Iterable[ListedUpstream], missing: Iterable[str]) -> list[str]:
         """Take a reading of the list; returns the ids that newly leave or are gone."""
@@ -217,7 +260,19 @@
         present = [item for item in self.of_service(service) if not item.leaving]
         fresh = [item for item in present if item.id not in tried]
         good = [item for item in fresh if item.usable(now)]
-        return good or fresh
+        near = [item for item in good if not self.is_cut(item, now)]
+        return near or good or fresh
+
+    def is_cut(self, state: UpstreamState, now: float) -> bool:
+        """Whether an upstream is probably out of reach with its whole data centre."""
+        center = state.listed.data_center
+        if center not in self.silent_centers:
+            return False
+        heard_at = max(item.heard_at for item in self._in_center(center))
+        return now - heard_at > HEARD_SECONDS
+
+    def _in_center(self, center: str) -> list[UpstreamState]:
+        return [item for item in self.by_id.values() if item.listed.data_center == center]
 
     def take_peer_work(self, instance: str, works: Iterable[WorkDigest], at: float) -> None:
         """Take a peer's work; what it does not name is idle."""
