--- a/pondpin/relay/engine_choice.py
+++ b/pondpin/relay/engine_choice.py
@@ -34,10 +34,12 @@
 HASTE = 0.06
 # Worth lost for each further engine that reads a part: each may fail or be late.
 PART_WORTH = 0.03
-# Worth that a second of a part costs those whose prompts the engine is reading.
-READER_WORTH = 1.5
+# A part of this length surely makes an engine's own prompt late that is being read there.
+PENDING_SECONDS = 1.0
 # Seconds that a request waits for each one that is already too many on an engine.
 QUEUE_SECONDS = 0.25
+# An engine that reads for longer than this does not become a lead while another can.
+LEAD_READING_SECONDS = 0.05
 # Share of an engine's memory that is given out; answers grow while they are written.
 MEMORY_SHARE = 0.95
 # Tokens of a prompt against the worth of an answer: fitted to no site, only its growth counts.
@@ -227,10 +229,9 @@
     if in_pool:
         # Light streams will come here soon, with targets about as short as those there now.
         cost += min(MOST_POOL_WORTH, POOL_WORTH_PER_SECOND * part)
-    if view.load.reading > 0:
-        # Whose prompt is being read there waits longer too: parts go before other reading.
-        cost += READER_WORTH * part
-    return cost + job.worth * HASTE * view.load.reading / job.target
+    # The engine's own prompts wait until the part is read.
+    cost += view.load.pending_worth * min(1.0, part / PENDING_SECONDS)
+    return cost + job.worth * HASTE * view.load.helping / job.target
 
 
 def _lease_tokens(
@@ -258,6 +259,7 @@
         fitting,
         key=lambda view: (
             max(0, view.load.in_flight + 1 - profile.slots),
+            view.load.reading > LEAD_READING_SECONDS,
             sum(item.worth for item in view.load.writers if item.gap_target < job.gap_target),
             view.load.tokens,
             not view.local,
--- a/pondpin/relay/forecast.py
+++ b/pondpin/relay/forecast.py
@@ -31,10 +31,16 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineLoad:
-    """An engine as believed now: reading is seconds of prompts still to be read."""
+    """An engine as believed now.
+
+    reading is seconds of prompts still to be read, helping those of them that are parts read
+    for other engines: these go before the engine's own prompts, whose worth is pending_worth.
+    """
 
     in_flight: int
     reading: float
+    helping: float
+    pending_worth: float
     tokens: int
     writers: tuple[Writers, ...]
 
--- a/pondpin/relay/upstreams.py
+++ b/pondpin/relay/upstreams.py
@@ -18,6 +18,7 @@
 # streams of a busy one come every tenth of a second.
 HEARD_SECONDS = 0.6
 MILLISECONDS = 1000.0
+HUNDREDTHS = 100.0
 
 
 class WritersDigest(msgspec.Struct, frozen=True, array_like=True):
@@ -29,10 +30,14 @@
 
 
 class ReadDigest(msgspec.Struct, frozen=True, array_like=True):
-    """A prompt, or a part of one, that is being read: its age and its whole length in ms."""
+    """A prompt, or a part of one, that is being read: its age and its whole length in ms.
+
+    worth is in hundredths, 0 for a part that is read for another engine.
+    """
 
     age: int
     length: int
+    worth: int
 
 
 class WorkDigest(msgspec.Struct, frozen=True, array_like=True):
@@ -65,15 +70,19 @@
     @property
     def read(self) -> "Read":
         """Its reading."""
-        return Read(self.since, self.reading)
+        return Read(self.since, self.reading, self.worth if self.writes else 0.0)
 
 
 @dataclass(frozen=True, slots=True)
 class Read:
-    """Reading of length seconds that could begin at since, by this process's clock."""
+    """Reading of length seconds that could begin at since, by this process's clock.
+
+    worth is that of the engine's own request, 0 for a part read for another engine.
+    """
 
     since: float
     length: float
+    worth: float
 
 
 def reads_end(reads: Iterable[Read]) -> float:
@@ -144,22 +153,37 @@
         for item in self._peer_work(now):
             tokens += item.work.tokens
             for told in item.work.writers:
-                _add_writers(sums, told.gap_target, told.count, told.worth / 100)
+                _add_writers(sums, told.gap_target, told.count, told.worth / HUNDREDTHS)
         writers = tuple(
             Writers(gap / MILLISECONDS, count, worth) for gap, (count, worth) in sums.items()
         )
-        reading = max(0.0, self.reads_until(now) - now)
-        return EngineLoad(self.in_flight(now), reading, tokens, writers)
+        reads = self._reads(now)
+        helping = [read for read in reads if not read.worth]
+        return EngineLoad(
+            in_flight=self.in_flight(now),
+            reading=max(0.0, reads_end(reads) - now),
+            helping=max(0.0, reads_end(helping) - now),
+            pending_worth=sum(read.worth for read in reads),
+            tokens=tokens,
+            writers=writers,
+        )
 
     def reads_until(self, now: float) -> float:
         """When the reading that is known of should be over."""
+        return reads_end(self._reads(now))
+
+    def _reads(self, now: float) -> list[Read]:
         reads = [work.read for work in self.work_by_key.values() if not work.first_event]
         for item in self._peer_work(now):
             reads += [
-                Read(item.at - read.age / MILLISECONDS, read.length / MILLISECONDS)
+                Read(
+                    item.at - read.age / MILLISECONDS,
+                    read.length / MILLISECONDS,
+                    read.worth / HUNDREDTHS,
+                )
                 for read in item.work.reads
             ]
-        return reads_end(reads)
+        return reads
 
     def note_read(self, key: int, now: float) -> None:
         """A reading is through: those behind it can't have begun before."""
@@ -187,13 +211,15 @@
             tokens=sum(work.tokens for work in works),
             reads=tuple(
                 ReadDigest(
-                    round((now - work.since) * MILLISECONDS), round(work.reading * MILLISECONDS)
+                    round((now - work.since) * MILLISECONDS),
+                    round(work.reading * MILLISECONDS),
+                    round(work.read.worth * HUNDREDTHS),
                 )
                 for work in works
                 if not work.first_event
             ),
             writers=tuple(
-                WritersDigest(gap, count, round(worth * 100))
+                WritersDigest(gap, count, round(worth * HUNDREDTHS))
                 for gap, (count, worth) in sums.items()
             ),
         )
