--- a/pondpin/relay/engine_choice.py
+++ b/pondpin/relay/engine_choice.py
@@ -7,6 +7,7 @@
 
 from pondpin.relay.forecast import (
     EngineLoad,
+    delay_of_pending,
     disturbance,
     first_event_seconds,
     first_late,
@@ -34,8 +35,6 @@
 HASTE = 0.06
 # Worth lost for each further engine that reads a part: each may fail or be late.
 PART_WORTH = 0.03
-# A part of this length surely makes an engine's own prompt late that is being read there.
-PENDING_SECONDS = 1.0
 # Seconds that a request waits for each one that is already too many on an engine.
 QUEUE_SECONDS = 0.25
 # An engine that reads for longer than this does not become a lead while another can.
@@ -199,8 +198,7 @@
 ) -> EngineChoice | None:
     """The cheapest count engines for parts of part seconds each."""
     costs = {
-        view.id: _part_cost(profile, job, view, index < pool, part)
-        for index, view in enumerate(engines)
+        view.id: _part_cost(profile, view, index < pool, part) for index, view in enumerate(engines)
     }
     ranked = sorted(engines, key=lambda view: (costs[view.id], rng.random()))
     chosen = ranked[:count]
@@ -222,16 +220,12 @@
     return EngineChoice(lead.id, names, part, lease, first, loss, pool)
 
 
-def _part_cost(
-    profile: EngineProfile, job: Job, view: EngineView, in_pool: bool, part: float
-) -> float:
+def _part_cost(profile: EngineProfile, view: EngineView, in_pool: bool, part: float) -> float:
     cost = disturbance(profile, view.load, part)
     if in_pool:
         # Light streams will come here soon, with targets about as short as those there now.
         cost += min(MOST_POOL_WORTH, POOL_WORTH_PER_SECOND * part)
-    # The engine's own prompts wait until the part is read.
-    cost += view.load.pending_worth * min(1.0, part / PENDING_SECONDS)
-    return cost + job.worth * HASTE * view.load.helping / job.target
+    return cost + delay_of_pending(view.load, part)
 
 
 def _lease_tokens(
--- a/pondpin/relay/forecast.py
+++ b/pondpin/relay/forecast.py
@@ -17,6 +17,9 @@
 # The same for the first event, where queues and other instances' choices add more spread.
 FIRST_SURE_SHARE = 0.6
 FIRST_LATE_SHARE = 1.2
+# Share of its worth that a waiting request loses for a delay of its whole target, while it is
+# still in time: further parts may come before it.
+PENDING_SHARE = 0.15
 TOKENS_PER_K = 1000.0
 
 
@@ -29,18 +32,29 @@
     worth: float
 
 
+@dataclass(frozen=True, slots=True)
+class Pending:
+    """A request that waits for its prompt, or a part of it, to be read on an engine.
+
+    first_event: seconds from its start to its first event, as forecast now.
+    """
+
+    first_event: float
+    target: float
+    worth: float
+
+
 @dataclass(frozen=True, slots=True)
 class EngineLoad:
-    """An engine as believed now.
+    """An engine as believed now; reading is seconds of prompts still to be read.
 
-    reading is seconds of prompts still to be read, helping those of them that are parts read
-    for other engines: these go before the engine's own prompts, whose worth is pending_worth.
+    A part that is read for another engine goes before all that the engine reads already, the
+    newest first (measured), so each of pending waits for it.
     """
 
     in_flight: int
     reading: float
-    helping: float
-    pending_worth: float
+    pending: tuple[Pending, ...]
     tokens: int
     writers: tuple[Writers, ...]
 
@@ -76,6 +90,19 @@
     )
 
 
+def delay_of_pending(load: EngineLoad, added: float) -> float:
+    """Worth that those lose whose prompts an engine is reading when a part goes before them."""
+    return sum(
+        item.worth
+        * (
+            first_late(item.first_event + added, item.target)
+            - first_late(item.first_event, item.target)
+            + PENDING_SHARE * added / max(item.target, added)
+        )
+        for item in load.pending
+    )
+
+
 def _pause_late(pause: float, writers: Writers) -> float:
     return late_share(pause, writers.gap_target, SURE_SHARE, LATE_SHARE)
 
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -359,6 +359,7 @@
                 upstream=plan.lead.id,
                 in_flight=load.in_flight,
                 reading_ms=round(load.reading * 1000),
+                rank=call.rank,
                 prompt_tokens=call.facts.prompt_tokens,
                 part_ms=round(choice.part_seconds * 1000) if choice is not None else 0,
                 candidates=plan.candidates,
--- a/pondpin/relay/log_events.py
+++ b/pondpin/relay/log_events.py
@@ -126,6 +126,7 @@
     in_flight: int
     reading_ms: int
     candidates: int
+    rank: int = 0
     prompt_tokens: int = 0
     part_ms: int = 0
     first_event_ms: int = 0
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -100,7 +100,7 @@
         key = next(self._keys)
         choice = plan.choice
         if choice is None:
-            plan.lead.work_by_key[key] = Work(0.0, now, 0, 0.0, 1.0, False, True)
+            plan.lead.work_by_key[key] = Work(0.0, now, 0, call.route.target, 0.0, 1.0, False, True)
             return key
         job = make_job(call)
         lead_tokens = job.tokens
@@ -109,11 +109,25 @@
         profile = call.configuration.services_by_name[call.service].engine
         light = profile is not None and is_light(profile, job.prompt_tokens, job.gap_target)
         plan.lead.work_by_key[key] = Work(
-            choice.part_seconds, now, lead_tokens, job.gap_target, job.worth, light, True
+            choice.part_seconds,
+            now,
+            lead_tokens,
+            job.target,
+            job.gap_target,
+            job.worth,
+            light,
+            True,
         )
         for helper in plan.helpers:
             helper.work_by_key[key] = Work(
-                choice.part_seconds, now, choice.lease_tokens, 0.0, 0.0, False, False
+                choice.part_seconds,
+                now,
+                choice.lease_tokens,
+                job.target,
+                0.0,
+                job.worth,
+                False,
+                False,
             )
         if choice.part_seconds >= TELL_SECONDS:
             self._tell_soon()
--- a/pondpin/relay/upstreams.py
+++ b/pondpin/relay/upstreams.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from pondpin.health import Health, note_failure, note_success
-from pondpin.relay.forecast import EngineLoad, Writers
+from pondpin.relay.forecast import EngineLoad, Pending, Writers
 from pondpin.relay.model import ListedUpstream, Load
 
 # A peer's word on its work counts for so many seconds; digests come several times a second.
@@ -32,11 +32,12 @@
 class ReadDigest(msgspec.Struct, frozen=True, array_like=True):
     """A prompt, or a part of one, that is being read: its age and its whole length in ms.
 
-    worth is in hundredths, 0 for a part that is read for another engine.
+    target is that of its first event in ms, worth is in hundredths.
     """
 
     age: int
     length: int
+    target: int
     worth: int
 
 
@@ -61,6 +62,7 @@
     reading: float
     since: float
     tokens: int
+    target: float
     gap_target: float
     worth: float
     light: bool
@@ -70,18 +72,19 @@
     @property
     def read(self) -> "Read":
         """Its reading."""
-        return Read(self.since, self.reading, self.worth if self.writes else 0.0)
+        return Read(self.since, self.reading, self.target, self.worth)
 
 
 @dataclass(frozen=True, slots=True)
 class Read:
     """Reading of length seconds that could begin at since, by this process's clock.
 
-    worth is that of the engine's own request, 0 for a part read for another engine.
+    target and worth are those of the request whose prompt it is.
     """
 
     since: float
     length: float
+    target: float
     worth: float
 
 
@@ -158,12 +161,11 @@
             Writers(gap / MILLISECONDS, count, worth) for gap, (count, worth) in sums.items()
         )
         reads = self._reads(now)
-        helping = [read for read in reads if not read.worth]
+        end = max(now, reads_end(reads))
         return EngineLoad(
             in_flight=self.in_flight(now),
-            reading=max(0.0, reads_end(reads) - now),
-            helping=max(0.0, reads_end(helping) - now),
-            pending_worth=sum(read.worth for read in reads),
+            reading=end - now,
+            pending=tuple(Pending(end - read.since, read.target, read.worth) for read in reads),
             tokens=tokens,
             writers=writers,
         )
@@ -179,6 +181,7 @@
                 Read(
                     item.at - read.age / MILLISECONDS,
                     read.length / MILLISECONDS,
+                    read.target / MILLISECONDS,
                     read.worth / HUNDREDTHS,
                 )
                 for read in item.work.reads
@@ -213,7 +216,8 @@
                 ReadDigest(
                     round((now - work.since) * MILLISECONDS),
                     round(work.reading * MILLISECONDS),
-                    round(work.read.worth * HUNDREDTHS),
+                    round(work.target * MILLISECONDS),
+                    round(work.worth * HUNDREDTHS),
                 )
                 for work in works
                 if not work.first_event
