--- a/pondpin/http_client.py
+++ b/pondpin/http_client.py
@@ -318,7 +318,8 @@
         self._fresh = Agent.usingEndpointFactory(reactor, endpoints)
         make_exact: Any = _ExactAgent.usingEndpointFactory
         self._exact = make_exact(reactor, _NoEndpoints(), pool)
-        self._exact_fresh = make_exact(reactor, _NoEndpoints())
+        single_use = CheckedConnections(reactor, 0.0, 0, persistent=False)
+        self._exact_fresh = make_exact(reactor, _NoEndpoints(), single_use)
         self._is_cut = False
         # Hosts and ports that experiments cut off: calls to them fail as on a broken network.
         self.blocked: set[str] = set()
--- a/pondpin/http_connections.py
+++ b/pondpin/http_connections.py
@@ -51,8 +51,10 @@
 class CheckedConnections(HTTPConnectionPool):
     """Keeps idle connections for the shorter of the own and the other side's time."""
 
-    def __init__(self, reactor: Any, idle_seconds: float, per_host: int) -> None:
-        super().__init__(reactor, persistent=True)  # type: ignore[no-untyped-call]
+    def __init__(
+        self, reactor: Any, idle_seconds: float, per_host: int, persistent: bool = True
+    ) -> None:
+        super().__init__(reactor, persistent=persistent)  # type: ignore[no-untyped-call]
         self._factory: Any = _CheckedFactory
         self.maxPersistentPerHost = per_host
         self.retryAutomatically = False
--- a/pondpin/http_server.py
+++ b/pondpin/http_server.py
@@ -22,6 +22,7 @@
 
 JSON = "application/json"
 LINGER_SECONDS = 1.0
+ABORT_SECONDS = 0.05
 # A call that carries one of these may be another try: of the earlier ones nothing is known here.
 REPEAT_HEADERS = ("pondpin-token", "idempotency-key")
 
@@ -176,6 +177,26 @@
             self.gone = True
             self._request.abort_connection()
 
+    @property
+    def peer_host(self) -> str:
+        """The IP number of the other side."""
+        return str(self._request.getClientAddress().host)
+
+    def write_raw(self, data: bytes) -> None:
+        """Write bytes outside any answer; only stand-ins that misbehave do this."""
+        if self._request.channel is not None:
+            self._request.channel.write(data)
+
+    def close_raw(self) -> None:
+        """Close the connection after what was written; only stand-ins do this."""
+        self.gone = True
+        if self._request.channel is not None:
+            self._request.channel.loseConnection()
+
+    def abort_after_write(self) -> None:
+        """Reset the connection once what was written could leave; only stand-ins do this."""
+        asyncio.get_running_loop().call_later(ABORT_SECONDS, self.abort)
+
     def send(self, status: int, headers: dict[str, str], body: bytes) -> None:
         """Send a whole answer."""
         self.start(status, headers | {"content-length": str(len(body))})
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -68,9 +68,10 @@
 class RelayEntry:
     """One instance that relays."""
 
-    def __init__(self, reactor: Any, settings: RelaySettings) -> None:
+    def __init__(self, reactor: Any, settings: RelaySettings, log_fd: int | None = None) -> None:
         self.reactor = reactor
         self.settings = settings
+        self._log_fd = sys.stdout.fileno() if log_fd is None else log_fd
         self.boot = secrets.randbits(48)
         self.rng = random.Random(self.boot)
         self._fresh: bool | None = None
@@ -82,7 +83,7 @@
 
     def _make_beliefs(self) -> None:
         settings = self.settings
-        self.log = EventLog(settings.instance, steady_now, wall_now, sys.stdout.fileno())
+        self.log = EventLog(settings.instance, steady_now, wall_now, self._log_fd)
         self.metrics = Metrics(settings.instance, settings.data_center)
         self.metrics.started.set({}, wall_now())
         self.table = UpstreamTable(settings.data_center)
--- a/pondpin/relay/forecast.py
+++ b/pondpin/relay/forecast.py
@@ -114,7 +114,9 @@
 
     The lead's own writing starts after the last part and takes a pass for the first event.
     """
-    slowest = max(pass_seconds(profile, load) / 2 + load.reading + part for load in (*parts, lead))
+    slowest = pass_seconds(profile, lead) / 2 + lead.reading + part
+    for load in parts:
+        slowest = max(slowest, pass_seconds(profile, load) / 2 + part)
     context = tokens / TOKENS_PER_K * profile.per_context_k
     own_pass = profile.stride * (profile.step + profile.per_writer + context)
     return slowest + max(own_pass, pass_seconds(profile, lead))
--- /dev/null
+++ b/pondpin/standins/local_platform.py
@@ -0,0 +1,168 @@
+"""The users' platform on loopback addresses in one process: store, workers, relaying instances."""
+
+import asyncio
+import os
+from dataclasses import dataclass, field
+from typing import Any
+
+from pondpin.http_client import HttpClient
+from pondpin.network import Endpoint
+from pondpin.relay.entry import RelayEntry
+from pondpin.settings import RelayLimits, RelayPeers, RelaySettings
+from pondpin.standins.published_store import (
+    CONFIGURATION_KEY,
+    UPSTREAMS_PREFIX,
+    PublishedStore,
+)
+from pondpin.standins.worker import Worker
+
+ENGINES = "engines"
+PLAIN = "plain"
+HOST = "relay.example"
+KEY = "caller-key"
+TENANT = "riders"
+CENTERS = ("north", "south", "east")
+# Fixed ports below the ephemeral range; each instance has an address of its own.
+DOCUMENT_PORT = 8229
+DATAGRAM_PORT = 7340
+
+ENGINE_FIGURES = {
+    "slots": 8,
+    "kvCapacityTokens": 450000,
+    "step_ms": 0.925,
+    "stride": 46,
+    "per_seq_ms": 0.00966,
+    "context_per_k": 0.00254,
+    "read_per_s": 256000.0,
+    "pairs_per_m": 0.0917,
+    "chunk": 2048,
+    "hop_ms": 0.1,
+}
+
+
+def sample_route(name: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
+    """A route as the operator writes it, under a path of its name."""
+    route: dict[str, Any] = {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "routeType": kind,
+        "timeoutMs": 10000,
+        "targetLatencyMs": 300,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+        "public": False,
+    }
+    return route | changes
+
+
+def sample_configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """A configuration as the operator writes it."""
+    document: dict[str, Any] = {
+        "version": version,
+        "routes": [
+            sample_route("stream", "streaming", ENGINES, streamResume=True, gap_aim_ms=200),
+            sample_route("once", "unsafe", PLAIN, maxAttempts=1),
+            sample_route("again", "safe", PLAIN),
+        ],
+        "services": [
+            {"name": ENGINES, "healthPath": "/healthz", "maxConns": 64, "engine": ENGINE_FIGURES},
+            {"name": PLAIN, "healthPath": "/healthz", "maxConns": 64},
+        ],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536},
+        "tenants": [{"name": TENANT, "apiKeys": [KEY], "priority": 1}],
+    }
+    return document | changes
+
+
+@dataclass
+class LocalPlatform:
+    """A store, workers and instances; use start and stop."""
+
+    reactor: Any
+    engines: int = 2
+    plain: int = 2
+    instances: int = 1
+    limits: RelayLimits = field(default_factory=lambda: RelayLimits())
+    workers_by_id: dict[str, Worker] = field(default_factory=dict)
+    entries: list[RelayEntry] = field(default_factory=list)
+    callers: list[Endpoint] = field(default_factory=list)
+
+    async def start(self) -> None:
+        """Start all and wait until every instance is ready."""
+        self.http = HttpClient(self.reactor, 1.0)
+        self.store = PublishedStore(self.reactor)
+        self.source = self.store.listen(Endpoint("127.0.0.1", 0))
+        self.store.put(CONFIGURATION_KEY, sample_configuration())
+        for number in range(self.engines):
+            self.add_worker(f"engine-{number}", ENGINES, number)
+        for number in range(self.plain):
+            self.add_worker(f"plain-{number}", PLAIN, number)
+        for number in range(self.instances):
+            await self.add_instance(number)
+        await self.until(lambda: all(entry.ready for entry in self.entries))
+
+    async def stop(self) -> None:
+        """Stop all."""
+        for entry in self.entries:
+            await entry.stop()
+        for worker in self.workers_by_id.values():
+            await worker.server.close()
+            worker.server.cut()
+        await self.store.server.close()
+        self.store.server.cut()
+        await self.http.close()
+
+    def add_worker(self, name: str, service: str, number: int = 0) -> Worker:
+        """Start a worker and list it."""
+        worker = Worker(self.reactor, name)
+        self.workers_by_id[name] = worker
+        place = worker.listen(Endpoint("127.0.0.1", 0))
+        self.list_worker(name, service, str(place), CENTERS[number % len(CENTERS)])
+        return worker
+
+    def list_worker(
+        self, name: str, service: str, address: str, center: str, state: str = "ready"
+    ) -> None:
+        """Write a worker's entry."""
+        entry = {
+            "service": service,
+            "address": address,
+            "zone": center,
+            "slots": 8,
+            "state": state,
+        }
+        self.store.put(f"{UPSTREAMS_PREFIX}{name}", entry)
+
+    async def add_instance(self, number: int) -> RelayEntry:
+        """Start a relaying instance."""
+        host = f"127.0.1.{number + 1}"
+        settings = RelaySettings(
+            instance=f"relay-{number}",
+            data_center=CENTERS[number % len(CENTERS)],
+            callers=f"{host}:0",
+            ready=f"{host}:0",
+            source=str(self.source),
+            peers=RelayPeers(
+                documents=f"{host}:{DOCUMENT_PORT}",
+                known=(f"127.0.1.1:{DOCUMENT_PORT}",),
+                ports=(DATAGRAM_PORT, DATAGRAM_PORT + 15),
+            ),
+            limits=self.limits,
+        )
+        sink = os.open(os.devnull, os.O_WRONLY)
+        entry = RelayEntry(self.reactor, settings, sink)
+        self.entries.append(entry)
+        self.callers.append(await entry.start())
+        return entry
+
+    async def until(self, condition: Any, seconds: float = 20.0) -> None:
+        """Wait until a condition holds; fails after some seconds."""
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    def publish(self, version: int, **changes: Any) -> int:
+        """Publish a configuration; returns its revision."""
+        return self.store.put(CONFIGURATION_KEY, sample_configuration(version, **changes))
--- /dev/null
+++ b/pondpin/standins/worker.py
@@ -0,0 +1,191 @@
+"""A stand-in for the users' workers: streams and plain answers, leases, faults, an audit."""
+
+import asyncio
+import enum
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from pondpin.http_server import Incoming, Reply, WebServer
+from pondpin.network import Endpoint
+
+HANG_SECONDS = 30.0
+HALF = 2
+
+
+class WorkerFault(enum.Enum):
+    """What goes wrong with the next requests; those after RUN happen once the request ran."""
+
+    NONE = "none"
+    SHED = "shed"
+    MISDIRECTED = "misdirected"
+    ERROR = "error"
+    HANG = "hang"
+    RESET = "reset"
+    CUT = "cut"
+    CUT_EVENT = "cut in an event"
+    SURPLUS = "surplus"
+    FOREIGN = "foreign"
+    UNSIGNED = "unsigned"
+    SPOILED = "spoiled"
+    UNFRAMED = "unframed"
+    UNFRAMED_RESET = "unframed, reset"
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """A request as it arrived at a worker."""
+
+    method: str
+    target: bytes
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass
+class Worker:
+    """One life of a worker; faults are taken from the front of a list, one a request."""
+
+    reactor: Any
+    id: str
+    events: int = 5
+    event_seconds: float = 0.0
+    memory: int = 450_000
+    faults: list[WorkerFault] = field(default_factory=list)
+    lasting_fault: WorkerFault = WorkerFault.NONE
+    draining: bool = False
+    seen: list[Seen] = field(default_factory=list)
+    runs_by_attempt: Counter[str] = field(default_factory=Counter)
+    tokens_by_lease: dict[str, int] = field(default_factory=dict)
+    refused_leases: int = 0
+    probes: int = 0
+    working: int = 0
+
+    def __post_init__(self) -> None:
+        """Set up the server."""
+        self.server = WebServer(self.reactor)
+        self.server.route("", self._serve)
+        self.server.route("/healthz", self._health)
+        self.server.route("/v1/order", self._order)
+
+    def listen(self, endpoint: Endpoint) -> Endpoint:
+        """Listen; returns the endpoint with its port."""
+        return self.server.listen(self.reactor, endpoint)
+
+    async def _health(self, incoming: Incoming, reply: Reply) -> None:
+        self.probes += 1
+        if self.lasting_fault is WorkerFault.HANG:
+            await asyncio.sleep(HANG_SECONDS)
+        bad = self.draining or self.lasting_fault is not WorkerFault.NONE
+        reply.send(503 if bad else 200, {"x-instance-id": self.id}, b"")
+
+    async def _order(self, incoming: Incoming, reply: Reply) -> None:
+        order = msgspec.json.decode(incoming.body)
+        name = order["id"]
+        if order["op"] == "release":
+            self.tokens_by_lease.pop(name, None)
+            reply.send_json({"free": self._free()})
+            return
+        known = self.tokens_by_lease.get(name, 0)
+        if order["tokenCount"] > self._free() + known:
+            self.refused_leases += 1
+            reply.send_json({"free": self._free()}, 409)
+            return
+        self.tokens_by_lease[name] = order["tokenCount"]
+        reply.send_json({"free": self._free()})
+
+    def _free(self) -> int:
+        return self.memory - sum(self.tokens_by_lease.values())
+
+    async def _serve(self, incoming: Incoming, reply: Reply) -> None:
+        self.seen.append(Seen(incoming.method, incoming.target, incoming.headers, incoming.body))
+        fault = self.faults.pop(0) if self.faults else self.lasting_fault
+        expected = incoming.headers.get("x-expect-instance", self.id)
+        if expected != self.id or fault is WorkerFault.MISDIRECTED:
+            reply.send(421, {"x-instance-id": self.id}, b"")
+            return
+        if fault is WorkerFault.SHED:
+            reply.send(503, {"x-not-executed": "1"}, b"")
+            return
+        attempt = incoming.headers.get("x-attempt-id", "")
+        self.runs_by_attempt[attempt] += 1
+        self.working += 1
+        try:
+            await self._run(incoming, reply, attempt, fault)
+        finally:
+            self.working -= 1
+
+    async def _run(
+        self, incoming: Incoming, reply: Reply, attempt: str, fault: WorkerFault
+    ) -> None:
+        if fault is WorkerFault.HANG:
+            await self._hang(reply)
+            return
+        if fault is WorkerFault.RESET:
+            reply.abort()
+            return
+        if fault is WorkerFault.SPOILED:
+            reply.write_raw(b"\x00\x01 no answer\r\n\r\n" * 3)
+            return
+        headers = {"x-attempt-id": attempt, "x-instance-signature": f"{self.id}.{attempt}"}
+        if fault is WorkerFault.FOREIGN:
+            headers["x-attempt-id"] = "somebody-else"
+        if fault is WorkerFault.UNSIGNED:
+            del headers["x-instance-signature"]
+        if fault is WorkerFault.ERROR:
+            reply.send(500, headers, b"failed")
+        elif "x-token-usage" in incoming.headers:
+            await self._stream(incoming, reply, headers, fault)
+        else:
+            self._answer(reply, headers, attempt, fault)
+
+    async def _hang(self, reply: Reply) -> None:
+        for _ in range(int(HANG_SECONDS * 100)):
+            if reply.gone:
+                return
+            await asyncio.sleep(0.01)
+
+    def _answer(
+        self, reply: Reply, headers: dict[str, str], attempt: str, fault: WorkerFault
+    ) -> None:
+        body = f"{self.id} answers {attempt}".encode()
+        if fault is WorkerFault.CUT:
+            reply.start(200, headers | {"content-length": str(len(body))})
+            reply.write(body[: len(body) // HALF])
+            reply.abort_after_write()
+        elif fault in (WorkerFault.UNFRAMED, WorkerFault.UNFRAMED_RESET):
+            reply.write_raw(_head(headers) + b"connection: close\r\n\r\n" + body)
+            if fault is WorkerFault.UNFRAMED:
+                reply.close_raw()
+            else:
+                reply.abort_after_write()
+        else:
+            reply.send(200, headers, body)
+            if fault is WorkerFault.SURPLUS:
+                size = str(len(body)).encode()
+                reply.write_raw(_head(headers) + b"content-length: " + size + b"\r\n\r\n" + body)
+
+    async def _stream(
+        self, incoming: Incoming, reply: Reply, headers: dict[str, str], fault: WorkerFault
+    ) -> None:
+        first = int(incoming.headers.get("last-event-id", "0")) + 1
+        reply.start(200, headers | {"content-type": "text/event-stream"})
+        for number in range(first, self.events + 1):
+            if reply.gone:
+                return
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if fault in (WorkerFault.CUT, WorkerFault.CUT_EVENT) and number >= first + HALF:
+                if fault is WorkerFault.CUT_EVENT:
+                    reply.write(event[: len(event) // HALF])
+                reply.abort_after_write()
+                return
+            reply.write(event)
+            await asyncio.sleep(self.event_seconds)
+        reply.finish()
+
+
+def _head(headers: dict[str, str]) -> bytes:
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    return f"HTTP/1.1 200 OK\r\n{lines}".encode()
--- /dev/null
+++ b/pondpin/tests/test_platform.py
@@ -0,0 +1,189 @@
+"""The adapter: documents, headers, the store's pages, the settings template."""
+
+import json
+import re
+import tempfile
+import unittest
+from pathlib import Path
+
+import msgspec
+
+from pondpin.platform.documents import PlatformDecoder
+from pondpin.platform.requests import OWNED_HEADERS, PlatformDialect
+from pondpin.platform.store import PlatformStore
+from pondpin.relay.model import RouteKind
+from pondpin.relay.ports import Forwarded, PartPlace
+from pondpin.settings import read_relay_settings
+from pondpin.standins.local_platform import KEY, LocalPlatform, sample_configuration, sample_route
+from pondpin.tests.support import run_async, the_loop
+
+ROOT = Path(__file__).parents[2]
+FIELDS = {
+    "nodeName": "edge-1",
+    "zone": "north",
+    "listen.frontend": "10.1.0.40:8227",
+    "listen.ready": "10.1.0.40:8220",
+    "listen.controlPlane": "10.1.0.40:8229",
+    "platform.address": "10.200.1.7:8223",
+    "seedNodes|json": '["10.1.0.40:8229","10.2.0.29:8229"]',
+    "internalPortRange|json": "[7340,7355]",
+    "bounds.revokeMs": "5000",
+    "bounds.retryBudgetRatio": "0.2",
+    "bounds.retryAllowance": "106",
+    "bounds.budgetWindowS": "10",
+    "bounds.gracePeriodS": "8",
+    "limits.memoryMb": "300",
+}
+
+
+class DocumentsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.decoder = PlatformDecoder()
+
+    def test_a_configuration_is_decoded_once_into_seconds_and_tokens(self) -> None:
+        document = sample_configuration(9)
+        document["routes"].append(
+            sample_route(
+                "split",
+                "safe",
+                "",
+                pathPrefix="/stream/deep/",
+                trafficSplit=[{"service": "a", "weight": 90}, {"service": "b", "weight": 10}],
+            )
+        )
+        found = self.decoder.configuration(msgspec.json.encode(document))
+        routes = found.routes_by_host["relay.example"]
+        self.assertEqual(found.version, 9)
+        self.assertEqual(routes[0].prefix, "/stream/deep/")
+        self.assertEqual([share.service for share in routes[0].shares], ["a", "b"])
+        by_name = {route.name: route for route in routes}
+        self.assertIs(by_name["stream"].kind, RouteKind.STREAM)
+        self.assertTrue(by_name["stream"].resumable)
+        self.assertEqual(by_name["stream"].gap_target, 0.2)
+        self.assertEqual(by_name["once"].timeout, 10.0)
+        self.assertFalse(by_name["once"].idempotent)
+        self.assertEqual(found.accounts_by_key[KEY].name, "riders")
+        engine = found.services_by_name["engines"].engine
+        assert engine is not None
+        self.assertEqual((engine.memory, engine.stride), (450_000, 46))
+        self.assertIsNone(found.services_by_name["plain"].engine)
+
+    def test_unsound_documents_are_refused_with_a_reason(self) -> None:
+        for route in (
+            sample_route("x", "sometimes", "plain"),
+            sample_route("x", "safe", ""),
+            {"name": 3},
+        ):
+            document = sample_configuration(1, routes=[route])
+            with self.assertRaises(ValueError):
+                self.decoder.configuration(msgspec.json.encode(document))
+        with self.assertRaises(ValueError):
+            self.decoder.upstream("servers/a", b'{"service": "a", "address": "host:1"}')
+
+    def test_unknown_fields_are_passed_over(self) -> None:
+        entry = {"service": "a", "address": "10.0.0.1:80", "news": 1, "state": "draining"}
+        found = self.decoder.upstream("servers/i-1", msgspec.json.encode(entry))
+        self.assertEqual((found.id, found.port, found.leaving), ("i-1", 80, True))
+
+
+class HeadersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.dialect = PlatformDialect()
+        self.sent = Forwarded("i-1", "riders", 1.5, 2)
+
+    def test_what_a_caller_says(self) -> None:
+        facts = self.dialect.read_request(
+            [
+                (b"Host", b"A.example:80"),
+                (b"X-Attempt-Id", b"9c"),
+                (b"X-Deadline-Ms", b"2500"),
+                (b"X-Token-Usage", b"1460, 80"),
+                (b"Authorization", b"bearer  k1 "),
+                (b"Last-Event-Id", b"12"),
+            ]
+        )
+        self.assertEqual((facts.host, facts.attempt_id, facts.key), ("a.example", "9c", "k1"))
+        self.assertEqual(
+            (facts.deadline, facts.prompt_tokens, facts.answer_tokens), (2.5, 1460, 80)
+        )
+        self.assertEqual(facts.resume_after, "12")
+
+    def test_spoiled_headers_are_as_if_missing(self) -> None:
+        facts = self.dialect.read_request(
+            [
+                (b"X-Deadline-Ms", b"soon"),
+                (b"X-Token-Usage", b"many"),
+                (b"Authorization", b"Basic x"),
+            ]
+        )
+        self.assertEqual((facts.deadline, facts.prompt_tokens, facts.key), (None, 0, ""))
+
+    def test_no_owned_or_connection_header_of_a_caller_passes(self) -> None:
+        names = [*OWNED_HEADERS, b"connection", b"te", b"upgrade", b"keep-alive", b"x-named"]
+        raw = [(name, b"x-named" if name == b"connection" else b"evil") for name in names]
+        raw.append((b"X-Own", b"1"))
+        passed = dict(self.dialect.forward_headers(raw, self.sent))
+        self.assertNotIn(b"evil", passed.values())
+        self.assertEqual(passed[b"X-Own"], b"1")
+        self.assertEqual(passed[b"X-Deadline-Ms"], b"1500")
+        self.assertEqual(passed[b"X-Tenant"], b"riders")
+        self.assertEqual(passed[b"X-Expect-Instance"], b"i-1")
+
+    def test_parts_and_resuming(self) -> None:
+        parts = (PartPlace("i-2", "10.0.0.2", 80, "t-1"), PartPlace("i-3", "10.0.0.3", 81))
+        sent = Forwarded("i-1", "", 1.0, 0, "7", parts)
+        passed = self.dialect.forward_headers([(b"Last-Event-Id", b"3")], sent)
+        named = dict(passed)
+        self.assertEqual(named[b"Helpers"], b"10.0.0.2:80/t-1,10.0.0.3:81")
+        self.assertEqual([value for name, value in passed if name == b"Last-Event-Id"], [b"7"])
+        self.assertNotIn(b"X-Tenant", named)
+
+    def test_a_worker_that_did_not_run_says_so(self) -> None:
+        self.assertTrue(self.dialect.read_head(421, []).not_executed)
+        self.assertTrue(self.dialect.read_head(503, [(b"X-Not-Executed", b"1")]).not_executed)
+        self.assertFalse(self.dialect.read_head(503, []).not_executed)
+        head = self.dialect.read_head(
+            200, [(b"X-Instance-Load", b"3,1,8"), (b"Content-Type", b"text/event-stream")]
+        )
+        assert head.load is not None
+        self.assertEqual((head.load.running, head.load.waiting, head.events), (3, 1, True))
+
+
+class StoreTest(unittest.TestCase):
+    def test_pages_are_joined(self) -> None:
+        async def work() -> None:
+            platform = LocalPlatform(the_loop()[1], engines=3, plain=4, instances=0)
+            await platform.start()
+            try:
+                platform.store.page_items = 2
+                store = PlatformStore(platform.http, str(platform.source))
+                items = await store.read_upstreams(2.0)
+                self.assertEqual(len(items), 7)
+                self.assertEqual(len({item.key for item in items}), 7)
+                item = await store.read_configuration(2.0)
+                assert item is not None
+                self.assertEqual(PlatformDecoder().configuration(item.value).version, 1)
+            finally:
+                await platform.stop()
+
+        run_async(work())
+
+
+class TemplateTest(unittest.TestCase):
+    def test_the_template_makes_sound_settings(self) -> None:
+        text = (ROOT / "deploy/settings.json").read_text()
+        filled = re.sub(r"\{\{([^}]+)\}\}", lambda gap: FIELDS[gap.group(1)], text)
+        path = Path(self.enterContext(_folder())) / "settings.json"
+        path.write_text(filled)
+        settings = read_relay_settings(str(path))
+        self.assertEqual(settings.limits.key_ms, 5000)
+        self.assertEqual(len(settings.peers.known), 2)
+        self.assertEqual(json.loads(filled)["data_center"], "north")
+
+
+def _folder() -> "tempfile.TemporaryDirectory[str]":
+    return tempfile.TemporaryDirectory()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/pondpin/tests/test_relay_engines.py
@@ -0,0 +1,235 @@
+"""The forecast of engines, the choice of engines and the table of upstreams."""
+
+import random
+import unittest
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pondpin.relay.engine_choice import (
+    EngineView,
+    Job,
+    choose_engines,
+    is_light,
+    pool_size,
+)
+from pondpin.relay.forecast import (
+    EngineLoad,
+    Pending,
+    Writers,
+    delay_of_pending,
+    disturbance,
+    first_event_seconds,
+    pass_seconds,
+    read_seconds,
+)
+from pondpin.relay.model import EngineProfile, ListedUpstream
+from pondpin.relay.upstreams import (
+    PEER_LOAD_SECONDS,
+    Read,
+    UpstreamTable,
+    Work,
+    reads_end,
+)
+
+NOW = 1000.0
+PROFILE = EngineProfile(
+    slots=8,
+    memory=450_000,
+    stride=46,
+    step=0.000925,
+    per_writer=0.00000966,
+    per_context_k=0.00000254,
+    read_rate=256_000.0,
+    pair_cost=0.0917e-9,
+    chunk=2048,
+    hop=0.0001,
+)
+IDLE = EngineLoad(0, 0.0, (), 0, ())
+CHATS = EngineLoad(4, 0.0, (), 24_000, (Writers(0.2, 4, 5.2),))
+SHORT = Job(5000, 1500, 0.3, 0.2)
+LONG = Job(210_000, 800, 3.0, 0.8)
+HUGE = Job(900_000, 800, 3.0, 0.8)
+
+
+def views(*loads: EngineLoad) -> list[EngineView]:
+    return [EngineView(f"e{i}", load, True) for i, load in enumerate(loads)]
+
+
+class ForecastTest(unittest.TestCase):
+    def test_reading_times_of_the_published_figures(self) -> None:
+        for tokens, seconds in ((5000, 0.021), (45_000, 0.27), (210_000, 2.84), (10**6, 49.8)):
+            self.assertAlmostEqual(read_seconds(PROFILE, tokens), seconds, delta=seconds * 0.02)
+
+    def test_a_pass_with_writers_takes_its_steps(self) -> None:
+        self.assertEqual(pass_seconds(PROFILE, IDLE), 0.0)
+        self.assertAlmostEqual(pass_seconds(PROFILE, CHATS), 0.0472, delta=0.001)
+
+    def test_a_long_part_disturbs_short_writers_only(self) -> None:
+        patient = replace(CHATS, writers=(Writers(0.8, 4, 80.0),))
+        self.assertEqual(disturbance(PROFILE, IDLE, 1.0), 0.0)
+        self.assertAlmostEqual(disturbance(PROFILE, CHATS, 0.5), 5.2)
+        self.assertEqual(disturbance(PROFILE, patient, 0.3), 0.0)
+
+    def test_a_part_delays_what_is_being_read(self) -> None:
+        waiting = replace(IDLE, reading=1.0, pending=(Pending(1.0, 3.0, 20.0),))
+        self.assertGreater(delay_of_pending(waiting, 2.5), 10.0)
+        self.assertLess(delay_of_pending(waiting, 0.1), 1.0)
+        self.assertEqual(delay_of_pending(IDLE, 2.5), 0.0)
+
+    def test_the_lead_waits_for_its_queue_and_helpers_do_not(self) -> None:
+        busy = replace(IDLE, reading=1.0)
+        as_helper = first_event_seconds(PROFILE, IDLE, [busy], 0.5, 1000)
+        as_lead = first_event_seconds(PROFILE, busy, [IDLE], 0.5, 1000)
+        self.assertAlmostEqual(as_lead - as_helper, 1.0)
+
+
+class ChoiceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.rng = random.Random(3)
+
+    def test_a_long_prompt_is_read_in_parts_beside_nobody(self) -> None:
+        loads = [CHATS] * 4 + [IDLE] * 8
+        choice = choose_engines(PROFILE, LONG, views(*loads), 16, self.rng)
+        assert choice is not None
+        used = {choice.lead, *choice.helpers}
+        self.assertGreater(len(used), 2)
+        self.assertFalse(used & {"e0", "e1", "e2", "e3"})
+        self.assertLess(choice.first_event, LONG.target)
+
+    def test_a_prompt_larger_than_an_engine_gets_leases(self) -> None:
+        choice = choose_engines(PROFILE, HUGE, views(*[IDLE] * 18), 0, self.rng)
+        assert choice is not None
+        leased = choice.lease_tokens * (len(choice.helpers) + 1)
+        self.assertGreaterEqual(leased, HUGE.prompt_tokens)
+        self.assertLessEqual(choice.lease_tokens, PROFILE.memory)
+
+    def test_no_memory_anywhere_is_told(self) -> None:
+        full = replace(IDLE, tokens=440_000)
+        self.assertIsNone(choose_engines(PROFILE, LONG, views(full, full), 0, self.rng))
+        self.assertIsNone(choose_engines(PROFILE, LONG, [], 0, self.rng))
+
+    def test_short_requests_stay_in_their_pool(self) -> None:
+        loads = [IDLE] * 12
+        chosen = set()
+        for _ in range(60):
+            choice = choose_engines(PROFILE, SHORT, views(*loads), 6, self.rng)
+            assert choice is not None
+            chosen.add(choice.lead)
+        self.assertEqual(chosen, {f"e{i}" for i in range(pool_size(PROFILE, 6, 12))})
+
+    def test_a_crowded_pool_overflows(self) -> None:
+        crowded = replace(CHATS, in_flight=8)
+        loads = [crowded] * 3 + [IDLE] * 3
+        choice = choose_engines(PROFILE, SHORT, views(*loads), 8, self.rng)
+        assert choice is not None
+        self.assertIn(choice.lead, ("e3", "e4", "e5"))
+
+    def test_the_pool_grows_with_light_streams(self) -> None:
+        sizes = [pool_size(PROFILE, count, 18) for count in range(0, 120, 10)]
+        self.assertEqual(sizes, sorted(sizes))
+        self.assertEqual(pool_size(PROFILE, 500, 18), 18)
+        self.assertTrue(is_light(PROFILE, 5000, 0.2))
+        self.assertFalse(is_light(PROFILE, 45_000, 0.5))
+
+    @given(st.integers(1, 18), st.integers(25_000, 1_000_000), st.integers(0, 400_000))
+    def test_any_choice_has_the_memory(self, count: int, tokens: int, used: int) -> None:
+        job = Job(tokens, 800, 3.0, 0.8)
+        load = replace(IDLE, tokens=used)
+        choice = choose_engines(PROFILE, job, views(*[load] * count), 0, random.Random(1))
+        if choice is None:
+            return
+        self.assertNotIn(choice.lead, choice.helpers)
+        self.assertLessEqual(len(choice.helpers), 16)
+        own = choice.lease_tokens or job.tokens
+        self.assertLessEqual(used + own, PROFILE.memory)
+
+
+def listed(name: str, center: str = "north", leaving: bool = False) -> ListedUpstream:
+    return ListedUpstream(name, "engines", "10.0.0.1", 80, center, 8, leaving)
+
+
+def stream_work(since: float, reading: float = 0.0, first: bool = False) -> Work:
+    work = Work(reading, since, 5000, 0.3, 0.2, 1.3, True, True)
+    work.first_event = first
+    return work
+
+
+class UpstreamTableTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = UpstreamTable("north")
+        self.table.take_list([listed("a"), listed("b"), listed("c", "south")], [])
+
+    def usable(self, now: float = NOW) -> set[str]:
+        return {item.id for item in self.table.usable("engines", now, frozenset())}
+
+    def test_leaving_is_sticky_whatever_the_list_says_later(self) -> None:
+        self.assertTrue(self.table.mark_leaving("a"))
+        self.assertFalse(self.table.mark_leaving("a"))
+        self.table.take_list([listed("a"), listed("b"), listed("c", "south")], [])
+        self.assertEqual(self.usable(), {"b", "c"})
+        self.table.take_list([], ["a"])
+        self.table.take_list([listed("a")], [])
+        self.assertNotIn("a", self.usable())
+
+    def test_leaving_ones_are_never_a_way_out(self) -> None:
+        for name in "abc":
+            self.table.mark_leaving(name)
+        self.assertEqual(self.usable(), set())
+
+    def test_a_lapsed_entry_may_return(self) -> None:
+        self.table.take_list([listed("b")], ["a", "c"])
+        self.assertEqual(self.usable(), {"b"})
+        self.table.take_list([listed("a"), listed("b")], [])
+        self.assertEqual(self.usable(), {"a", "b"})
+
+    def test_an_ejected_upstream_waits_for_its_probe(self) -> None:
+        self.assertTrue(self.table.note_failure("a", NOW, certain=True))
+        self.assertEqual(self.usable(), {"b", "c"})
+        self.assertEqual(self.usable(NOW + 60), {"b", "c"})
+        self.table.probe_passed("a")
+        self.assertEqual(self.usable(NOW + 60), {"a", "b", "c"})
+
+    def test_when_all_look_bad_looks_are_ignored(self) -> None:
+        for name in "abc":
+            self.table.note_failure(name, NOW, certain=True)
+        self.assertEqual(self.usable(), {"a", "b", "c"})
+
+    def test_a_silent_data_center_is_avoided_until_one_is_heard(self) -> None:
+        self.table.silent_centers = frozenset(("south",))
+        self.assertEqual(self.usable(), {"a", "b"})
+        self.table.by_id["c"].heard_at = NOW - 0.1
+        self.assertEqual(self.usable(), {"a", "b", "c"})
+
+    def test_peers_work_counts_until_it_is_old(self) -> None:
+        other = UpstreamTable("south")
+        other.take_list([listed("a")], [])
+        other.by_id["a"].work_by_key[1] = stream_work(NOW - 0.5, reading=2.0)
+        other.by_id["a"].work_by_key[2] = stream_work(NOW - 0.5, first=True)
+        told = other.by_id["a"].digest(NOW)
+        assert told is not None
+        self.table.take_peer_work("peer", [told], NOW)
+        state = self.table.by_id["a"]
+        self.assertEqual(state.in_flight(NOW), 2)
+        self.assertEqual(state.light_in_flight(NOW), 2)
+        load = state.load(NOW)
+        self.assertAlmostEqual(load.reading, 1.5, delta=0.01)
+        self.assertEqual(load.tokens, 10_000)
+        self.assertEqual(load.writers[0].count, 1)
+        self.assertEqual(state.in_flight(NOW + PEER_LOAD_SECONDS), 0)
+        self.table.take_peer_work("peer", [], NOW)
+        self.assertEqual(state.in_flight(NOW), 0)
+
+    def test_reading_is_a_queue(self) -> None:
+        reads = [Read(NOW, 1.0, 3.0, 1.0), Read(NOW + 0.1, 1.0, 3.0, 1.0)]
+        self.assertAlmostEqual(reads_end(reads), NOW + 2.0)
+        state = self.table.by_id["a"]
+        state.work_by_key[1] = stream_work(NOW, reading=1.0)
+        state.work_by_key[2] = stream_work(NOW, reading=1.0)
+        state.note_read(1, NOW + 1.2)
+        self.assertAlmostEqual(state.load(NOW + 1.2).reading, 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/pondpin/tests/test_relay_leases.py
@@ -0,0 +1,80 @@
+"""Memory leases: all or nothing, returned whatever happens."""
+
+import asyncio
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pondpin.http_client import CallFailedError
+from pondpin.relay.leases import HOLD_SECONDS, RENEW_SECONDS, Leases
+from pondpin.relay.ports import LeaseAnswer, PartPlace
+from pondpin.tests.support import run_async
+from pondpin.tests.test_relay_publication import ListLog
+
+PLACES = tuple(PartPlace(f"i-{number}", "10.0.0.1", 80 + number) for number in range(4))
+
+
+class FakeEngines:
+    """Answers orders as told; lost ones are taken all the same when they are kept."""
+
+    def __init__(self, answers: dict[int, str]) -> None:
+        self.answers = answers
+        self.held: set[str] = set()
+        self.releases = 0
+
+    async def reserve(
+        self, host: str, port: int, lease: str, tokens: int, hold: float, timeout: float
+    ) -> LeaseAnswer:
+        answer = self.answers.get(port, "held")
+        if answer == "refused":
+            return LeaseAnswer.REFUSED
+        self.held.add(lease)
+        if answer == "lost":
+            raise CallFailedError("no answer", sent=True)
+        return LeaseAnswer.HELD
+
+    async def release(self, host: str, port: int, lease: str, timeout: float) -> bool:
+        self.releases += 1
+        self.held.discard(lease)
+        return True
+
+
+class LeasesTest(unittest.TestCase):
+    @given(st.dictionaries(st.integers(80, 83), st.sampled_from(["held", "refused", "lost"])))
+    def test_all_or_nothing_whatever_engines_say(self, answers: dict[int, str]) -> None:
+        async def work() -> None:
+            engines = FakeEngines(answers)
+            leases = Leases(engines, "x", ListLog())
+            group, failed = await leases.take("r", PLACES, 1000)
+            if group is None:
+                self.assertTrue(failed)
+            else:
+                self.assertEqual(len(engines.held), 4)
+                leases.release(group)
+            await leases.settle()
+            self.assertEqual(engines.held, set())
+
+        run_async(work())
+
+    def test_names_are_never_used_twice(self) -> None:
+        async def work() -> None:
+            leases = Leases(FakeEngines({}), "x", ListLog())
+            first, _ = await leases.take("r", PLACES, 1000)
+            second, _ = await leases.take("r", PLACES, 1000)
+            assert first is not None
+            assert second is not None
+            names = [place.lease for group in (first, second) for place in group.places]
+            self.assertEqual(len(set(names)), 8)
+
+        run_async(work())
+
+    def test_a_dead_holders_memory_is_soon_free(self) -> None:
+        # 4 s are allowed to memory that is set aside for a request that ended.
+        self.assertLess(HOLD_SECONDS, 4.0)
+        self.assertLess(2 * RENEW_SECONDS, HOLD_SECONDS)
+        self.assertTrue(asyncio.iscoroutinefunction(Leases.keep))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/pondpin/tests/test_relay_publication.py
@@ -0,0 +1,348 @@
+"""What is published: only rises, refused values, lapsed entries, reads, digests."""
+
+import asyncio
+import random
+import unittest
+
+import msgspec
+
+from pondpin.http_client import CallFailedError
+from pondpin.platform.documents import PlatformDecoder
+from pondpin.relay.digests import (
+    ALIVE_SECONDS,
+    DIGEST_FORMAT,
+    SILENT_SECONDS,
+    Digest,
+    PeerTable,
+    asked_at,
+    decode_digest,
+    encode_digest,
+)
+from pondpin.relay.freshness import Proof
+from pondpin.relay.log import EventLog
+from pondpin.relay.log_events import LogEvent, SourceChanged
+from pondpin.relay.model import RelayConfiguration
+from pondpin.relay.publication import (
+    ABSENCE_SECONDS,
+    RELIST_SECONDS,
+    ListChange,
+    Publication,
+    PublishedItem,
+)
+from pondpin.relay.reader import (
+    FIRST_AGE_SECONDS,
+    LONGEST_BACKOFF_SECONDS,
+    ReaderController,
+    backoff_seconds,
+    is_due,
+)
+from pondpin.standins.local_platform import sample_configuration
+from pondpin.tests.support import FakeClock, run_async
+
+NOW = 1000.0
+
+
+def configuration_item(version: int, revision: int) -> PublishedItem:
+    value = msgspec.json.encode(sample_configuration(version))
+    return PublishedItem("op/config", revision, value)
+
+
+def server_item(name: str, revision: int, state: str = "ready") -> PublishedItem:
+    entry = {"service": "engines", "address": "127.0.0.1:80", "state": state}
+    return PublishedItem(f"servers/{name}", revision, msgspec.json.encode(entry))
+
+
+class Recorder:
+    """Keeps what a publication tells."""
+
+    def __init__(self) -> None:
+        self.versions: list[int] = []
+        self.refused: list[str] = []
+        self.gone: list[str] = []
+        self.listed: list[str] = []
+        self.publication = Publication(
+            PlatformDecoder(), self.take, self.take_list, self.note_refused
+        )
+
+    def take(self, configuration: RelayConfiguration) -> None:
+        self.versions.append(configuration.version)
+
+    def take_list(self, change: ListChange) -> None:
+        self.gone += change.missing
+        self.listed = [item.id for item in change.listed]
+
+    def note_refused(self, key: str, reason: str) -> None:
+        self.refused.append(reason)
+
+
+class ConfigurationTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.recorder = Recorder()
+        self.publication = self.recorder.publication
+
+    def test_an_older_revision_never_comes_back(self) -> None:
+        self.publication.offer_configuration(configuration_item(5, 50), Proof(50, NOW))
+        self.publication.offer_configuration(configuration_item(4, 40), Proof(40, NOW + 1))
+        self.assertEqual(self.recorder.versions, [5])
+        self.assertEqual(self.publication.proof, Proof(50, NOW))
+
+    def test_a_refused_value_leaves_the_last_good_one(self) -> None:
+        self.publication.offer_configuration(configuration_item(5, 50), Proof(50, NOW))
+        broken = PublishedItem("op/config", 51, b'{"version": 6, "routes": [{"name": 3}]}')
+        self.publication.offer_configuration(broken, Proof(51, NOW + 1))
+        self.assertEqual(self.recorder.versions, [5])
+        self.assertEqual(len(self.recorder.refused), 1)
+        self.assertEqual(self.publication.seen_revision, 51)
+        # The old version isn't proved by a read that found another one.
+        self.assertEqual(self.publication.proof, Proof(50, NOW))
+
+    def test_a_lower_version_under_a_higher_revision_is_refused(self) -> None:
+        self.publication.offer_configuration(configuration_item(5, 50), None)
+        self.publication.offer_configuration(configuration_item(4, 60), None)
+        self.assertEqual(self.recorder.versions, [5])
+
+    def test_a_peers_proof_counts_only_for_the_revision_in_force(self) -> None:
+        self.publication.offer_configuration(configuration_item(5, 50), Proof(50, NOW))
+        self.publication.note_proof(Proof(49, NOW + 5))
+        self.publication.note_proof(Proof(51, NOW + 5))
+        self.assertEqual(self.publication.proof, Proof(50, NOW))
+        self.publication.note_proof(Proof(50, NOW + 1))
+        self.assertEqual(self.publication.proof, Proof(50, NOW + 1))
+
+    def test_a_bundle_carries_age_not_time(self) -> None:
+        self.publication.offer_configuration(configuration_item(5, 50), Proof(50, NOW - 2))
+        self.publication.offer_list([server_item("a", 1)], NOW - 1, NOW)
+        other = Recorder().publication
+        other.take_bundle(self.publication.bundle(NOW), asked_at=77.0, now=78.0)
+        self.assertEqual(other.proof, Proof(50, 75.0))
+        self.assertEqual(other.list_at, 76.0)
+
+
+class ListTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.recorder = Recorder()
+        self.publication = self.recorder.publication
+        self.both = [server_item("a", 1), server_item("b", 2)]
+        self.publication.offer_list(self.both, NOW, NOW)
+
+    def test_a_missing_entry_is_gone_at_once_while_reads_go_on(self) -> None:
+        self.publication.offer_list(self.both[:1], NOW + 0.7, NOW + 0.7)
+        self.assertEqual(self.recorder.gone, ["b"])
+
+    def test_a_lapsed_entry_has_time_to_come_back(self) -> None:
+        back = NOW + ABSENCE_SECONDS + 1
+        self.publication.offer_list(self.both[:1], back, back)
+        self.publication.settle(back + RELIST_SECONDS - 0.1)
+        self.assertEqual(self.recorder.gone, [])
+        self.assertEqual(self.recorder.listed, ["a", "b"])
+        self.publication.offer_list([self.both[0], server_item("b", 9)], back + 2, back + 2)
+        self.publication.settle(back + 10)
+        self.assertEqual(self.recorder.gone, [])
+
+    def test_a_lapsed_entry_that_stays_away_is_gone(self) -> None:
+        back = NOW + ABSENCE_SECONDS + 1
+        self.publication.offer_list(self.both[:1], back, back)
+        self.publication.settle(back + RELIST_SECONDS)
+        self.assertEqual(self.recorder.gone, ["b"])
+
+    def test_an_older_reading_changes_nothing(self) -> None:
+        self.publication.offer_list(self.both[:1], NOW - 1, NOW + 1)
+        self.assertEqual(self.recorder.gone, [])
+
+
+class FakeSource:
+    """A published source that fails when told."""
+
+    def __init__(self, clock: FakeClock) -> None:
+        self.clock = clock
+        self.failing = False
+        self.slow = 0.0
+        self.reads = 0
+
+    async def read_configuration(self, timeout: float) -> PublishedItem | None:
+        self.reads += 1
+        if self.failing:
+            raise CallFailedError("busy", sent=True)
+        self.clock.advance(self.slow)
+        return configuration_item(1, 10)
+
+    async def read_upstreams(self, timeout: float) -> tuple[PublishedItem, ...]:
+        return (server_item("a", 11),)
+
+
+class ListLog(EventLog):
+    """A log whose lines are kept as events."""
+
+    def __init__(self) -> None:
+        super().__init__("test", FakeClock(), FakeClock(), -1)
+        self.events: list[LogEvent] = []
+
+    def write(self, event: LogEvent) -> None:
+        self.events.append(event)
+
+
+class ReaderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.source = FakeSource(self.clock)
+        self.recorder = Recorder()
+        self.log = ListLog()
+        self.rank = 0
+        self.reader = ReaderController(
+            self.source,
+            self.recorder.publication,
+            lambda now: self.rank,
+            lambda: None,
+            self.log,
+            self.clock,
+            random.Random(1),
+        )
+
+    def step(self) -> None:
+        run_async(self.reader.step())
+
+    def test_the_first_in_rank_reads_and_the_others_wait(self) -> None:
+        self.assertTrue(is_due(FIRST_AGE_SECONDS, 0))
+        self.assertFalse(is_due(FIRST_AGE_SECONDS, 1))
+        self.assertTrue(is_due(float("inf"), 99))
+        # Even the last in rank reads before the two seconds of a configuration's bound.
+        self.assertTrue(is_due(1.6, 99))
+
+    def test_a_proof_counts_from_the_sending(self) -> None:
+        self.source.slow = 0.9
+        sent = self.clock.now
+        self.step()
+        self.assertEqual(self.recorder.publication.proof, Proof(10, sent))
+
+    def test_failures_back_off_and_are_told_once(self) -> None:
+        self.source.failing = True
+        for _ in range(200):
+            self.step()
+            self.clock.advance(0.05)
+        self.assertLess(self.source.reads, 14)
+        changes = [event for event in self.log.events if isinstance(event, SourceChanged)]
+        self.assertEqual(len(changes), 1)
+        self.assertFalse(self.reader.answers)
+        self.source.failing = False
+        self.clock.advance(LONGEST_BACKOFF_SECONDS)
+        self.step()
+        self.assertTrue(self.reader.answers)
+        self.assertTrue(any(getattr(event, "answers", False) for event in self.log.events))
+
+    def test_backoff_has_jitter_and_an_end(self) -> None:
+        self.assertLess(backoff_seconds(0, 0.0), backoff_seconds(0, 1.0))
+        self.assertLessEqual(backoff_seconds(50, 1.0), LONGEST_BACKOFF_SECONDS)
+
+
+def digest(instance: str, boot: int, sequence: int, **changes: object) -> Digest:
+    values: dict[str, object] = {
+        "format": DIGEST_FORMAT,
+        "instance": instance,
+        "boot": boot,
+        "host": f"10.0.0.{boot}",
+        "sequence": sequence,
+        "stamp": 5,
+        "echo_boot": 0,
+        "echo": -1,
+        "revision": 1,
+        "proof_age": 0,
+        "list_tag": 0,
+        "list_age": 0,
+        "data_center": "north",
+        "reads_source": True,
+        "leaving": (),
+        "ejected": (),
+        "work": (),
+        "hosts": (),
+    }
+    return Digest(**(values | changes))  # type: ignore[arg-type]
+
+
+class PeerTableTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = PeerTable(own_boot=9)
+
+    def test_what_is_no_digest_is_dropped(self) -> None:
+        self.assertIsNone(decode_digest(b"\xff\x00junk"))
+        whole = digest("a", 1, 1)
+        self.assertEqual(decode_digest(encode_digest(whole)), whole)
+
+    def test_an_overtaken_digest_is_dropped(self) -> None:
+        self.assertTrue(self.table.take(digest("a", 1, 5), NOW))
+        self.assertFalse(self.table.take(digest("a", 1, 4), NOW))
+        self.assertFalse(self.table.take(digest("me", 9, 1), NOW))
+
+    def test_a_new_life_starts_its_sequence_anew(self) -> None:
+        self.table.take(digest("a", 1, 5), NOW)
+        self.assertTrue(self.table.take(digest("a", 2, 1, host="10.0.0.1"), NOW))
+
+    def test_an_echo_of_another_life_dates_nothing(self) -> None:
+        self.assertIsNone(asked_at(digest("a", 1, 1, echo=500, echo_boot=8), 9))
+        self.assertIsNone(asked_at(digest("a", 1, 1), 9))
+        self.assertEqual(asked_at(digest("a", 1, 1, echo=500, echo_boot=9), 9), 0.5)
+
+    def test_rank_counts_live_peers_that_can_read(self) -> None:
+        self.table.take(digest("a", 1, 1), NOW)
+        self.table.take(digest("b", 2, 1, reads_source=False), NOW)
+        self.table.take(digest("z", 3, 1), NOW)
+        self.assertEqual(self.table.rank("m", NOW), 1)
+        self.assertEqual(self.table.rank("m", NOW + ALIVE_SECONDS), 0)
+
+    def test_a_data_center_is_silent_when_all_its_peers_are(self) -> None:
+        self.table.take(digest("a", 1, 1), NOW)
+        self.table.take(digest("b", 2, 1), NOW + 0.6)
+        self.assertEqual(self.table.silent_centers(NOW + 0.7), frozenset())
+        silent = self.table.silent_centers(NOW + 0.7 + SILENT_SECONDS)
+        self.assertEqual(silent, frozenset(("north",)))
+
+
+class LogTest(unittest.TestCase):
+    def test_lines_are_bounded_and_refusals_go_last(self) -> None:
+        import os
+
+        from pondpin.relay.log_events import CallerGone, PublishedRefused
+
+        clock = FakeClock()
+        reading, writing = os.pipe()
+        log = EventLog("i", clock, clock, writing)
+        log.open()
+        for _ in range(2000):
+            log.write(CallerGone(request="r", route="x", after_ms=1, events=0))
+        for _ in range(100):
+            log.write(PublishedRefused(key="k", reason="r"))
+        clock.advance(1.0)
+        log.write(PublishedRefused(key="k", reason="last"))
+        log.flush()
+        lines = os.read(reading, 1 << 20).splitlines()
+        kinds = [msgspec.json.decode(line)["event"] for line in lines]
+        self.assertEqual(kinds.count("published_refused"), 101)
+        self.assertEqual(kinds.count("caller_gone"), 300)
+        self.assertEqual(kinds.count("lines_dropped"), 1)
+        self.assertEqual(log.dropped, 1700)
+        os.close(reading)
+        os.close(writing)
+
+    def test_a_full_pipe_is_not_waited_for(self) -> None:
+        import os
+
+        from pondpin.relay.log_events import PublishedRefused
+
+        clock = FakeClock()
+        reading, writing = os.pipe()
+        log = EventLog("i", clock, clock, writing)
+        log.open()
+        for _ in range(400):
+            clock.advance(1.0)
+            for _ in range(20):
+                log.write(PublishedRefused(key="k", reason="x" * 1000))
+            log.flush()
+        self.assertGreater(log.dropped, 0)
+        os.close(reading)
+        log.write(PublishedRefused(key="k", reason="nobody reads"))
+        log.flush()
+        os.close(writing)
+
+
+if __name__ == "__main__":
+    asyncio.run(asyncio.sleep(0))
+    unittest.main()
--- /dev/null
+++ b/pondpin/tests/test_relay_rules.py
@@ -0,0 +1,206 @@
+"""The relay's small deciding functions: routes, admission, proofs, retries, events."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pondpin.codes import Code
+from pondpin.errors import PondpinError
+from pondpin.relay.admission import SURE_SECONDS, Beliefs, admit
+from pondpin.relay.events import EventSplitter
+from pondpin.relay.freshness import Proof, is_fresh, later, peer_proof
+from pondpin.relay.model import (
+    ClientAccount,
+    RelayConfiguration,
+    RequestFacts,
+    Route,
+    RouteKind,
+    ServiceShare,
+)
+from pondpin.relay.retry_window import FEWEST_SHARERS, RetryBounds, RetryWindow
+from pondpin.relay.routing import find_route, pick_service
+
+NOW = 1000.0
+
+
+def make_route(prefix: str, **changes: object) -> Route:
+    values: dict[str, object] = {
+        "name": prefix,
+        "host": "a.example",
+        "prefix": prefix,
+        "kind": RouteKind.UNSAFE,
+        "timeout": 2.0,
+        "target": 0.3,
+        "priority": 3,
+        "shares": (ServiceShare("one", 90), ServiceShare("two", 10)),
+        "attempts": 1,
+        "public": False,
+        "resumable": False,
+        "gap_target": 0.0,
+    }
+    return Route(**(values | changes))  # type: ignore[arg-type]
+
+
+def make_configuration(*routes: Route) -> RelayConfiguration:
+    ordered = tuple(sorted(routes, key=lambda route: len(route.prefix), reverse=True))
+    accounts = {"key": ClientAccount("riders", 1)}
+    return RelayConfiguration(7, {"a.example": ordered}, {}, accounts)
+
+
+def facts(**changes: object) -> RequestFacts:
+    values: dict[str, object] = {
+        "attempt_id": "1",
+        "host": "a.example",
+        "key": "key",
+        "deadline": 4.0,
+        "prompt_tokens": 0,
+        "answer_tokens": 0,
+        "resume_after": "",
+    }
+    return RequestFacts(**(values | changes))  # type: ignore[arg-type]
+
+
+class RoutingTest(unittest.TestCase):
+    def test_longest_prefix_wins(self) -> None:
+        configuration = make_configuration(make_route("/a/"), make_route("/a/b/"))
+        found = find_route(configuration, "a.example", "/a/b/c")
+        self.assertEqual(found and found.prefix, "/a/b/")
+        self.assertIsNone(find_route(configuration, "a.example", "/ab"))
+        self.assertIsNone(find_route(configuration, "b.example", "/a/b/c"))
+
+    def test_a_split_follows_the_weights(self) -> None:
+        shares = (ServiceShare("one", 90), ServiceShare("none", 0), ServiceShare("two", 10))
+        chosen = [pick_service(shares, draw / 1000) for draw in range(1000)]
+        self.assertEqual(chosen.count("one"), 900)
+        self.assertEqual(chosen.count("none"), 0)
+
+
+class AdmissionTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.configuration = make_configuration(make_route("/a/"))
+
+    def admit(self, age: float, bound: float = 4.6, **changes: object) -> object:
+        beliefs = Beliefs(self.configuration, Proof(1, NOW - age), bound)
+        return admit(beliefs, facts(**changes), "/a/x", NOW)
+
+    def code(self, age: float, **changes: object) -> Code:
+        with self.assertRaises(PondpinError) as caught:
+            self.admit(age, 4.6, **changes)
+        return caught.exception.code
+
+    def test_the_shorter_of_both_time_limits_counts(self) -> None:
+        admitted = self.admit(0.1)
+        self.assertEqual(getattr(admitted, "seconds", None), 2.0)
+        self.assertEqual(getattr(self.admit(0.1, deadline=0.5), "seconds", None), 0.5)
+
+    def test_the_account_sets_the_rank(self) -> None:
+        admitted = self.admit(0.1)
+        self.assertEqual(getattr(admitted, "rank", None), 1)
+        self.assertEqual(getattr(admitted, "account", None), "riders")
+
+    def test_a_key_needs_a_young_proof(self) -> None:
+        self.assertEqual(self.code(4.6), Code.NOT_PROVED)
+        self.assertEqual(self.code(100.0), Code.NOT_PROVED)
+
+    def test_an_unknown_key_is_final_only_when_the_version_is_sure(self) -> None:
+        self.assertEqual(self.code(0.1, key="other"), Code.UNKNOWN_KEY)
+        self.assertEqual(self.code(SURE_SECONDS + 0.01, key="other"), Code.NOT_PROVED)
+
+    def test_an_unknown_host_is_final_only_when_the_version_is_sure(self) -> None:
+        self.assertEqual(self.code(0.1, host="x"), Code.UNKNOWN_PATH)
+        self.assertEqual(self.code(SURE_SECONDS + 0.01, host="x"), Code.NOT_PROVED)
+
+    def test_without_any_configuration_nothing_is_judged(self) -> None:
+        with self.assertRaises(PondpinError) as caught:
+            admit(Beliefs(None, None, 4.6), facts(), "/a/x", NOW)
+        self.assertEqual(caught.exception.status, 503)
+
+
+class FreshnessTest(unittest.TestCase):
+    def test_a_higher_revision_goes_before_a_later_read(self) -> None:
+        self.assertEqual(later(Proof(2, 5.0), Proof(1, 9.0)), Proof(2, 5.0))
+        self.assertEqual(later(Proof(2, 5.0), Proof(3, 1.0)), Proof(3, 1.0))
+        self.assertEqual(later(Proof(2, 5.0), Proof(2, 6.0)), Proof(2, 6.0))
+
+    def test_a_proof_of_another_revision_proves_nothing(self) -> None:
+        self.assertFalse(is_fresh(Proof(2, NOW), 3, NOW, 5.0))
+        self.assertTrue(is_fresh(Proof(3, NOW - 4.9), 3, NOW, 5.0))
+        self.assertFalse(is_fresh(Proof(3, NOW - 5.0), 3, NOW, 5.0))
+
+    @given(
+        st.floats(0, 10),  # when the peer read, before it answered
+        st.floats(0, 10),  # the way there
+        st.floats(0, 10),  # the way back, or a freeze before the datagram was read
+    )
+    def test_a_passed_on_proof_never_looks_younger(
+        self, read_before: float, there: float, back: float
+    ) -> None:
+        asked = NOW
+        answered = asked + there
+        read_at = answered - read_before
+        proof = peer_proof(1, asked, read_before)
+        self.assertLessEqual(proof.at, read_at + 1e-9)
+        received = answered + back
+        self.assertGreaterEqual(proof.age(received), received - read_at - 1e-9)
+
+
+class RetryWindowTest(unittest.TestCase):
+    def test_all_instances_together_keep_the_bound(self) -> None:
+        bounds = RetryBounds(0.2, 100.0, 10.0)
+        windows = [RetryWindow(bounds) for _ in range(9)]
+        requests = retries = 0
+        for step in range(200):
+            now = step * 0.05
+            for window in windows:
+                window.note_request(now)
+                requests += 1
+                while window.spend(now, len(windows)):
+                    retries += 1
+        self.assertLessEqual(retries, 0.2 * requests + 100)
+        self.assertGreater(retries, 0.1 * requests)
+
+    def test_an_instance_alone_does_not_take_the_whole_allowance(self) -> None:
+        window = RetryWindow(RetryBounds(0.0, 100.0, 10.0))
+        taken = sum(window.spend(NOW, 1) for _ in range(200))
+        self.assertLessEqual(taken, 100 / FEWEST_SHARERS)
+
+    def test_the_window_slides(self) -> None:
+        window = RetryWindow(RetryBounds(0.0, 40.0, 10.0))
+        while window.spend(NOW, 4):
+            pass
+        self.assertFalse(window.spend(NOW + 9.9, 4))
+        self.assertTrue(window.spend(NOW + 10.1, 4))
+
+
+class EventSplitterTest(unittest.TestCase):
+    def test_half_an_event_is_kept_back(self) -> None:
+        splitter = EventSplitter()
+        self.assertEqual(splitter.feed(b"id: 1\ndata: a"), [])
+        self.assertTrue(splitter.has_rest)
+        found = splitter.feed(b"\n\nid: 2\n")
+        self.assertEqual([item.number for item in found], [1])
+        self.assertEqual(found[0].data, b"id: 1\ndata: a\n\n")
+        self.assertTrue(splitter.has_rest)
+
+    def test_a_line_before_the_id_is_part_of_the_event(self) -> None:
+        found = EventSplitter().feed(b"versions: 3\nid: 9\ndata: x\n\n")
+        self.assertEqual(found[0].number, 9)
+
+    def test_an_endless_event_is_refused(self) -> None:
+        with self.assertRaises(ValueError):
+            EventSplitter().feed(b"data: " + b"x" * (2 << 20))
+
+    @given(st.lists(st.integers(1, 5), min_size=1, max_size=40), st.sampled_from(["\n", "\r\n"]))
+    def test_any_cutting_gives_the_same_events(self, sizes: list[int], end: str) -> None:
+        text = "".join(f"id: {i}{end}data: {'y' * i}{end}{end}" for i in range(5)).encode()
+        splitter = EventSplitter()
+        found = []
+        position = 0
+        while position < len(text):
+            size = sizes[position % len(sizes)]
+            found += splitter.feed(text[position : position + size])
+            position += size
+        self.assertEqual(b"".join(item.data for item in found), text)
+        self.assertEqual([item.number for item in found], [0, 1, 2, 3, 4])
+        self.assertFalse(splitter.has_rest)
