--- a/pondpin/relay/attempt.py
+++ b/pondpin/relay/attempt.py
@@ -129,17 +129,12 @@
         """Make the attempt. Never raises but for cancellation, which drops the connection."""
         began = self._clock()
         exact = self._exact_call(call, plan, parts, progress, began)
-        # A call that may not be repeated gets a new connection: failing to connect then
-        # proves that nothing was sent.
-        fresh = not call.route.idempotent
         try:
-            start = await asyncio.wait_for(
-                self._http.open_exact(exact, fresh), self._limit(call, patience.first, began)
-            )
+            start = await self._wait_for_head(call, exact, patience, watcher, began)
         except CallFailedError as error:
             kind = EndKind.BROKEN if error.sent else EndKind.NOT_SENT
             return AttemptEnd(kind, str(error))
-        except TimeoutError:
+        if start is None:
             return AttemptEnd(EndKind.STALLED, "no answer in time")
         head = self._dialect.read_head(start.status, start.raw_headers)
         watcher.head(head)
@@ -151,6 +146,28 @@
             return await self._pass_events(call, start, head, progress, patience, watcher, began)
         return await self._read_whole(call, start, head, began)
 
+    async def _wait_for_head(
+        self, call: RelayCall, exact: ExactCall, patience: Patience, watcher: Watcher, began: float
+    ) -> StreamStart | None:
+        """Send and wait for the head; None when patience or time is over."""
+        # A call that may not be repeated gets a new connection: failing to connect then
+        # proves that nothing was sent.
+        fresh = not call.route.idempotent
+        opening = asyncio.ensure_future(self._http.open_exact(exact, fresh))
+        try:
+            while True:
+                limit = patience.first
+                if limit is not None:
+                    limit = self._explained_limit(call, began, limit, watcher)
+                left = self._limit(call, limit, began)
+                if left <= 0:
+                    return None
+                done, _ = await asyncio.wait((opening,), timeout=min(left, LOOK_SECONDS))
+                if done:
+                    return opening.result()
+        finally:
+            opening.cancel()
+
     def _exact_call(
         self,
         call: RelayCall,
@@ -255,7 +272,7 @@
         while True:
             limit = patience.first if progress.events == before else patience.gap
             if limit is not None:
-                limit = self._explained_limit(call, sink, limit, watcher)
+                limit = self._explained_limit(call, sink.heard_at, limit, watcher)
             left = self._limit(call, limit, sink.heard_at)
             if left <= 0:
                 return None
@@ -264,11 +281,11 @@
                 return sink.ended.result()
 
     def _explained_limit(
-        self, call: RelayCall, sink: EventSink, limit: float, watcher: Watcher
+        self, call: RelayCall, heard_at: float, limit: float, watcher: Watcher
     ) -> float:
         """The patience with a silent upstream, by what is known of it."""
         now = self._clock()
         if watcher.is_cut(now):
             return min(limit, CUT_SECONDS)
-        explained = watcher.silent_until(now) - sink.heard_at
+        explained = watcher.silent_until(now) - heard_at
         return max(limit, min(explained, LONGEST_SHARE * call.patience))
--- a/pondpin/relay/engine_choice.py
+++ b/pondpin/relay/engine_choice.py
@@ -8,9 +8,11 @@
 from pondpin.relay.forecast import (
     EngineLoad,
     delay_of_pending,
+    delays_of_pending,
     disturbance,
     first_event_seconds,
     first_late,
+    late_share,
     pass_seconds,
     read_seconds,
 )
@@ -33,6 +35,19 @@
 # Worth of a second of waiting as a share of a request's, so that of two sure ways the
 # faster is taken.
 HASTE = 0.06
+# A prompt waits outside while its forecast and the wait are under this share of its target,
+# when sending it would cost others more than this share of its own worth.
+WAIT_SHARE = 0.6
+WAIT_WORTH = 0.1
+# One that is late anyway waits up to this share of its caller's patience.
+LATE_WAIT_SHARE = 0.5
+# A late answer is worth about a quarter; the rest is lost too when the caller gives up first.
+# Parts of others come before one's own, so a late one tends to be later than forecast.
+LATE_LOSS = 0.75
+GONE_LOSS = 0.4
+USEFUL_SHARE = 0.8
+GONE_SURE = 0.2
+GONE_LATE = 0.6
 # Worth lost for each further engine that reads a part: each may fail or be late.
 PART_WORTH = 0.03
 # Seconds that a request waits for each one that is already too many on an engine.
@@ -49,12 +64,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Job:
-    """A streamed request to be placed; targets in seconds."""
+    """A streamed request to be placed; targets in seconds.
+
+    patience: seconds after which the caller gives up without a first event.
+    """
 
     prompt_tokens: int
     answer_tokens: int
     target: float
     gap_target: float
+    patience: float
 
     @property
     def worth(self) -> float:
@@ -81,7 +100,8 @@
     """Where a request goes; helpers and lead read a part each.
 
     lease_tokens is the memory to set aside at each helper, 0 when the lead holds all.
-    first_event is the forecast in seconds, loss the worth expected to be lost.
+    first_event is the forecast in seconds, loss the worth expected to be lost; delays is the
+    part of it that those lose whose prompts are being read.
     """
 
     lead: str
@@ -91,6 +111,21 @@
     first_event: float
     loss: float
     pool: int
+    delays: float = 0.0
+
+
+def should_wait(choice: EngineChoice, job: Job, waited: float) -> bool:
+    """Whether a long prompt had better wait here until others are read.
+
+    Engines read the newest part first, so what is sent into a queue delays all that is in it;
+    waiting outside costs nobody while the request is still sure to be in time.
+    """
+    end = waited + choice.first_event
+    if choice.first_event > job.target:
+        # It is late already: it yields to those who aren't, while its caller has patience.
+        late_worth = (1.0 - LATE_LOSS) * job.worth
+        return end < LATE_WAIT_SHARE * job.patience and choice.delays > WAIT_WORTH * late_worth
+    return end < WAIT_SHARE * job.target and choice.delays > WAIT_WORTH * job.worth
 
 
 def worth_of(tokens: int) -> float:
@@ -177,14 +212,15 @@
     rng: random.Random,
 ) -> EngineChoice | None:
     alone = read_seconds(profile, job.prompt_tokens)
-    best: EngineChoice | None = None
-    for count in PART_COUNTS:
-        if count > len(engines):
-            break
-        choice = _choose_parts(profile, job, engines, pool, count, alone / count, rng)
-        if choice is not None and (best is None or choice.loss < best.loss):
-            best = choice
-    return best
+    choices = [
+        _choose_parts(profile, job, engines, pool, count, alone / count, rng)
+        for count in PART_COUNTS
+        if count <= len(engines)
+    ]
+    possible = [choice for choice in choices if choice is not None]
+    # What comes after its caller gave up is work for nobody.
+    useful = [item for item in possible if item.first_event < USEFUL_SHARE * job.patience]
+    return min(useful or possible, key=lambda choice: choice.loss, default=None)
 
 
 def _choose_parts(
@@ -200,7 +236,10 @@
     costs = {
         view.id: _part_cost(profile, view, index < pool, part) for index, view in enumerate(engines)
     }
-    ranked = sorted(engines, key=lambda view: (costs[view.id], rng.random()))
+    ranked = sorted(
+        engines,
+        key=lambda view: (costs[view.id] + _pending_share(view, part), rng.random()),
+    )
     chosen = ranked[:count]
     lease = _lease_tokens(profile, job, chosen, count)
     if lease is None:
@@ -214,10 +253,18 @@
     )
     first += max(0, lead.load.in_flight + 1 - profile.slots) * QUEUE_SECONDS
     loss = sum(costs[view.id] for view in chosen)
-    loss += job.worth * (first_late(first, job.target) + HASTE * first / job.target)
+    delays = delays_of_pending((view.load for view in chosen), part)
+    loss += delays
+    loss += job.worth * (LATE_LOSS * first_late(first, job.target) + HASTE * first / job.target)
+    loss += job.worth * GONE_LOSS * late_share(first, job.patience, GONE_SURE, GONE_LATE)
     loss += PART_WORTH * count
     names = tuple(view.id for view in helpers)
-    return EngineChoice(lead.id, names, part, lease, first, loss, pool)
+    return EngineChoice(lead.id, names, part, lease, first, loss, pool, delays)
+
+
+def _pending_share(view: EngineView, part: float) -> float:
+    """This engine's share of what a part costs those whose prompts are being read."""
+    return sum(delay_of_pending(item, part) / item.parts for item in view.load.pending)
 
 
 def _part_cost(profile: EngineProfile, view: EngineView, in_pool: bool, part: float) -> float:
@@ -225,7 +272,7 @@
     if in_pool:
         # Light streams will come here soon, with targets about as short as those there now.
         cost += min(MOST_POOL_WORTH, POOL_WORTH_PER_SECOND * part)
-    return cost + delay_of_pending(view.load, part)
+    return cost
 
 
 def _lease_tokens(
--- a/pondpin/relay/forecast.py
+++ b/pondpin/relay/forecast.py
@@ -4,7 +4,7 @@
 prompts happens inside passes, so reading lengthens the pauses of those who write.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from pondpin.relay.model import EngineProfile
@@ -36,12 +36,15 @@
 class Pending:
     """A request that waits for its prompt, or a part of it, to be read on an engine.
 
-    first_event: seconds from its start to its first event, as forecast now.
+    first_event: seconds from its start to its first event, as forecast now. Its parts on other
+    engines have the same group.
     """
 
     first_event: float
     target: float
     worth: float
+    group: int
+    parts: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,17 +93,21 @@
     )
 
 
-def delay_of_pending(load: EngineLoad, added: float) -> float:
-    """Worth that those lose whose prompts an engine is reading when a part goes before them."""
-    return sum(
-        item.worth
-        * (
-            first_late(item.first_event + added, item.target)
-            - first_late(item.first_event, item.target)
-            + PENDING_SHARE * added / max(item.target, added)
-        )
-        for item in load.pending
-    )
+def delay_of_pending(item: Pending, added: float) -> float:
+    """Worth that a request loses when a part of added seconds goes before its own."""
+    late = first_late(item.first_event + added, item.target)
+    late -= first_late(item.first_event, item.target)
+    return item.worth * (late + PENDING_SHARE * added / max(item.target, added))
+
+
+def delays_of_pending(loads: Iterable[EngineLoad], added: float) -> float:
+    """Worth lost by all whose prompts are read on some engines; each request counts once."""
+    loss_by_group: dict[int, float] = {}
+    for load in loads:
+        for item in load.pending:
+            loss = delay_of_pending(item, added)
+            loss_by_group[item.group] = max(loss, loss_by_group.get(item.group, 0.0))
+    return sum(loss_by_group.values())
 
 
 def _pause_late(pause: float, writers: Writers) -> float:
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -13,6 +13,7 @@
 from pondpin.relay.admission import Admitted, Beliefs, admit, check_proof
 from pondpin.relay.attempt import Attempts, Patience
 from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall
+from pondpin.relay.engine_choice import should_wait
 from pondpin.relay.leases import LeaseGroup, Leases
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import (
@@ -25,7 +26,7 @@
     UpstreamLeaving,
 )
 from pondpin.relay.model import AnswerHead, RouteKind
-from pondpin.relay.planner import Plan, Planner
+from pondpin.relay.planner import Plan, Planner, make_job
 from pondpin.relay.ports import Dialect
 from pondpin.relay.retry_window import RetryBounds, RetryWindow
 from pondpin.relay.routing import pick_service
@@ -37,14 +38,15 @@
 # the shortest, and while the caller still has time for it.
 FORECAST_PATIENCE = 2.0
 SHORTEST_PATIENCE = 0.8
-# What depends on an upstream that died is refused by the platform's engines after 1.5 s.
-HELPED_PATIENCE = 1.9
+HELPED_PATIENCE_SHARE = 0.85
 PATIENCE_SHARE = 0.6
 GAP_PATIENCE_SHARE = 0.6
 SAFE_PATIENCE_TARGETS = 2.5
 LEASE_TRIES = 3
 # Upstreams tried for a request, counting those that no byte reached.
 MOST_ATTEMPTS = 5
+# How long a waiting long prompt rests before it looks again, on average.
+WAIT_SECONDS = 0.1
 # A caller whose request found no place comes back after this, in seconds.
 RETRY_SECONDS = 0.4
 # A caller that kept its connection to a stopping instance finds another one at once.
@@ -191,7 +193,7 @@
     async def _plan(self, call: RelayCall, progress: Progress) -> tuple[Plan, LeaseGroup | None]:
         avoid: frozenset[str] = frozenset()
         for _ in range(LEASE_TRIES):
-            plan = self.planner.plan(call, progress, avoid)
+            plan = await self._plan_when_free(call, progress, avoid)
             if plan is None:
                 break
             if plan.choice is None or not plan.choice.lease_tokens:
@@ -203,15 +205,35 @@
         ran = Ran.UNKNOWN if progress.may_have_run else Ran.NOT_RUN
         raise PondpinError(Code.NO_UPSTREAM, call.service, ran, retry_after=RETRY_SECONDS)
 
+    async def _plan_when_free(
+        self, call: RelayCall, progress: Progress, avoid: frozenset[str]
+    ) -> Plan | None:
+        """Plan; a long prompt waits while sending it would delay others too much."""
+        while True:
+            plan = self.planner.plan(call, progress, avoid)
+            if plan is None or plan.choice is None:
+                return plan
+            waited = self.clock() - call.arrived
+            if not should_wait(plan.choice, make_job(call), waited):
+                return plan
+            await asyncio.sleep(WAIT_SECONDS * (0.5 + self.rng.random()))
+
     def _patience(self, call: RelayCall, plan: Plan) -> Patience:
         if not call.route.idempotent:
             return Patience(None, None)
         if call.route.kind is RouteKind.SAFE:
             return Patience(max(0.5, SAFE_PATIENCE_TARGETS * call.route.target), None)
+        gap = GAP_PATIENCE_SHARE * call.patience
         forecast = plan.choice.first_event if plan.choice is not None else 0.0
-        shortest = HELPED_PATIENCE if plan.helpers else SHORTEST_PATIENCE
-        first = max(shortest, FORECAST_PATIENCE * forecast + 0.4, PATIENCE_SHARE * call.patience)
-        return Patience(first, GAP_PATIENCE_SHARE * call.patience)
+        if plan.helpers:
+            # Parts of others may come before its own; the engine itself tells of lost helpers.
+            return Patience(HELPED_PATIENCE_SHARE * call.patience, gap)
+        first = max(
+            SHORTEST_PATIENCE,
+            FORECAST_PATIENCE * forecast + 0.4,
+            PATIENCE_SHARE * call.patience,
+        )
+        return Patience(first, gap)
 
     def _may_try_again(self, call: RelayCall, progress: Progress, end: AttemptEnd) -> bool:
         """Whether another upstream may get the request now; spends the budget."""
@@ -424,7 +446,7 @@
 
     def is_cut(self, now: float) -> bool:
         """See Watcher."""
-        return self.handler.table.is_cut(self.plan.lead, now)
+        return self.plan.lead.needs_probe or self.handler.table.is_cut(self.plan.lead, now)
 
 
 def _cancel(task: "asyncio.Future[None]") -> None:
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -3,7 +3,7 @@
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from pondpin.clocks import Clock
 from pondpin.relay.call import Progress, RelayCall
@@ -22,6 +22,8 @@
 
 # A choice that puts this much reading on an engine is told to peers at once, in seconds.
 TELL_SECONDS = 0.03
+# Groups of parts are told apart by random numbers of so many bits.
+GROUP_BITS = 31
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,27 +110,22 @@
             lead_tokens = choice.lease_tokens + job.answer_tokens
         profile = call.configuration.services_by_name[call.service].engine
         light = profile is not None and is_light(profile, job.prompt_tokens, job.gap_target)
-        plan.lead.work_by_key[key] = Work(
-            choice.part_seconds,
-            now,
-            lead_tokens,
-            job.target,
-            job.gap_target,
-            job.worth,
-            light,
-            True,
+        group = self._rng.getrandbits(GROUP_BITS)
+        work = Work(
+            reading=choice.part_seconds,
+            since=now,
+            tokens=lead_tokens,
+            target=job.target,
+            gap_target=job.gap_target,
+            worth=job.worth,
+            light=light,
+            writes=True,
+            group=group,
+            parts=len(plan.helpers) + 1,
         )
+        plan.lead.work_by_key[key] = work
         for helper in plan.helpers:
-            helper.work_by_key[key] = Work(
-                choice.part_seconds,
-                now,
-                choice.lease_tokens,
-                job.target,
-                0.0,
-                job.worth,
-                False,
-                False,
-            )
+            helper.work_by_key[key] = replace(work, tokens=choice.lease_tokens, writes=False)
         if choice.part_seconds >= TELL_SECONDS:
             self._tell_soon()
         return key
@@ -152,6 +149,7 @@
         answer_tokens=call.facts.answer_tokens,
         target=call.route.target,
         gap_target=call.route.gap_target or call.route.target,
+        patience=min(call.patience, call.deadline - call.arrived),
     )
 
 
--- a/pondpin/relay/upstreams.py
+++ b/pondpin/relay/upstreams.py
@@ -32,13 +32,16 @@
 class ReadDigest(msgspec.Struct, frozen=True, array_like=True):
     """A prompt, or a part of one, that is being read: its age and its whole length in ms.
 
-    target is that of its first event in ms, worth is in hundredths.
+    target is that of its first event in ms, worth is in hundredths. All parts of a prompt have
+    the same group, and parts is how many there are.
     """
 
     age: int
     length: int
     target: int
     worth: int
+    group: int
+    parts: int
 
 
 class WorkDigest(msgspec.Struct, frozen=True, array_like=True):
@@ -67,12 +70,14 @@
     worth: float
     light: bool
     writes: bool
+    group: int = 0
+    parts: int = 1
     first_event: bool = False
 
     @property
     def read(self) -> "Read":
         """Its reading."""
-        return Read(self.since, self.reading, self.target, self.worth)
+        return Read(self.since, self.reading, self.target, self.worth, self.group, self.parts)
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +91,8 @@
     length: float
     target: float
     worth: float
+    group: int
+    parts: int
 
 
 def reads_end(reads: Iterable[Read]) -> float:
@@ -165,7 +172,10 @@
         return EngineLoad(
             in_flight=self.in_flight(now),
             reading=end - now,
-            pending=tuple(Pending(end - read.since, read.target, read.worth) for read in reads),
+            pending=tuple(
+                Pending(end - read.since, read.target, read.worth, read.group, read.parts)
+                for read in reads
+            ),
             tokens=tokens,
             writers=writers,
         )
@@ -183,6 +193,8 @@
                     read.length / MILLISECONDS,
                     read.target / MILLISECONDS,
                     read.worth / HUNDREDTHS,
+                    read.group,
+                    read.parts,
                 )
                 for read in item.work.reads
             ]
@@ -218,6 +230,8 @@
                     round(work.reading * MILLISECONDS),
                     round(work.target * MILLISECONDS),
                     round(work.worth * HUNDREDTHS),
+                    work.group,
+                    work.parts,
                 )
                 for work in works
                 if not work.first_event
--- a/pondpin/tests/test_relay_engines.py
+++ b/pondpin/tests/test_relay_engines.py
@@ -18,7 +18,7 @@
     EngineLoad,
     Pending,
     Writers,
-    delay_of_pending,
+    delays_of_pending,
     disturbance,
     first_event_seconds,
     pass_seconds,
@@ -48,9 +48,9 @@
 )
 IDLE = EngineLoad(0, 0.0, (), 0, ())
 CHATS = EngineLoad(4, 0.0, (), 24_000, (Writers(0.2, 4, 5.2),))
-SHORT = Job(5000, 1500, 0.3, 0.2)
-LONG = Job(210_000, 800, 3.0, 0.8)
-HUGE = Job(900_000, 800, 3.0, 0.8)
+SHORT = Job(5000, 1500, 0.3, 0.2, 2.0)
+LONG = Job(210_000, 800, 3.0, 0.8, 12.0)
+HUGE = Job(900_000, 800, 3.0, 0.8, 12.0)
 
 
 def views(*loads: EngineLoad) -> list[EngineView]:
@@ -73,10 +73,13 @@
         self.assertEqual(disturbance(PROFILE, patient, 0.3), 0.0)
 
     def test_a_part_delays_what_is_being_read(self) -> None:
-        waiting = replace(IDLE, reading=1.0, pending=(Pending(1.0, 3.0, 20.0),))
-        self.assertGreater(delay_of_pending(waiting, 2.5), 10.0)
-        self.assertLess(delay_of_pending(waiting, 0.1), 1.0)
-        self.assertEqual(delay_of_pending(IDLE, 2.5), 0.0)
+        waiting = replace(IDLE, reading=1.0, pending=(Pending(1.0, 3.0, 20.0, 1, 2),))
+        self.assertGreater(delays_of_pending([waiting], 2.5), 10.0)
+        self.assertLess(delays_of_pending([waiting], 0.1), 1.0)
+        self.assertEqual(delays_of_pending([IDLE], 2.5), 0.0)
+        # Two parts of one prompt wait together.
+        once = delays_of_pending([waiting], 2.5)
+        self.assertEqual(delays_of_pending([waiting, waiting], 2.5), once)
 
     def test_the_lead_waits_for_its_queue_and_helpers_do_not(self) -> None:
         busy = replace(IDLE, reading=1.0)
@@ -105,6 +108,12 @@
         self.assertGreaterEqual(leased, HUGE.prompt_tokens)
         self.assertLessEqual(choice.lease_tokens, PROFILE.memory)
 
+    def test_a_prompt_that_is_late_anyway_is_still_read_before_its_caller_gives_up(self) -> None:
+        busy = replace(CHATS, writers=(Writers(0.2, 6, 7.8),), in_flight=6)
+        choice = choose_engines(PROFILE, HUGE, views(*[busy] * 18), 100, self.rng)
+        assert choice is not None
+        self.assertLess(choice.first_event, HUGE.patience * 0.8)
+
     def test_no_memory_anywhere_is_told(self) -> None:
         full = replace(IDLE, tokens=440_000)
         self.assertIsNone(choose_engines(PROFILE, LONG, views(full, full), 0, self.rng))
@@ -135,7 +144,7 @@
 
     @given(st.integers(1, 18), st.integers(25_000, 1_000_000), st.integers(0, 400_000))
     def test_any_choice_has_the_memory(self, count: int, tokens: int, used: int) -> None:
-        job = Job(tokens, 800, 3.0, 0.8)
+        job = Job(tokens, 800, 3.0, 0.8, 12.0)
         load = replace(IDLE, tokens=used)
         choice = choose_engines(PROFILE, job, views(*[load] * count), 0, random.Random(1))
         if choice is None:
@@ -222,7 +231,7 @@
         self.assertEqual(state.in_flight(NOW), 0)
 
     def test_reading_is_a_queue(self) -> None:
-        reads = [Read(NOW, 1.0, 3.0, 1.0), Read(NOW + 0.1, 1.0, 3.0, 1.0)]
+        reads = [Read(NOW, 1.0, 3.0, 1.0, 1, 1), Read(NOW + 0.1, 1.0, 3.0, 1.0, 2, 1)]
         self.assertAlmostEqual(reads_end(reads), NOW + 2.0)
         state = self.table.by_id["a"]
         state.work_by_key[1] = stream_work(NOW, reading=1.0)
