--- /dev/null
+++ b/pondpin/soak/run.py
@@ -0,0 +1,432 @@
+"""python -m pondpin.soak.run: plays one seed, or several, and tells what promises broke."""
+
+import asyncio
+import json
+import random
+import signal
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from pondpin.http_client import CallFailedError, HttpClient
+from pondpin.runtime import Ready, run, run_command
+from pondpin.soak.processes import Managed
+from pondpin.soak.promises import Findings, Seen, check_attempts, count_statuses
+from pondpin.soak.proxy import Link, Proxy
+from pondpin.soak.standin import Audit, Put, Steer
+from pondpin.standins.local_platform import (
+    CENTERS,
+    ENGINES,
+    HOST,
+    PLAIN,
+    sample_configuration,
+)
+from pondpin.standins.worker import WorkerFault
+
+SEEDS_FILE = Path(__file__).parent / "seeds.txt"
+EVENTS = 8
+EVENT_MS = 20
+KEY_MS = 2000
+KEY_SECONDS = KEY_MS / 1000
+READY_SECONDS = 30.0
+QUIET_SECONDS = 5.0
+REQUEST_SECONDS = 4.0
+REQUESTS_PER_SECOND = 25.0
+FAULT_GAP_SECONDS = 0.8
+STORE_PORT = 7100
+PROXY_PORT = 7200
+CALLER_PORT = 7300
+READY_PORT = 7301
+DOCUMENT_PORT = 7302
+DATAGRAM_PORT = 7303
+WORKER_FAULTS = tuple(fault.value for fault in WorkerFault if fault is not WorkerFault.NONE)
+PROMPT_TOKENS = (2000, 5000, 60_000, 300_000, 700_000)
+CALM_TOKENS = (2000, 5000)
+ROUTES = ("stream", "stream", "once", "again")
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """How large a soak is."""
+
+    instances: int = 3
+    engines: int = 4
+    plain: int = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """The loopback addresses of a soak; several places can be used at the same time."""
+
+    number: int = 0
+
+    @property
+    def standins(self) -> str:
+        """Where the store, the workers and their proxies are."""
+        return f"127.0.{self.number + 2}.250"
+
+    def instance(self, number: int) -> str:
+        """Where an instance is."""
+        return f"127.0.{self.number + 2}.{number + 1}"
+
+
+class Soak:
+    """One seeded run."""
+
+    def __init__(
+        self, reactor: Any, seed: int, seconds: float, size: Size, place: Place, folder: Path
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.seconds = seconds
+        self.size = size
+        self.place = place
+        self.folder = folder
+        self.http = HttpClient(reactor, 1.0)
+        self.findings = Findings()
+        self.seen: list[Seen] = []
+        self.runs: Counter[str] = Counter()
+        self.version = 1
+        self.keys = ["key-1"]
+        self.ended_at_by_key: dict[str, float] = {}
+        self.faults: list[str] = []
+        self.store = self._program(
+            "store", "pondpin.soak.standin", "store", f"{place.standins}:{STORE_PORT}"
+        )
+        names = [f"engine-{i}" for i in range(size.engines)] + [
+            f"plain-{i}" for i in range(size.plain)
+        ]
+        self.port_by_worker = {name: STORE_PORT + 1 + i for i, name in enumerate(names)}
+        self.workers = {
+            name: self._program(
+                name,
+                "pondpin.soak.standin",
+                "worker",
+                f"{place.standins}:{port}",
+                name,
+                str(EVENTS),
+                str(EVENT_MS),
+            )
+            for name, port in self.port_by_worker.items()
+        }
+        self.worker_links = {
+            name: Proxy(place.standins, PROXY_PORT + i, place.standins, port)
+            for i, (name, port) in enumerate(self.port_by_worker.items())
+        }
+        self.store_links = [
+            Proxy(self.place.instance(i), STORE_PORT, place.standins, STORE_PORT)
+            for i in range(size.instances)
+        ]
+        self.instances = [self._instance(i) for i in range(size.instances)]
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def _program(self, name: str, module: str, *arguments: str) -> Managed:
+        return Managed(name, ["-m", module, *arguments], self.folder / f"{name}.log")
+
+    def _instance(self, number: int) -> Managed:
+        host = self.place.instance(number)
+        settings = {
+            "instance": f"relay-{number}",
+            "data_center": CENTERS[number % len(CENTERS)],
+            "callers": f"{host}:{CALLER_PORT}",
+            "ready": f"{host}:{READY_PORT}",
+            "source": f"{host}:{STORE_PORT}",
+            "peers": {
+                "documents": f"{host}:{DOCUMENT_PORT}",
+                "known": [f"{self.place.instance(0)}:{DOCUMENT_PORT}"],
+                "ports": [DATAGRAM_PORT, DATAGRAM_PORT],
+            },
+            "limits": {"key_ms": KEY_MS, "grace_seconds": 4.0, "retry_allowance": 1000},
+        }
+        path = self.folder / f"relay-{number}.json"
+        path.write_text(json.dumps(settings))
+        return self._program(f"relay-{number}", "pondpin.main", f"--settings={path}")
+
+    async def play(self) -> None:
+        """Start all, load and break it, let it rest, check."""
+        try:
+            await self._start()
+            end = time.monotonic() + self.seconds
+            await asyncio.gather(self._load(end), self._break(end))
+            await self._recover()
+            await asyncio.gather(*self._tasks)
+            await self._audit()
+            check_attempts(self.seen, self.runs, EVENTS, self.findings)
+        finally:
+            await self._end()
+
+    async def _start(self) -> None:
+        for program in (self.store, *self.workers.values()):
+            program.start()
+        for link in (*self.store_links, *self.worker_links.values()):
+            await link.start()
+        await self._retry(lambda: self._publish())
+        for name, link in self.worker_links.items():
+            await self._list_worker(name, link.port, "ready")
+        for instance in self.instances:
+            instance.start()
+        await self._until_ready()
+
+    async def _end(self) -> None:
+        programs = (*self.instances, *self.workers.values(), self.store)
+        await asyncio.gather(*(program.end() for program in programs))
+        for link in (*self.store_links, *self.worker_links.values()):
+            await link.stop()
+        await self.http.close()
+
+    async def _until_ready(self) -> None:
+        waited = 0.0
+        while waited < READY_SECONDS:
+            answers = await asyncio.gather(*(self._is_ready(i) for i in range(len(self.instances))))
+            if all(answers):
+                return
+            await asyncio.sleep(0.2)
+            waited += 0.2
+        self.findings.add("an instance serves again after trouble", f"not in {READY_SECONDS} s")
+
+    async def _is_ready(self, number: int) -> bool:
+        url = f"http://{self.place.instance(number)}:{READY_PORT}/v1/readyz"
+        try:
+            return (await self.http.call("GET", url, timeout=1.0)).status == 200
+        except CallFailedError:
+            return False
+
+    async def _retry(self, work: Callable[[], Awaitable[None]]) -> None:
+        for _ in range(100):
+            try:
+                await work()
+                return
+            except CallFailedError:
+                await asyncio.sleep(0.1)
+        raise RuntimeError("a stand-in of the soak did not start")
+
+    async def _post(self, port: int, path: str, value: object) -> bytes:
+        url = f"http://{self.place.standins}:{port}{path}"
+        answer = await self.http.call("POST", url, body=msgspec.json.encode(value), timeout=3.0)
+        return answer.body
+
+    async def _publish(self) -> None:
+        tenants = [{"name": "riders", "apiKeys": self.keys, "priority": 1}]
+        document = sample_configuration(self.version, tenants=tenants)
+        await self._post(STORE_PORT, "/soak/put", Put("op/config", document))
+
+    async def _list_worker(self, name: str, port: int, state: str) -> None:
+        entry = {
+            "service": ENGINES if name.startswith("engine") else PLAIN,
+            "address": f"{self.place.standins}:{port}",
+            "zone": CENTERS[port % len(CENTERS)],
+            "slots": 8,
+            "state": state,
+        }
+        await self._post(STORE_PORT, "/soak/put", Put(f"servers/{name}", entry))
+
+    async def _load(self, end: float) -> None:
+        number = 0
+        while time.monotonic() < end:
+            number += 1
+            task = asyncio.create_task(self._ask(f"a{number}"))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(self.rng.expovariate(REQUESTS_PER_SECOND))
+
+    async def _ask(self, attempt: str, sizes: tuple[int, ...] = PROMPT_TOKENS) -> None:
+        route = self.rng.choice(ROUTES)
+        host = self.place.instance(self.rng.randrange(len(self.instances)))
+        known = [*self.keys, *self.ended_at_by_key]
+        key = self.rng.choice(known)
+        ended_at = self.ended_at_by_key.get(key)
+        key_ended = ended_at is not None and time.monotonic() > ended_at + KEY_SECONDS
+        headers = {
+            "host": HOST,
+            "x-attempt-id": attempt,
+            "x-deadline-ms": str(int(REQUEST_SECONDS * 1000)),
+            "authorization": f"Bearer {key}",
+        }
+        if route == "stream":
+            tokens = self.rng.choice(sizes)
+            headers["x-token-usage"] = f"{tokens},300"
+        url = f"http://{host}:{CALLER_PORT}/{route}/x"
+        try:
+            answer = await self.http.call("POST", url, headers, b"q", timeout=REQUEST_SECONDS + 4)
+            status, body = answer.status, answer.body
+        except CallFailedError:
+            status, body = 0, b""
+        self.seen.append(Seen(attempt, route, status, body, key_ended))
+
+    async def _break(self, end: float) -> None:
+        kinds: tuple[Callable[[], Awaitable[str]], ...] = (
+            self._fault_worker,
+            self._fault_worker,
+            self._link_worker,
+            self._link_store,
+            self._pause_instance,
+            self._kill_instance,
+            self._stop_instance,
+            self._reload_instance,
+            self._change_keys,
+            self._reset_links,
+        )
+        while time.monotonic() < end:
+            await asyncio.sleep(self.rng.expovariate(1 / FAULT_GAP_SECONDS))
+            try:
+                self.faults.append(await self.rng.choice(kinds)())
+            except CallFailedError as error:
+                self.faults.append(f"not done: {error}")
+
+    def _later(self, seconds: float, action: Callable[[], None]) -> None:
+        asyncio.get_running_loop().call_later(seconds, action)
+
+    async def _fault_worker(self) -> str:
+        name = self.rng.choice(list(self.workers))
+        faults = tuple(self.rng.choices(WORKER_FAULTS, k=self.rng.randint(1, 5)))
+        await self._post(self.port_by_worker[name], "/soak/steer", Steer(faults))
+        return f"{name} {','.join(faults)}"
+
+    async def _link_worker(self) -> str:
+        name = self.rng.choice(list(self.worker_links))
+        return self._set_link(name, self.worker_links[name])
+
+    async def _link_store(self) -> str:
+        number = self.rng.randrange(len(self.store_links))
+        return self._set_link(f"store of {number}", self.store_links[number])
+
+    def _set_link(self, name: str, link: Proxy) -> str:
+        link.link = self.rng.choice([item for item in Link if item is not Link.OPEN])
+        self._later(self.rng.uniform(0.2, 3.0), lambda: setattr(link, "link", Link.OPEN))
+        return f"{name} {link.link.value}"
+
+    async def _pause_instance(self) -> str:
+        instance = self.rng.choice(self.instances)
+        instance.send(signal.SIGSTOP)
+        self._later(self.rng.uniform(0.2, 3.5), lambda: instance.send(signal.SIGCONT))
+        return f"{instance.name} paused"
+
+    async def _kill_instance(self) -> str:
+        instance = self.rng.choice(self.instances)
+        instance.send(signal.SIGKILL)
+        self._later(self.rng.uniform(0.1, 2.0), instance.start)
+        return f"{instance.name} killed"
+
+    async def _stop_instance(self) -> str:
+        instance = self.rng.choice(self.instances)
+        instance.send(signal.SIGTERM)
+        self._later(6.0, instance.start)
+        return f"{instance.name} stopped"
+
+    async def _reload_instance(self) -> str:
+        instance = self.rng.choice(self.instances)
+        instance.send(signal.SIGHUP)
+        return f"{instance.name} reloads"
+
+    async def _change_keys(self) -> str:
+        self.version += 1
+        old, self.keys = self.keys, [f"key-{self.version}"]
+        await self._publish()
+        now = time.monotonic()
+        self.ended_at_by_key = {key: now for key in old}
+        return f"version {self.version}"
+
+    async def _reset_links(self) -> str:
+        link = self.rng.choice([*self.worker_links.values(), *self.store_links])
+        link.reset()
+        return f"connections at port {link.port} reset"
+
+    async def _recover(self) -> None:
+        """End all faults; then everything must serve again."""
+        for link in (*self.store_links, *self.worker_links.values()):
+            link.link = Link.OPEN
+        for name in self.workers:
+            await self._post(self.port_by_worker[name], "/soak/steer", Steer())
+        await asyncio.sleep(QUIET_SECONDS + 4.0)
+        for instance in self.instances:
+            instance.send(signal.SIGCONT)
+            if instance.crashed:
+                self.findings.add("no process ends by itself", instance.name)
+            instance.start()
+        await self._until_ready()
+        await asyncio.sleep(QUIET_SECONDS)
+        before = len(self.seen)
+        self.ended_at_by_key.clear()
+        await asyncio.gather(*(self._ask(f"calm{i}", CALM_TOKENS) for i in range(30)))
+        failed = [item for item in self.seen[before:] if item.status != 200]
+        if failed:
+            states = ", ".join(f"{item.attempt} {item.route} {item.status}" for item in failed[:5])
+            self.findings.add("after trouble all is served", states)
+
+    async def _audit(self) -> None:
+        for name in self.workers:
+            body = await self._post(self.port_by_worker[name], "/soak/audit", {})
+            audit = msgspec.json.decode(body, type=Audit)
+            self.runs.update(audit.runs)
+            if audit.leases:
+                self.findings.add("no memory stays leased", f"{name}: {audit.leases}")
+            if audit.working:
+                self.findings.add("no work without a caller", f"{name}: {audit.working}")
+
+
+async def play_seed(
+    reactor: Any, seed: int, seconds: float, size: Size, place: Place, keep: Path
+) -> bool:
+    """Play one seed; tells and returns whether every promise held."""
+    folder = keep / f"seed-{seed}"
+    folder.mkdir(parents=True, exist_ok=True)
+    soak = Soak(reactor, seed, seconds, size, place, folder)
+    await soak.play()
+    held = not soak.findings.lines
+    (folder / "faults.txt").write_text("\n".join(soak.faults) + "\n")
+    print(f"seed {seed}: {'held' if held else 'BROKEN'}; {count_statuses(soak.seen)}", flush=True)
+    for line in soak.findings.lines[:20]:
+        print(f"  {line}", flush=True)
+    if not held:
+        print(f"  logs: {folder}", flush=True)
+    return held
+
+
+def known_seeds() -> list[int]:
+    """Seeds that failed once, each with a line on its cause in the file."""
+    lines = SEEDS_FILE.read_text().splitlines()
+    return [int(line.split()[0]) for line in lines if line and not line.startswith("#")]
+
+
+def soak(
+    seed: int = 0,
+    seeds: int = 1,
+    seconds: float = 20.0,
+    instances: int = 3,
+    engines: int = 4,
+    plain: int = 3,
+    place: int = 0,
+    folder: str = "",
+) -> Ready:
+    """Play seeds from seed on; 0 draws a fresh one. Logs stay in the folder.
+
+    Soaks that run at the same time need a place each, from 0 on.
+    """
+    first = seed or random.SystemRandom().randrange(1, 1 << 30)
+    keep = Path(folder or tempfile.mkdtemp(prefix="pondpin-soak-"))
+
+    async def play(reactor: Any) -> int:
+        failed = 0
+        for number in range(first, first + seeds):
+            held = await play_seed(
+                reactor, number, seconds, Size(instances, engines, plain), Place(place), keep
+            )
+            failed += not held
+        print(f"{seeds - failed} passed, {failed} failed", flush=True)
+        return 1 if failed else 0
+
+    return Ready(lambda: run(play))
+
+
+def main() -> None:
+    """Entry point of python -m pondpin.soak.run."""
+    run_command(soak, "pondpin-soak")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/pondpin/soak/standin.py
@@ -0,0 +1,88 @@
+"""Runs the store's or a worker's stand-in as a process that the soak can steer and audit."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+
+from pondpin.http_server import Incoming, Reply
+from pondpin.network import parse_endpoint
+from pondpin.runtime import Ready, run, run_command, stop_on_signals
+from pondpin.standins.published_store import PublishedStore
+from pondpin.standins.worker import Worker, WorkerFault
+
+
+class Put(msgspec.Struct, frozen=True):
+    """An item to be written; no value deletes it."""
+
+    key: str
+    value: Any = None
+
+
+class Steer(msgspec.Struct, frozen=True):
+    """What a worker does from now on."""
+
+    faults: tuple[str, ...] = ()
+    draining: bool = False
+
+
+class Audit(msgspec.Struct, frozen=True):
+    """What a worker saw: runs and keys by attempt, leases still held."""
+
+    runs: dict[str, int]
+    leases: int
+    working: int
+
+
+def store(address: str) -> Ready:
+    """Run a store."""
+
+    async def serve(reactor: Any) -> int:
+        stop = stop_on_signals()
+        standin = PublishedStore(reactor)
+
+        async def put(incoming: Incoming, reply: Reply) -> None:
+            item = msgspec.json.decode(incoming.body, type=Put)
+            if item.value is None:
+                standin.delete(item.key)
+            else:
+                standin.put(item.key, item.value)
+            reply.send_json({"revision": standin.revision})
+
+        standin.server.route("/soak/put", put)
+        standin.listen(parse_endpoint(address))
+        await stop.wait()
+        return 0
+
+    return Ready(lambda: run(serve))
+
+
+def worker(address: str, name: str, events: int, event_ms: int) -> Ready:
+    """Run a worker."""
+
+    async def serve(reactor: Any) -> int:
+        stop = stop_on_signals()
+        standin = Worker(reactor, str(name), events=events, event_seconds=event_ms / 1000)
+
+        async def steer(incoming: Incoming, reply: Reply) -> None:
+            order = msgspec.json.decode(incoming.body, type=Steer)
+            standin.faults = [WorkerFault(fault) for fault in order.faults]
+            standin.draining = order.draining
+            reply.send_json({})
+
+        async def audit(incoming: Incoming, reply: Reply) -> None:
+            runs = dict(standin.runs_by_attempt)
+            reply.send_json(Audit(runs, len(standin.tokens_by_lease), standin.working))
+
+        standin.server.route("/soak/steer", steer)
+        standin.server.route("/soak/audit", audit)
+        standin.listen(parse_endpoint(address))
+        await stop.wait()
+        await asyncio.sleep(0)
+        return 0
+
+    return Ready(lambda: run(serve))
+
+
+if __name__ == "__main__":
+    run_command({"store": store, "worker": worker}, "pondpin-soak-standin")
--- a/pondpin/tools/ctl.py
+++ b/pondpin/tools/ctl.py
@@ -22,6 +22,7 @@
 from pondpin.settings import read_settings, settings_schema
 from pondpin.tools.authority import make_authority, make_certificate
 from pondpin.tools.differences import tell_differences
+from pondpin.tools.log_story import find_story, read_lines, tell_story
 from pondpin.tools.operator_client import OperatorClient, OperatorError, make_client
 from pondpin.tools.tables import make_console, print_json, print_rows
 
@@ -270,6 +271,28 @@
     return _ask(asking)
 
 
+def trace(request: str, *logs: str, margin: float = 2.0, json: bool = False) -> Ready:
+    """Tell what became of a relayed request, from the log files of all instances.
+
+    margin is how many seconds before its first line other events are shown.
+    """
+
+    def start() -> int:
+        try:
+            lines = read_lines(Path(log) for log in logs)
+        except OSError as error:
+            print(f"{PROGRAM}: {error.filename}: {error.strerror}", file=sys.stderr)
+            return FAULT_STATUS
+        story = find_story(lines, str(request), margin)
+        if json:
+            print(msgspec.json.encode(story).decode())
+        else:
+            print("\n".join(tell_story(story)))
+        return 0 if story.own else NOTHING_STATUS
+
+    return Ready(start)
+
+
 def drain(at: str) -> Ready:
     """Make an instance not ready; what is in flight goes on."""
     return _act(at, "/v1/drain")
@@ -343,6 +366,7 @@
     "status": status,
     "undrain": undrain,
     "upstreams": upstreams,
+    "trace": trace,
     "why": why,
 }
 
