Read the list before the configuration; avoid upstreams that fail part of their requests; leases lapse in the stand-in

Cause: a starting instance had a configuration and no upstreams for a few ms and refused what came then; upstreams that fail 40 % never had three failures in a row for long.

--- a/pondpin/relay/publication.py
+++ b/pondpin/relay/publication.py
@@ -104,14 +104,14 @@
 
     def take_bundle(self, bundle: Bundle, asked_at: float, now: float) -> None:
         """Take what a peer had when it was asked, at asked_at of this process's clock."""
+        if bundle.list_age >= 0:
+            self.offer_list(bundle.upstreams, asked_at - bundle.list_age, now)
         item = bundle.configuration
         if item is not None:
             proof = None
             if bundle.configuration_age >= 0:
                 proof = peer_proof(item.revision, asked_at, bundle.configuration_age)
             self.offer_configuration(item, proof)
-        if bundle.list_age >= 0:
-            self.offer_list(bundle.upstreams, asked_at - bundle.list_age, now)
 
     def offer_configuration(self, item: PublishedItem, proof: Proof | None) -> None:
         """Take a configuration if it is newer and sound; note the proof of its revision."""
--- a/pondpin/relay/reader.py
+++ b/pondpin/relay/reader.py
@@ -96,15 +96,16 @@
 
     async def _read(self) -> None:
         before = self._publication.seen_revision, self._publication.list_tag
-        sent_at = self._clock()
         self.reads += 1
+        # The list goes first: a configuration without upstreams would refuse everything.
+        sent_at = self._clock()
+        items = await self._source.read_upstreams(READ_SECONDS)
+        self._publication.offer_list(items, sent_at, self._clock())
+        sent_at = self._clock()
         item = await self._source.read_configuration(READ_SECONDS)
         if item is not None:
             proof = Proof(item.revision, sent_at)
             self._publication.offer_configuration(item, proof)
-        sent_at = self._clock()
-        items = await self._source.read_upstreams(READ_SECONDS)
-        self._publication.offer_list(items, sent_at, self._clock())
         if before != (self._publication.seen_revision, self._publication.list_tag):
             self._on_news()
 
--- a/pondpin/relay/upstreams.py
+++ b/pondpin/relay/upstreams.py
@@ -17,6 +17,11 @@
 # An upstream that was heard this lately proves that its data centre can be reached; the
 # streams of a busy one come every tenth of a second.
 HEARD_SECONDS = 0.6
+# An upstream that fails part of its requests while it is well otherwise is avoided from this
+# rate on: four failures in a row, or nearly half of many. Some services fail one in seven.
+FAILURE_WEIGHT = 0.15
+FAILING_RATE = 0.4
+FAILURE_HALF_LIFE_SECONDS = 4.0
 MILLISECONDS = 1000.0
 HUNDREDTHS = 100.0
 
@@ -111,6 +116,24 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class FailureRate:
+    """The share of requests that failed lately; without requests it is forgotten."""
+
+    rate: float = 0.0
+    noted_at: float = 0.0
+
+    def at(self, now: float) -> float:
+        """The share as it counts now."""
+        age = max(0.0, now - self.noted_at)
+        return self.rate * float(0.5 ** (age / FAILURE_HALF_LIFE_SECONDS))
+
+    def note(self, failed: bool, now: float) -> "FailureRate":
+        """Count a request."""
+        rate = self.at(now)
+        return FailureRate(rate + FAILURE_WEIGHT * (float(failed) - rate), now)
+
+
 @dataclass
 class UpstreamState:
     """One upstream, that is one life of it."""
@@ -122,6 +145,7 @@
     needs_probe: bool = False
     probing: bool = False
     suspected_until: float = 0.0
+    failing: FailureRate = field(default_factory=lambda: FailureRate())
     told: Load | None = None
     told_at: float = 0.0
     heard_at: float = 0.0
@@ -304,8 +328,9 @@
         present = [item for item in self.of_service(service) if not item.leaving]
         fresh = [item for item in present if item.id not in tried]
         good = [item for item in fresh if item.usable(now)]
-        near = [item for item in good if not self.is_cut(item, now)]
-        return near or good or fresh
+        near = [item for item in good if not self.is_cut(item, now)] or good
+        sound = [item for item in near if item.failing.at(now) < FAILING_RATE]
+        return sound or near or fresh
 
     def is_cut(self, state: UpstreamState, now: float) -> bool:
         """Whether an upstream is probably out of reach with its whole data centre."""
@@ -332,12 +357,14 @@
         state = self.by_id.get(name)
         if state is not None:
             state.health = note_success(state.health, now)
+            state.failing = state.failing.note(False, now)
 
     def note_failure(self, name: str, now: float, certain: bool) -> bool:
         """An upstream failed a request; True when that ejects it."""
         state = self.by_id.get(name)
         if state is None:
             return False
+        state.failing = state.failing.note(True, now)
         before = state.health.ejections
         state.health = note_failure(state.health, now, certain)
         ejected = state.health.ejections > before
--- a/pondpin/soak/standin.py
+++ b/pondpin/soak/standin.py
@@ -72,7 +72,7 @@
 
         async def audit(incoming: Incoming, reply: Reply) -> None:
             runs = dict(standin.runs_by_attempt)
-            reply.send_json(Audit(runs, len(standin.tokens_by_lease), standin.working))
+            reply.send_json(Audit(runs, len(standin.held_leases()), standin.working))
 
         standin.server.route("/soak/steer", steer)
         standin.server.route("/soak/audit", audit)
--- a/pondpin/standins/worker.py
+++ b/pondpin/standins/worker.py
@@ -44,6 +44,14 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """Memory that is set aside until a time of the event loop's clock."""
+
+    tokens: int
+    until: float
+
+
 @dataclass
 class Worker:
     """One life of a worker; faults are taken from the front of a list, one a request."""
@@ -58,7 +66,7 @@
     draining: bool = False
     seen: list[Seen] = field(default_factory=list)
     runs_by_attempt: Counter[str] = field(default_factory=Counter)
-    tokens_by_lease: dict[str, int] = field(default_factory=dict)
+    lease_by_id: dict[str, Lease] = field(default_factory=dict)
     refused_leases: int = 0
     probes: int = 0
     working: int = 0
@@ -85,19 +93,29 @@
         order = msgspec.json.decode(incoming.body)
         name = order["id"]
         if order["op"] == "release":
-            self.tokens_by_lease.pop(name, None)
+            self.lease_by_id.pop(name, None)
             reply.send_json({"free": self._free()})
             return
-        known = self.tokens_by_lease.get(name, 0)
+        leases = self.held_leases()
+        known = leases[name].tokens if name in leases else 0
         if order["tokenCount"] > self._free() + known:
             self.refused_leases += 1
             reply.send_json({"free": self._free()}, 409)
             return
-        self.tokens_by_lease[name] = order["tokenCount"]
+        until = asyncio.get_running_loop().time() + order["holdMs"] / 1000
+        self.lease_by_id[name] = Lease(order["tokenCount"], until)
         reply.send_json({"free": self._free()})
 
+    def held_leases(self) -> dict[str, Lease]:
+        """Leases that have not lapsed, by id."""
+        now = asyncio.get_running_loop().time()
+        self.lease_by_id = {
+            name: lease for name, lease in self.lease_by_id.items() if lease.until > now
+        }
+        return self.lease_by_id
+
     def _free(self) -> int:
-        return self.memory - sum(self.tokens_by_lease.values())
+        return self.memory - sum(lease.tokens for lease in self.held_leases().values())
 
     async def _serve(self, incoming: Incoming, reply: Reply) -> None:
         self.seen.append(Seen(incoming.method, incoming.target, incoming.headers, incoming.body))
--- a/pondpin/tests/test_relay_engines.py
+++ b/pondpin/tests/test_relay_engines.py
@@ -200,6 +200,23 @@
         self.table.probe_passed("a")
         self.assertEqual(self.usable(NOW + 60), {"a", "b", "c"})
 
+    def test_one_that_fails_half_is_avoided_for_a_while(self) -> None:
+        for step in range(20):
+            self.table.note_failure("a", NOW + step * 0.1, certain=False)
+            self.table.note_success("a", NOW + step * 0.1 + 0.05)
+        after = NOW + 2.0
+        self.assertGreater(self.table.by_id["a"].failing.at(after), 0.4)
+        self.assertEqual(self.usable(after), {"b", "c"})
+        self.assertEqual(self.usable(after + 10), {"a", "b", "c"})
+
+    def test_one_that_fails_seldom_is_kept(self) -> None:
+        for step in range(70):
+            if step % 7:
+                self.table.note_success("a", NOW + step * 0.1)
+            else:
+                self.table.note_failure("a", NOW + step * 0.1, certain=False)
+        self.assertIn("a", self.usable(NOW + 7.0))
+
     def test_when_all_look_bad_looks_are_ignored(self) -> None:
         for name in "abc":
             self.table.note_failure(name, NOW, certain=True)
--- a/pondpin/tests/test_relay_serving.py
+++ b/pondpin/tests/test_relay_serving.py
@@ -271,7 +271,7 @@
             seen = [item for worker in engines(platform) for item in worker.seen]
             self.assertIn("/", seen[0].headers["helpers"])
             await platform.until(
-                lambda: not any(worker.tokens_by_lease for worker in engines(platform))
+                lambda: not any(worker.lease_by_id for worker in engines(platform))
             )
 
         self.play(work)
@@ -283,7 +283,7 @@
             answer = await ask(platform, "stream", x_token_usage="700000,800")
             self.assertEqual(answer.status, 503)
             self.assertEqual(runs(platform), 0)
-            self.assertFalse(any(worker.tokens_by_lease for worker in engines(platform)))
+            self.assertFalse(any(worker.lease_by_id for worker in engines(platform)))
 
         self.play(work)
 
