--- a/pondpin/relay/engine_choice.py
+++ b/pondpin/relay/engine_choice.py
@@ -20,6 +20,7 @@
 
 # Numbers of engines that are compared for one prompt; an engine lets 16 others help.
 PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
+MOST_PARTS = max(PART_COUNTS)
 # A prompt whose reading is below this share of its own pause target disturbs nobody who
 # writes under that target: it counts as light.
 LIGHT_SHARE = 0.5
@@ -151,6 +152,7 @@
     engines: Sequence[EngineView],
     light_in_flight: int,
     rng: random.Random,
+    most_parts: int = MOST_PARTS,
 ) -> EngineChoice | None:
     """The best way found to serve a job; engines come in the order common to all instances.
 
@@ -161,7 +163,7 @@
     pool = pool_size(profile, light_in_flight, len(engines))
     if is_light(profile, job.prompt_tokens, job.gap_target):
         return _choose_light(profile, job, engines, pool, rng)
-    return _choose_heavy(profile, job, engines, pool, rng)
+    return _choose_heavy(profile, job, engines, pool, rng, most_parts)
 
 
 def _has_memory(profile: EngineProfile, load: EngineLoad, tokens: int) -> bool:
@@ -210,12 +212,13 @@
     engines: Sequence[EngineView],
     pool: int,
     rng: random.Random,
+    most_parts: int,
 ) -> EngineChoice | None:
     alone = read_seconds(profile, job.prompt_tokens)
     choices = [
         _choose_parts(profile, job, engines, pool, count, alone / count, rng)
         for count in PART_COUNTS
-        if count <= len(engines)
+        if count <= min(len(engines), most_parts)
     ]
     possible = [choice for choice in choices if choice is not None]
     # What comes after its caller gave up is work for nobody.
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pondpin
+from pondpin.configuration import PlacementPolicy
 from pondpin.controllers.base import Controller
 from pondpin.controllers.peers import GrpcPeers
 from pondpin.http_client import HttpClient
@@ -37,7 +38,7 @@
     UpstreamLeaving,
 )
 from pondpin.relay.model import RelayConfiguration
-from pondpin.relay.planner import Planner
+from pondpin.relay.planner import Planner, RelayPolicy
 from pondpin.relay.probe import ProbeController
 from pondpin.relay.publication import ListChange, Publication
 from pondpin.relay.reader import ReaderController
@@ -113,9 +114,8 @@
 
     def _make_serving(self) -> None:
         settings = self.settings
-        planner = Planner(
-            self.table, steady_now, self.rng, lambda: self.gossip.tell_soon(), settings.use_parts
-        )
+        policy = RelayPolicy(PlacementPolicy(settings.placement), settings.use_parts)
+        planner = Planner(self.table, steady_now, self.rng, lambda: self.gossip.tell_soon(), policy)
         prefix = f"{settings.instance}-{self.boot:x}"
         self.leases = Leases(PlatformLeases(self.http), prefix, self.log)
         dialect = PlatformDialect()
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -6,8 +6,10 @@
 from dataclasses import dataclass, replace
 
 from pondpin.clocks import Clock
+from pondpin.configuration import PlacementPolicy
 from pondpin.relay.call import Progress, RelayCall
 from pondpin.relay.engine_choice import (
+    MOST_PARTS,
     EngineChoice,
     EngineView,
     Job,
@@ -26,6 +28,14 @@
 GROUP_BITS = 31
 
 
+@dataclass(frozen=True, slots=True)
+class RelayPolicy:
+    """How engines are chosen; all but the defaults are baselines to measure against."""
+
+    placement: PlacementPolicy = PlacementPolicy.PREDICTED
+    parts: bool = True
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """An attempt to be made; choice is None for a plain service."""
@@ -52,13 +62,13 @@
         clock: Clock,
         rng: random.Random,
         tell_soon: Callable[[], None],
-        use_parts: bool = True,
+        policy: RelayPolicy | None = None,
     ) -> None:
         self._table = table
         self._clock = clock
         self._rng = rng
         self._tell_soon = tell_soon
-        self._use_parts = use_parts
+        self._policy = policy or RelayPolicy()
         self._keys = itertools.count(1)
 
     def plan(self, call: RelayCall, progress: Progress, avoid: frozenset[str]) -> Plan | None:
@@ -84,15 +94,28 @@
     def _plan_engines(
         self, call: RelayCall, profile: EngineProfile, states: list[UpstreamState], now: float
     ) -> Plan | None:
+        if self._policy.placement is not PlacementPolicy.PREDICTED:
+            return self._plan_baseline(call, profile, states, now)
         job = make_job(call)
         views = [EngineView(state.id, state.load(now), self._is_local(state)) for state in states]
         light = sum(state.light_in_flight(now) for state in states)
-        choice = choose_engines(profile, job, views, light, self._rng)
+        most = MOST_PARTS if self._policy.parts else 1
+        choice = choose_engines(profile, job, views, light, self._rng, most)
         if choice is None:
             return None
         helpers = tuple(self._table.by_id[name] for name in choice.helpers)
         return Plan(self._table.by_id[choice.lead], helpers, choice, len(states))
 
+    def _plan_baseline(
+        self, call: RelayCall, profile: EngineProfile, states: list[UpstreamState], now: float
+    ) -> Plan:
+        """What simpler placements do; kept to be measured against."""
+        lead = self._rng.choice(states)
+        if self._policy.placement is PlacementPolicy.LEAST_OUTSTANDING:
+            lead = min(states, key=lambda state: (state.in_flight(now), self._rng.random()))
+        seconds = read_seconds(profile, call.facts.prompt_tokens)
+        return Plan(lead, (), EngineChoice(lead.id, (), seconds, 0, seconds, 0.0, 0), len(states))
+
     def _is_local(self, state: UpstreamState) -> bool:
         return state.listed.data_center == self._table.data_center
 
@@ -151,8 +174,3 @@
         gap_target=call.route.gap_target or call.route.target,
         patience=min(call.patience, call.deadline - call.arrived),
     )
-
-
-def alone_seconds(call: RelayCall, profile: EngineProfile) -> float:
-    """Seconds that one engine takes to read a call's prompt."""
-    return read_seconds(profile, call.facts.prompt_tokens)
--- a/pondpin/settings.py
+++ b/pondpin/settings.py
@@ -138,7 +138,8 @@
     """All settings of an instance that relays opaque requests on a platform.
 
     ready: where the balancer asks whether to send connections. metrics_port 0 serves none.
-    use_parts: whether long prompts are read by several engines.
+    placement: predicted, or a baseline: least_outstanding, random. use_parts: whether long
+    prompts are read by several engines.
     """
 
     instance: str = Field(min_length=1, max_length=80)
@@ -149,6 +150,7 @@
     peers: RelayPeers
     limits: RelayLimits = Field(default_factory=lambda: RelayLimits())
     metrics_port: int = Field(default=0, ge=0, le=65535)
+    placement: str = Field(default="predicted", pattern="^(predicted|least_outstanding|random)$")
     use_parts: bool = True
 
 
--- a/pondpin/tests/test_relay_engines.py
+++ b/pondpin/tests/test_relay_engines.py
@@ -101,6 +101,12 @@
         self.assertFalse(used & {"e0", "e1", "e2", "e3"})
         self.assertLess(choice.first_event, LONG.target)
 
+    def test_without_parts_one_engine_reads_all(self) -> None:
+        choice = choose_engines(PROFILE, LONG, views(*[IDLE] * 8), 0, self.rng, most_parts=1)
+        assert choice is not None
+        self.assertEqual(choice.helpers, ())
+        self.assertIsNone(choose_engines(PROFILE, HUGE, views(*[IDLE] * 8), 0, self.rng, 1))
+
     def test_a_prompt_larger_than_an_engine_gets_leases(self) -> None:
         choice = choose_engines(PROFILE, HUGE, views(*[IDLE] * 18), 0, self.rng)
         assert choice is not None
--- /dev/null
+++ b/pondpin/tests/test_soak.py
@@ -0,0 +1,65 @@
+"""The soak's own parts, and a short run of real processes with a fixed seed."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from pondpin.soak.promises import Findings, Seen, check_attempts, stream_body
+from pondpin.soak.run import Place, Size, known_seeds, play_seed
+from pondpin.tests.support import run_async, the_loop
+
+SECONDS = 6.0
+SEED = 7
+EVENTS = 3
+
+
+def check(*seen: Seen, **runs: int) -> list[str]:
+    findings = Findings()
+    check_attempts(list(seen), runs, EVENTS, findings)
+    return findings.lines
+
+
+class PromisesTest(unittest.TestCase):
+    def test_each_broken_promise_is_seen(self) -> None:
+        whole = stream_body(EVENTS)
+        cases: tuple[tuple[str, Seen, dict[str, int]], ...] = (
+            ("at most once", Seen("a", "once", 502, b"", False), {"a": 2}),
+            ("a 'not run' is true", Seen("a", "once", 503, b"", False), {"a": 1}),
+            ("a key that was taken away", Seen("a", "again", 401, b"", True), {"a": 1}),
+            ("a success ran", Seen("a", "again", 200, b"w answers a", False), {}),
+            ("a stream is whole", Seen("a", "stream", 200, whole[:-5], False), {"a": 1}),
+            ("an answer belongs", Seen("a", "again", 200, b"w answers b", False), {"a": 1}),
+            ("a worker ran what nobody sent", Seen("a", "again", 0, b"", False), {"b": 1}),
+        )
+        for promise, seen, runs in cases:
+            found = check(seen, **runs)
+            self.assertEqual((promise, len(found)), (promise, 1))
+            self.assertTrue(found[0].startswith(promise))
+
+    def test_what_is_allowed_is_no_finding(self) -> None:
+        self.assertEqual(check(Seen("a", "again", 200, b"w answers a", False), a=2), [])
+        self.assertEqual(check(Seen("a", "once", 503, b"", False)), [])
+        self.assertEqual(check(Seen("a", "stream", 200, stream_body(EVENTS), False), a=2), [])
+        self.assertEqual(check(Seen("a", "once", 0, b"", False), a=1), [])
+
+
+class ShortSoakTest(unittest.TestCase):
+    def test_the_fixed_seed_and_those_that_failed_once_hold(self) -> None:
+        for seed in (SEED, *known_seeds()):
+            self.assertTrue(self.play(seed), f"seed {seed}")
+
+    def play(self, seed: int) -> bool:
+        held = False
+
+        async def work() -> None:
+            nonlocal held
+            folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+            size = Size(instances=2, engines=2, plain=2)
+            held = await play_seed(the_loop()[1], seed, SECONDS, size, Place(9), folder)
+
+        run_async(work())
+        return held
+
+
+if __name__ == "__main__":
+    unittest.main()
