--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
 	touch $(READY)
 
-.PHONY: setup demo test lint format check bench capacity
+.PHONY: setup demo test lint format check bench soak
 setup: $(READY)
 
 demo: $(READY)
@@ -32,3 +32,6 @@
 
 bench: $(READY)
 	for file in experiments/*.json; do $(BIN)/pondpin-load experiment $$file || exit 1; done
+
+soak: $(READY)
+	$(BIN)/python -m pondpin.soak.run --seeds=10
--- a/pondpin/answer_writers.py
+++ b/pondpin/answer_writers.py
@@ -7,7 +7,7 @@
 
 from pondpin.calls import CallKind, WholeAnswer
 from pondpin.errors import PondpinError
-from pondpin.http_server import JSON, Reply, describe_error
+from pondpin.http_reply import JSON, Reply, describe_error
 
 EVENT_STREAM = "text/event-stream"
 DONE = b"data: [DONE]\n\n"
--- a/pondpin/callers.py
+++ b/pondpin/callers.py
@@ -16,7 +16,8 @@
 from pondpin.errors import PondpinError
 from pondpin.filters.identify import IdentifyFilter
 from pondpin.filters.once import NEXT_TOKEN_HEADER, TokenIssuer
-from pondpin.http_server import REPEAT_HEADERS, Incoming, Reply, WebServer
+from pondpin.http_reply import Incoming, Reply
+from pondpin.http_server import REPEAT_HEADERS, WebServer
 from pondpin.identity import Identity
 from pondpin.invariants import INVARIANTS
 from pondpin.metrics import Metrics
--- a/pondpin/calls.py
+++ b/pondpin/calls.py
@@ -8,7 +8,7 @@
 from pondpin.codes import Code, Ran
 from pondpin.configuration import Account, Configuration, Rule
 from pondpin.decisions import Decision
-from pondpin.http_server import Incoming, Reply
+from pondpin.http_reply import Incoming, Reply
 
 
 class CallKind(enum.Enum):
--- a/pondpin/controllers/configuration.py
+++ b/pondpin/controllers/configuration.py
@@ -10,7 +10,7 @@
 from pondpin.configuration import Configuration, decode_configuration
 from pondpin.controllers.base import Controller
 from pondpin.errors import InvalidFileError
-from pondpin.http_client import CallFailedError
+from pondpin.http_streams import CallFailedError
 from pondpin.invariants import INVARIANTS
 from pondpin.metrics import Metrics
 from pondpin.platform_client import PlatformPort
--- a/pondpin/controllers/load.py
+++ b/pondpin/controllers/load.py
@@ -13,7 +13,7 @@
 from pondpin.engine_client import LEAVING, EnginePort
 from pondpin.fleet import Fleet, UpstreamState
 from pondpin.health import note_failure, note_success
-from pondpin.http_client import CallFailedError
+from pondpin.http_streams import CallFailedError
 from pondpin.service_client import ServicePort
 
 
--- a/pondpin/controllers/orders.py
+++ b/pondpin/controllers/orders.py
@@ -11,7 +11,7 @@
 from pondpin.engine_client import EnginePort
 from pondpin.engine_protocol import Order
 from pondpin.fleet import Fleet, UpstreamState
-from pondpin.http_client import CallFailedError
+from pondpin.http_streams import CallFailedError
 from pondpin.metrics import Metrics
 from pondpin.orders import (
     Desired,
--- a/pondpin/controllers/orphans.py
+++ b/pondpin/controllers/orphans.py
@@ -8,7 +8,7 @@
 from pondpin.engine_client import EnginePort, StreamRef
 from pondpin.engine_protocol import HeldWork
 from pondpin.fleet import Fleet, UpstreamState
-from pondpin.http_client import CallFailedError
+from pondpin.http_streams import CallFailedError
 from pondpin.ledger import Ledger
 from pondpin.metrics import Metrics
 from pondpin.reservations import Reservations
--- a/pondpin/controllers/peers.py
+++ b/pondpin/controllers/peers.py
@@ -12,7 +12,7 @@
 
 from pondpin.clocks import Clock
 from pondpin.controllers.base import Controller
-from pondpin.http_client import CallFailedError
+from pondpin.http_streams import CallFailedError
 from pondpin.identity import Identity
 from pondpin.membership import (
     Peer,
--- a/pondpin/engine_attempts.py
+++ b/pondpin/engine_attempts.py
@@ -11,7 +11,7 @@
 from pondpin.engine_client import EnginePort, StreamRef, says_leaving
 from pondpin.engine_protocol import StreamRequest
 from pondpin.frames import FrameGate
-from pondpin.http_client import CallFailedError, StreamStart
+from pondpin.http_streams import CallFailedError, StreamStart
 from pondpin.identity import Identity
 from pondpin.scheduler import Grant
 from pondpin.stream_attempt import AttemptResult, StreamAttempt, Watchdog
--- a/pondpin/engine_client.py
+++ b/pondpin/engine_client.py
@@ -14,7 +14,8 @@
     StreamFrame,
     StreamRequest,
 )
-from pondpin.http_client import CallFailedError, HttpClient, StreamStart
+from pondpin.http_client import HttpClient
+from pondpin.http_streams import CallFailedError, StreamStart
 
 STATE_HEADER = "pondpin-upstream-state"
 LEAVING = "leaving"
--- a/pondpin/filters/serve.py
+++ b/pondpin/filters/serve.py
@@ -9,7 +9,7 @@
 from pondpin.errors import PondpinError
 from pondpin.fleet import Fleet, UpstreamState
 from pondpin.health import note_failure, note_success
-from pondpin.http_client import CallFailedError
+from pondpin.http_streams import CallFailedError
 from pondpin.metrics import Metrics
 from pondpin.retry_budget import note_first_attempt, spend_retry
 from pondpin.service_choice import ServiceView, choose_service, pin_upstream
--- a/pondpin/forwarding.py
+++ b/pondpin/forwarding.py
@@ -11,7 +11,7 @@
 from pondpin.controllers.peers import PeerBook, PeerPort, PeerUnreachableError, peer_of
 from pondpin.errors import PondpinError
 from pondpin.filters.describe import ALLOWED_HEADER, LABELS_HEADER, TOKEN_HEADER, read_allowed
-from pondpin.http_server import ErrorAnswer, Incoming, describe_error
+from pondpin.http_reply import ErrorAnswer, Incoming, describe_error
 from pondpin.service_client import PASSED_HEADERS
 from pondpin.wire.peer_pb2 import ForwardReply, ForwardRequest, Header
 
--- /dev/null
+++ b/pondpin/http_reply.py
@@ -0,0 +1,220 @@
+"""A request that arrived whole, and the answer to it, on a twisted.web request."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Protocol
+
+import msgspec
+from twisted.web import http
+
+from pondpin.codes import INFO_BY_CODE
+from pondpin.errors import PondpinError
+
+if TYPE_CHECKING:
+    from pondpin.http_server import BoundedRequest
+
+JSON = "application/json"
+ABORT_SECONDS = 0.05
+
+
+class ErrorBody(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=False):
+    """What a caller reads of a refusal or failure; retry_after is in seconds."""
+
+    code: int
+    name: str
+    message: str
+    ran: str
+    retry: bool
+    retry_after: float | None
+    request: str
+
+
+class ErrorAnswer(msgspec.Struct, frozen=True):
+    """The JSON document of an error."""
+
+    error: ErrorBody
+
+
+def describe_error(error: PondpinError, request: str = "") -> ErrorAnswer:
+    """The document that tells a caller of an error."""
+    info = INFO_BY_CODE[error.code]
+    return ErrorAnswer(
+        ErrorBody(
+            code=int(error.code),
+            name=error.code.name,
+            message=error.detail or info.meaning,
+            ran=error.ran.value,
+            retry=info.retry,
+            retry_after=error.retry_after,
+            request=request,
+        )
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Incoming:
+    """A request that arrived whole; header names are lower case."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    target: bytes = b""
+    raw_headers: tuple[tuple[bytes, bytes], ...] = ()
+
+
+class Pausable(Protocol):
+    """A source that can be told to hold back."""
+
+    def pause(self) -> None:
+        """Stop producing for now."""
+        ...
+
+    def resume(self) -> None:
+        """Go on producing."""
+        ...
+
+
+class Reply:
+    """The answer to one request: whole by send, or in pieces by start, write and finish."""
+
+    def __init__(self, request: "BoundedRequest") -> None:
+        # Twisted leaves these methods without types.
+        self._request: Any = request
+        self.started = False
+        self.gone = False
+        self.on_gone: Callable[[], None] | None = None
+
+    def start(self, status: int, headers: dict[str, str]) -> None:
+        """Send the status and headers; once only."""
+        assert not self.started, "an answer starts once"
+        self.started = True
+        if self.gone:
+            return
+        self._request.setResponseCode(status)
+        for name, value in headers.items():
+            self._request.setHeader(name, value)
+        self._request.close_if_stopping()
+
+    def start_exact(self, status: int, headers: tuple[tuple[bytes, bytes], ...]) -> None:
+        """As start, with headers as they are; repeated ones stay repeated."""
+        assert not self.started, "an answer starts once"
+        self.started = True
+        if self.gone:
+            return
+        self._request.setResponseCode(status)
+        for name, value in headers:
+            self._request.responseHeaders.addRawHeader(name, value)
+        self._request.close_if_stopping()
+
+    def send_exact(
+        self, status: int, headers: tuple[tuple[bytes, bytes], ...], body: bytes
+    ) -> None:
+        """As send, with headers as they are; an answer that may have no body keeps its length."""
+        bodiless = self._request.method == b"HEAD" or status in http.NO_BODY_CODES
+        if not bodiless:
+            headers = (*headers, (b"content-length", str(len(body)).encode()))
+        self.start_exact(status, headers)
+        self.write(body)
+        self.finish()
+
+    def write(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        if not self.gone:
+            self._request.write(data)
+
+    def finish(self) -> None:
+        """End the answer."""
+        if not self.gone:
+            self.gone = True
+            self._request.finish()
+
+    def abort(self) -> None:
+        """Cut the connection so that the caller can't take the answer for whole."""
+        if not self.gone:
+            self.gone = True
+            self._request.abort_connection()
+
+    @property
+    def peer_host(self) -> str:
+        """The IP number of the other side."""
+        return str(self._request.getClientAddress().host)
+
+    def write_raw(self, data: bytes) -> None:
+        """Write bytes outside any answer; only stand-ins that misbehave do this."""
+        if self._request.channel is not None:
+            self._request.channel.write(data)
+
+    def close_raw(self) -> None:
+        """Close the connection after what was written; only stand-ins do this."""
+        self.gone = True
+        if self._request.channel is not None:
+            self._request.channel.loseConnection()
+
+    def abort_after_write(self) -> None:
+        """Reset the connection once what was written could leave; only stand-ins do this."""
+        asyncio.get_running_loop().call_later(ABORT_SECONDS, self.abort)
+
+    def send(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        """Send a whole answer."""
+        self.start(status, headers | {"content-length": str(len(body))})
+        self.write(body)
+        self.finish()
+
+    def send_json(self, value: object, status: int = 200) -> None:
+        """Send a value as a JSON document."""
+        self.send(status, {"content-type": JSON}, msgspec.json.encode(value))
+
+    def send_error(
+        self,
+        error: PondpinError,
+        request: str = "",
+        extra: dict[str, str] | None = None,
+        fractions: bool = False,
+    ) -> None:
+        """Send an error with its code, outcome and retry advice.
+
+        fractions: the caller understands a Retry-After of less than a second.
+        """
+        headers = {"content-type": JSON, "pondpin-ran": error.ran.value} | (extra or {})
+        if error.retry_after is not None:
+            whole = str(max(1, round(error.retry_after)))
+            headers["retry-after"] = f"{error.retry_after:.2f}" if fractions else whole
+        body = msgspec.json.encode(describe_error(error, request))
+        self.send(error.status, headers, body)
+
+    def follow(self, source: Pausable) -> None:
+        """Pause the source whenever the caller reads more slowly than it produces."""
+        if not self.gone:
+            self._request.registerProducer(_PullBridge(source), True)
+
+    def unfollow(self) -> None:
+        """Stop following the source."""
+        if not self.gone:
+            self._request.unregisterProducer()
+
+    def mark_gone(self) -> None:
+        """The caller closed the connection."""
+        if self.gone:
+            return
+        self.gone = True
+        if self.on_gone is not None:
+            self.on_gone()
+
+
+@dataclass
+class _PullBridge:
+    """Turns Twisted's producer calls into pause and resume."""
+
+    source: Pausable
+
+    def pauseProducing(self) -> None:
+        self.source.pause()
+
+    def resumeProducing(self) -> None:
+        self.source.resume()
+
+    def stopProducing(self) -> None:
+        self.source.pause()
--- /dev/null
+++ b/pondpin/http_streams.py
@@ -0,0 +1,184 @@
+"""Answers that are received piece by piece."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from twisted.internet.protocol import Protocol as TwistedProtocol
+from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone
+from twisted.web.http import PotentialDataLoss
+
+ANSWER_LIMIT = 64 << 20
+
+
+class CallFailedError(Exception):
+    """A call got no whole answer; sent says whether any byte of it can have left."""
+
+    def __init__(self, cause: str, sent: bool) -> None:
+        super().__init__(cause)
+        self.sent = sent
+
+
+class StreamSink(Protocol):
+    """Receives the pieces of a streamed answer."""
+
+    def on_data(self, data: bytes) -> None:
+        """Take a piece of the body."""
+        ...
+
+    def on_end(self, whole: bool) -> None:
+        """Take the end; whole is False when the connection broke."""
+        ...
+
+
+class OpenStream(TwistedProtocol):
+    """A streamed answer being received."""
+
+    transport: Any = None
+
+    def __init__(self, sink: StreamSink, response: Any = None) -> None:
+        self._sink = sink
+        self._response = response
+        self._closed = False
+
+    def dataReceived(self, data: bytes) -> None:
+        """Pass a piece on."""
+        if not self._closed:
+            self._sink.on_data(data)
+
+    def connectionLost(self, reason: Failure | None = None) -> None:
+        """Pass the end on."""
+        if self._closed:
+            return
+        self._closed = True
+        self._sink.on_end(reason is not None and self._is_whole(reason))
+
+    def _is_whole(self, reason: Failure) -> bool:
+        """Whether the answer ended as its framing says; without a length, a close ends it."""
+        if reason.check(ResponseDone) is not None:
+            return True
+        if reason.check(PotentialDataLoss) is None:
+            return False
+        return bool(getattr(self._response, "closed_cleanly", False))
+
+    def pause(self) -> None:
+        """Stop reading for now."""
+        if not self._closed and self.transport is not None:
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Go on reading."""
+        if not self._closed and self.transport is not None:
+            self.transport.resumeProducing()
+
+    def release(self) -> None:
+        """The sink has all it wants: let the rest come in unseen, so the connection is kept."""
+        self._closed = True
+
+    def close(self) -> None:
+        """Close the connection; no more calls to the sink."""
+        if not self._closed:
+            self._closed = True
+            if self.transport is not None:
+                self.transport.loseConnection()
+
+    def abort(self) -> None:
+        """Reset the connection, so that the other side stops work; no more calls to the sink."""
+        self._closed = True
+        connection = getattr(self.transport, "_producer", None)
+        if connection is not None and hasattr(connection, "abortConnection"):
+            connection.abortConnection()
+
+
+def drop_if_answered(answered: "asyncio.Future[Any]") -> None:
+    """Close the connection of an answer that came just as its caller stopped waiting."""
+    if not answered.done() or answered.cancelled() or answered.exception() is not None:
+        return
+    StreamStart(0, {}, answered.result()).drop()
+
+
+@dataclass(frozen=True, slots=True)
+class StreamStart:
+    """Status and headers of a streamed answer, and the stream to receive it."""
+
+    status: int
+    headers: dict[str, str]
+    response: Any
+
+    def deliver(self, sink: StreamSink) -> OpenStream:
+        """Receive the body into a sink."""
+        stream = OpenStream(sink, self.response)
+        self.response.deliverBody(stream)
+        return stream
+
+    @property
+    def raw_headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        """All headers but those of the connection, repeated ones too."""
+        return tuple(
+            (name, value)
+            for name, values in self.response.headers.getAllRawHeaders()
+            for value in values
+        )
+
+    def drop(self) -> None:
+        """Close the connection without reading the body."""
+        self.deliver(_Nothing()).close()
+
+    def abort(self) -> None:
+        """Reset the connection without reading the body."""
+        self.deliver(_Nothing()).abort()
+
+    def discard(self) -> None:
+        """Receive the body without looking at it, so that the connection can be kept."""
+        self.response.deliverBody(OpenStream(_Nothing()))
+
+    async def read(self, limit: int = ANSWER_LIMIT) -> bytes:
+        """Receive the whole body; raises CallFailedError when it breaks or is too large."""
+        collector = _Collector(limit)
+        collector.stream = self.deliver(collector)
+        try:
+            return await collector.done
+        except asyncio.CancelledError:
+            collector.stream.abort()
+            raise
+
+
+class _Nothing:
+    """A sink that drops everything."""
+
+    def on_data(self, data: bytes) -> None:
+        """Drop it."""
+
+    def on_end(self, whole: bool) -> None:
+        """Nothing to do."""
+
+
+class _Collector:
+    """Collects a body up to a limit of bytes."""
+
+    def __init__(self, limit: int) -> None:
+        self.done: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        self.stream: OpenStream | None = None
+        self._limit = limit
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    def on_data(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._size <= self._limit:
+            self._parts.append(data)
+            return
+        if self.stream is not None:
+            self.stream.close()
+        self._fail("the answer is larger than the limit")
+
+    def on_end(self, whole: bool) -> None:
+        if whole and not self.done.done():
+            self.done.set_result(b"".join(self._parts))
+        else:
+            self._fail("the answer broke off")
+
+    def _fail(self, cause: str) -> None:
+        if not self.done.done():
+            self.done.set_exception(CallFailedError(cause, sent=True))
--- a/pondpin/operators.py
+++ b/pondpin/operators.py
@@ -17,7 +17,8 @@
 from pondpin.decisions import Decision, DecisionLog
 from pondpin.errors import PondpinError
 from pondpin.fleet import Fleet, UpstreamState
-from pondpin.http_server import Incoming, Reply, WebServer
+from pondpin.http_reply import Incoming, Reply
+from pondpin.http_server import WebServer
 from pondpin.identity import Identity
 from pondpin.invariants import INVARIANTS
 from pondpin.ledger import Ledger
--- a/pondpin/platform/orders.py
+++ b/pondpin/platform/orders.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from pondpin.http_client import CallFailedError, HttpClient
+from pondpin.http_client import HttpClient
+from pondpin.http_streams import CallFailedError
 from pondpin.relay.ports import LeaseAnswer
 
 HELD = 200
--- a/pondpin/platform/store.py
+++ b/pondpin/platform/store.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from pondpin.http_client import CallFailedError, HttpClient
+from pondpin.http_client import HttpClient
+from pondpin.http_streams import CallFailedError
 from pondpin.relay.publication import PublishedItem
 
 CONFIGURATION_KEY = "op/config"
--- a/pondpin/platform_client.py
+++ b/pondpin/platform_client.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from pondpin.http_client import CallFailedError, HttpClient
+from pondpin.http_client import HttpClient
+from pondpin.http_streams import CallFailedError
 from pondpin.platform_protocol import (
     CONFIGURATION_PATH,
     INSTANCES_PATH,
--- a/pondpin/relay/attempt.py
+++ b/pondpin/relay/attempt.py
@@ -6,7 +6,8 @@
 from typing import Protocol
 
 from pondpin.clocks import Clock
-from pondpin.http_client import CallFailedError, ExactCall, HttpClient, OpenStream, StreamStart
+from pondpin.http_client import ExactCall, HttpClient
+from pondpin.http_streams import CallFailedError, OpenStream, StreamStart
 from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall, WholeReply
 from pondpin.relay.events import EventSplitter
 from pondpin.relay.model import AnswerHead
--- a/pondpin/relay/call.py
+++ b/pondpin/relay/call.py
@@ -3,7 +3,7 @@
 import enum
 from dataclasses import dataclass
 
-from pondpin.http_server import Incoming, Reply
+from pondpin.http_reply import Incoming, Reply
 from pondpin.relay.model import RelayConfiguration, RequestFacts, Route
 
 # Callers give a stream up after the longest of these, also before its first event.
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -11,7 +11,8 @@
 from pondpin.controllers.base import Controller
 from pondpin.controllers.peers import GrpcPeers
 from pondpin.http_client import HttpClient
-from pondpin.http_server import Incoming, Reply, ServerLimits, WebServer
+from pondpin.http_reply import Incoming, Reply
+from pondpin.http_server import ServerLimits, WebServer
 from pondpin.metrics import Metrics
 from pondpin.network import Endpoint, parse_endpoint
 from pondpin.peer_server import PeerListener
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -8,7 +8,7 @@
 from pondpin.clocks import Clock
 from pondpin.codes import Code, Ran
 from pondpin.errors import PondpinError
-from pondpin.http_server import Incoming, Reply
+from pondpin.http_reply import Incoming, Reply
 from pondpin.metrics import Metrics
 from pondpin.relay.admission import Admitted, Beliefs, admit, check_proof
 from pondpin.relay.attempt import Attempts, Patience
@@ -16,18 +16,11 @@
 from pondpin.relay.engine_choice import should_wait
 from pondpin.relay.leases import LeaseGroup, Leases
 from pondpin.relay.log import EventLog
-from pondpin.relay.log_events import (
-    AttemptEnded,
-    CallerGone,
-    Ended,
-    Placed,
-    Refused,
-    UpstreamEjected,
-    UpstreamLeaving,
-)
+from pondpin.relay.log_events import UpstreamEjected, UpstreamLeaving
 from pondpin.relay.model import AnswerHead, RouteKind
 from pondpin.relay.planner import Plan, Planner, make_job
 from pondpin.relay.ports import Dialect
+from pondpin.relay.request_notes import RequestNotes
 from pondpin.relay.retry_window import RetryBounds, RetryWindow
 from pondpin.relay.routing import pick_service
 from pondpin.relay.upstreams import UpstreamTable
@@ -86,6 +79,7 @@
     def __post_init__(self) -> None:
         """Set up the state."""
         self.open_requests = 0
+        self.notes = RequestNotes(self.log, self.metrics, self.clock)
         self._windows: dict[str, RetryWindow] = {}
 
     async def handle(self, incoming: Incoming, reply: Reply) -> None:
@@ -101,7 +95,7 @@
             self._window(call.service).note_request(arrived)
             await self._serve_unless_gone(call)
         except PondpinError as error:
-            self._refuse(incoming, reply, facts.attempt_id, error, arrived)
+            self._refuse(reply, facts.attempt_id, error, arrived)
         finally:
             self.open_requests -= 1
 
@@ -132,11 +126,7 @@
             if not task.cancelled():
                 task.cancel()
                 raise
-            after = round((self.clock() - call.arrived) * 1000)
-            self.log.write(
-                CallerGone(request=call.id, route=call.route.name, after_ms=after, events=0)
-            )
-            self._count(call, Code.CALLER_GONE, Ran.UNKNOWN)
+            self.notes.caller_gone(call)
 
     async def _serve(self, call: RelayCall) -> None:
         progress = Progress()
@@ -148,7 +138,7 @@
                 self._finish_stream(call, progress)
                 return
             again = self._may_try_again(call, progress, end)
-            self._note_attempt(call, progress, end, again)
+            self.notes.attempt_ended(call, progress, end, again)
             if again:
                 continue
             if end.answer is not None and not progress.head_sent:
@@ -167,7 +157,7 @@
             beliefs = self.beliefs()
             self._check_still_allowed(call, beliefs)
             progress.attempts += 1
-            self._note_placed(call, progress, plan, group, beliefs)
+            self.notes.placed(call, progress, plan, group, beliefs)
             end = await self.attempts.run(
                 call,
                 plan,
@@ -307,111 +297,20 @@
         progress.first_at = self.clock()
         call.reply.send_exact(answer.status, answer.headers, answer.body)
         code = Code.OK if answer.status < FIRST_SERVER_ERROR else Code.UPSTREAM_REFUSED
-        self._note_end(call, progress, answer.status, code)
+        self.notes.ended(call, progress, answer.status, code)
 
     def _finish_stream(self, call: RelayCall, progress: Progress) -> None:
         call.reply.finish()
-        self._note_end(call, progress, 200, Code.OK)
-
-    def _note_end(self, call: RelayCall, progress: Progress, status: int, code: Code) -> None:
-        now = self.clock()
-        first = progress.first_at if progress.first_at is not None else now
-        self.log.write(
-            Ended(
-                request=call.id,
-                route=call.route.name,
-                status=status,
-                upstream=progress.upstream,
-                attempts=progress.attempts,
-                first_ms=round((first - call.arrived) * 1000),
-                total_ms=round((now - call.arrived) * 1000),
-                events=progress.events,
-                longest_gap_ms=round(progress.longest_gap * 1000),
-            )
-        )
-        self.metrics.ttft.observe({"class": call.route.kind.value}, first - call.arrived)
-        self._count(call, code, Ran.RAN)
+        self.notes.ended(call, progress, 200, Code.OK)
 
-    def _count(self, call: RelayCall, code: Code, ran: Ran) -> None:
-        labels = {"class": call.route.kind.value}
-        self.metrics.requests.inc(labels | {"code": str(int(code)), "ran": ran.value})
-        self.metrics.duration.observe(labels, self.clock() - call.arrived)
-
-    def _refuse(
-        self, incoming: Incoming, reply: Reply, request: str, error: PondpinError, arrived: float
-    ) -> None:
+    def _refuse(self, reply: Reply, request: str, error: PondpinError, arrived: float) -> None:
         """Send an error's answer, or cut an answer that had begun."""
-        now = self.clock()
-        age = self.beliefs().proof_age(now)
-        self.log.write(
-            Refused(
-                request=request,
-                code=error.code.name,
-                detail=error.detail,
-                after_ms=round((now - arrived) * 1000),
-                proof_age_ms=-1 if age == float("inf") else round(age * 1000),
-                retry_after=error.retry_after or 0.0,
-            )
-        )
-        labels = {"class": "refused", "code": str(int(error.code)), "ran": error.ran.value}
-        self.metrics.requests.inc(labels)
+        self.notes.refused(request, error, arrived, self.beliefs())
         if reply.started:
             reply.abort()
             return
         reply.send_error(error, request, fractions=True)
 
-    def _note_placed(
-        self,
-        call: RelayCall,
-        progress: Progress,
-        plan: Plan,
-        group: LeaseGroup | None,
-        beliefs: Beliefs,
-    ) -> None:
-        now = self.clock()
-        load = plan.lead.load(now)
-        choice = plan.choice
-        self.log.write(
-            Placed(
-                request=call.id,
-                attempt=progress.attempts,
-                route=call.route.name,
-                version=call.configuration.version,
-                proof_age_ms=round(min(beliefs.proof_age(now), 1e6) * 1000),
-                upstream=plan.lead.id,
-                in_flight=load.in_flight,
-                reading_ms=round(load.reading * 1000),
-                rank=call.rank,
-                prompt_tokens=call.facts.prompt_tokens,
-                part_ms=round(choice.part_seconds * 1000) if choice is not None else 0,
-                candidates=plan.candidates,
-                first_event_ms=round(choice.first_event * 1000) if choice is not None else 0,
-                loss=round(choice.loss, 3) if choice is not None else 0.0,
-                pool=choice.pool if choice is not None else 0,
-                helpers=tuple(state.id for state in plan.helpers),
-                leases=len(group.places) if group is not None else 0,
-                resume_after=str(progress.last_number) if progress.events else "",
-            )
-        )
-
-    def _note_attempt(
-        self, call: RelayCall, progress: Progress, end: AttemptEnd, again: bool
-    ) -> None:
-        if end.kind is EndKind.ANSWERED and not again:
-            return
-        self.log.write(
-            AttemptEnded(
-                request=call.id,
-                attempt=progress.attempts,
-                upstream=progress.upstream,
-                result=end.kind.value,
-                detail=end.detail,
-                after_ms=round((self.clock() - call.arrived) * 1000),
-                events=progress.events,
-                next="elsewhere" if again else "final answer",
-            )
-        )
-
     def _window(self, service: str) -> RetryWindow:
         window = self._windows.get(service)
         if window is None:
--- a/pondpin/relay/leases.py
+++ b/pondpin/relay/leases.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from pondpin.http_client import CallFailedError
+from pondpin.http_streams import CallFailedError
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import LeasesEnded
 from pondpin.relay.ports import LeaseAnswer, LeasePort, PartPlace
--- a/pondpin/relay/probe.py
+++ b/pondpin/relay/probe.py
@@ -4,7 +4,8 @@
 
 from pondpin.clocks import Clock
 from pondpin.controllers.base import Controller
-from pondpin.http_client import CallFailedError, HttpClient
+from pondpin.http_client import HttpClient
+from pondpin.http_streams import CallFailedError
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import UpstreamBack
 from pondpin.relay.model import RelayConfiguration
--- a/pondpin/relay/reader.py
+++ b/pondpin/relay/reader.py
@@ -10,7 +10,7 @@
 
 from pondpin.clocks import Clock
 from pondpin.controllers.base import Controller
-from pondpin.http_client import CallFailedError
+from pondpin.http_streams import CallFailedError
 from pondpin.relay.freshness import Proof
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import SourceChanged
--- /dev/null
+++ b/pondpin/relay/request_notes.py
@@ -0,0 +1,132 @@
+"""Notes of each request's way: log lines and metrics, nothing that decides."""
+
+from dataclasses import dataclass
+
+from pondpin.clocks import Clock
+from pondpin.codes import Code, Ran
+from pondpin.errors import PondpinError
+from pondpin.metrics import Metrics
+from pondpin.relay.admission import Beliefs
+from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall
+from pondpin.relay.leases import LeaseGroup
+from pondpin.relay.log import EventLog
+from pondpin.relay.log_events import AttemptEnded, CallerGone, Ended, Placed, Refused
+from pondpin.relay.planner import Plan
+
+MILLISECONDS = 1000
+# An age that is not known is told as this many seconds.
+LONGEST_AGE = 1e6
+
+
+@dataclass(frozen=True, slots=True)
+class RequestNotes:
+    """Writes what becomes of requests."""
+
+    log: EventLog
+    metrics: Metrics
+    clock: Clock
+
+    def ended(self, call: RelayCall, progress: Progress, status: int, code: Code) -> None:
+        """A request got its whole answer."""
+        now = self.clock()
+        first = progress.first_at if progress.first_at is not None else now
+        self.log.write(
+            Ended(
+                request=call.id,
+                route=call.route.name,
+                status=status,
+                upstream=progress.upstream,
+                attempts=progress.attempts,
+                first_ms=round((first - call.arrived) * MILLISECONDS),
+                total_ms=round((now - call.arrived) * MILLISECONDS),
+                events=progress.events,
+                longest_gap_ms=round(progress.longest_gap * MILLISECONDS),
+            )
+        )
+        self.metrics.ttft.observe({"class": call.route.kind.value}, first - call.arrived)
+        self._count(call, code, Ran.RAN)
+
+    def _count(self, call: RelayCall, code: Code, ran: Ran) -> None:
+        labels = {"class": call.route.kind.value}
+        self.metrics.requests.inc(labels | {"code": str(int(code)), "ran": ran.value})
+        self.metrics.duration.observe(labels, self.clock() - call.arrived)
+
+    def refused(self, request: str, error: PondpinError, arrived: float, beliefs: Beliefs) -> None:
+        """A request was refused, or failed."""
+        now = self.clock()
+        age = beliefs.proof_age(now)
+        self.log.write(
+            Refused(
+                request=request,
+                code=error.code.name,
+                detail=error.detail,
+                after_ms=round((now - arrived) * MILLISECONDS),
+                proof_age_ms=-1 if age == float("inf") else round(age * MILLISECONDS),
+                retry_after=error.retry_after or 0.0,
+            )
+        )
+        labels = {"class": "refused", "code": str(int(error.code)), "ran": error.ran.value}
+        self.metrics.requests.inc(labels)
+
+    def caller_gone(self, call: RelayCall) -> None:
+        """The caller closed its connection."""
+        after = round((self.clock() - call.arrived) * MILLISECONDS)
+        line = CallerGone(request=call.id, route=call.route.name, after_ms=after, events=0)
+        self.log.write(line)
+        self._count(call, Code.CALLER_GONE, Ran.UNKNOWN)
+
+    def placed(
+        self,
+        call: RelayCall,
+        progress: Progress,
+        plan: Plan,
+        group: LeaseGroup | None,
+        beliefs: Beliefs,
+    ) -> None:
+        """An attempt is about to be sent."""
+        now = self.clock()
+        load = plan.lead.load(now)
+        choice = plan.choice
+        self.log.write(
+            Placed(
+                request=call.id,
+                attempt=progress.attempts,
+                route=call.route.name,
+                version=call.configuration.version,
+                proof_age_ms=round(min(beliefs.proof_age(now), LONGEST_AGE) * MILLISECONDS),
+                upstream=plan.lead.id,
+                in_flight=load.in_flight,
+                reading_ms=round(load.reading * MILLISECONDS),
+                rank=call.rank,
+                prompt_tokens=call.facts.prompt_tokens,
+                part_ms=round(choice.part_seconds * MILLISECONDS) if choice is not None else 0,
+                candidates=plan.candidates,
+                first_event_ms=round(choice.first_event * MILLISECONDS)
+                if choice is not None
+                else 0,
+                loss=round(choice.loss, 3) if choice is not None else 0.0,
+                pool=choice.pool if choice is not None else 0,
+                helpers=tuple(state.id for state in plan.helpers),
+                leases=len(group.places) if group is not None else 0,
+                resume_after=str(progress.last_number) if progress.events else "",
+            )
+        )
+
+    def attempt_ended(
+        self, call: RelayCall, progress: Progress, end: AttemptEnd, again: bool
+    ) -> None:
+        """An attempt did not bring the final answer."""
+        if end.kind is EndKind.ANSWERED and not again:
+            return
+        self.log.write(
+            AttemptEnded(
+                request=call.id,
+                attempt=progress.attempts,
+                upstream=progress.upstream,
+                result=end.kind.value,
+                detail=end.detail,
+                after_ms=round((self.clock() - call.arrived) * MILLISECONDS),
+                events=progress.events,
+                next="elsewhere" if again else "final answer",
+            )
+        )
--- a/pondpin/reservations.py
+++ b/pondpin/reservations.py
@@ -6,7 +6,7 @@
 from pondpin.clocks import Clock, WallClock
 from pondpin.engine_client import EnginePort
 from pondpin.engine_protocol import ReservationRequest
-from pondpin.http_client import CallFailedError
+from pondpin.http_streams import CallFailedError
 from pondpin.identity import Identity
 
 
--- a/pondpin/resumes.py
+++ b/pondpin/resumes.py
@@ -12,8 +12,8 @@
 from pondpin.errors import PondpinError
 from pondpin.fleet import Fleet, UpstreamState
 from pondpin.frames import FrameGate
-from pondpin.http_client import CallFailedError
-from pondpin.http_server import Incoming, Reply
+from pondpin.http_reply import Incoming, Reply
+from pondpin.http_streams import CallFailedError
 from pondpin.signing import Signer
 from pondpin.stream_attempt import StreamAttempt, Watchdog
 
--- a/pondpin/service_client.py
+++ b/pondpin/service_client.py
@@ -6,7 +6,8 @@
 import msgspec
 
 from pondpin.calls import WholeAnswer
-from pondpin.http_client import CallFailedError, HttpClient
+from pondpin.http_client import HttpClient
+from pondpin.http_streams import CallFailedError
 
 IDEMPOTENCY_HEADER = "idempotency-key"
 PASSED_HEADERS = ("content-type", "accept", IDEMPOTENCY_HEADER)
--- /dev/null
+++ b/pondpin/soak/deployment.py
@@ -0,0 +1,188 @@
+"""The programs that a soak plays with."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from pondpin.http_client import HttpClient
+from pondpin.http_streams import CallFailedError
+from pondpin.soak.processes import Managed
+from pondpin.soak.promises import Findings
+from pondpin.soak.proxy import Proxy
+from pondpin.soak.standin import Put
+from pondpin.standins.local_platform import CENTERS, ENGINES, PLAIN, sample_configuration
+from pondpin.standins.published_store import CONFIGURATION_KEY, UPSTREAMS_PREFIX
+
+EVENTS = 8
+EVENT_MS = 20
+KEY_MS = 2000
+READY_SECONDS = 30.0
+STORE_PORT = 7100
+PROXY_PORT = 7200
+CALLER_PORT = 7300
+READY_PORT = 7301
+DOCUMENT_PORT = 7302
+DATAGRAM_PORT = 7303
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """How large a soak is."""
+
+    instances: int = 3
+    engines: int = 4
+    plain: int = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """The loopback addresses of a soak; several places can be used at the same time."""
+
+    number: int = 0
+
+    @property
+    def standins(self) -> str:
+        """Where the store, the workers and their proxies are."""
+        return f"127.0.{self.number + 2}.250"
+
+    def instance(self, number: int) -> str:
+        """Where an instance is."""
+        return f"127.0.{self.number + 2}.{number + 1}"
+
+
+class Deployment:
+    """Store, workers, proxies and instances as processes on loopback addresses."""
+
+    def __init__(self, reactor: Any, size: Size, place: Place, folder: Path) -> None:
+        self.size = size
+        self.place = place
+        self.folder = folder
+        self.http = HttpClient(reactor, 1.0)
+        self.findings = Findings()
+        self.version = 1
+        self.keys = ["key-1"]
+        self.store = self._program(
+            "store", "pondpin.soak.standin", "store", f"{place.standins}:{STORE_PORT}"
+        )
+        names = [f"engine-{i}" for i in range(size.engines)] + [
+            f"plain-{i}" for i in range(size.plain)
+        ]
+        self.port_by_worker = {name: STORE_PORT + 1 + i for i, name in enumerate(names)}
+        self.workers = {
+            name: self._program(
+                name,
+                "pondpin.soak.standin",
+                "worker",
+                f"{place.standins}:{port}",
+                name,
+                str(EVENTS),
+                str(EVENT_MS),
+            )
+            for name, port in self.port_by_worker.items()
+        }
+        self.worker_links = {
+            name: Proxy(place.standins, PROXY_PORT + i, place.standins, port)
+            for i, (name, port) in enumerate(self.port_by_worker.items())
+        }
+        self.store_links = [
+            Proxy(self.place.instance(i), STORE_PORT, place.standins, STORE_PORT)
+            for i in range(size.instances)
+        ]
+        self.instances = [self._instance(i) for i in range(size.instances)]
+
+    def _program(self, name: str, module: str, *arguments: str) -> Managed:
+        return Managed(name, ["-m", module, *arguments], self.folder / f"{name}.log")
+
+    def _instance(self, number: int) -> Managed:
+        host = self.place.instance(number)
+        settings = {
+            "instance": f"relay-{number}",
+            "data_center": CENTERS[number % len(CENTERS)],
+            "callers": f"{host}:{CALLER_PORT}",
+            "ready": f"{host}:{READY_PORT}",
+            "source": f"{host}:{STORE_PORT}",
+            "peers": {
+                "documents": f"{host}:{DOCUMENT_PORT}",
+                "known": [f"{self.place.instance(0)}:{DOCUMENT_PORT}"],
+                "ports": [DATAGRAM_PORT, DATAGRAM_PORT],
+            },
+            "limits": {"key_ms": KEY_MS, "grace_seconds": 4.0, "retry_allowance": 1000},
+        }
+        path = self.folder / f"relay-{number}.json"
+        path.write_text(json.dumps(settings))
+        return self._program(f"relay-{number}", "pondpin.main", f"--settings={path}")
+
+    async def start(self) -> None:
+        """Start all and wait until every instance is ready."""
+        for program in (self.store, *self.workers.values()):
+            program.start()
+        for link in (*self.store_links, *self.worker_links.values()):
+            await link.start()
+        await self._retry(lambda: self.publish())
+        for name, link in self.worker_links.items():
+            await self._list_worker(name, link.port, "ready")
+        for instance in self.instances:
+            instance.start()
+        await self.until_ready()
+
+    async def end(self) -> None:
+        """End all."""
+        programs = (*self.instances, *self.workers.values(), self.store)
+        await asyncio.gather(*(program.end() for program in programs))
+        for link in (*self.store_links, *self.worker_links.values()):
+            await link.stop()
+        await self.http.close()
+
+    async def until_ready(self) -> None:
+        """Wait until every instance is ready; a finding when that takes too long."""
+        waited = 0.0
+        while waited < READY_SECONDS:
+            answers = await asyncio.gather(*(self._is_ready(i) for i in range(len(self.instances))))
+            if all(answers):
+                return
+            await asyncio.sleep(0.2)
+            waited += 0.2
+        self.findings.add("an instance serves again after trouble", f"not in {READY_SECONDS} s")
+
+    async def _is_ready(self, number: int) -> bool:
+        url = f"http://{self.place.instance(number)}:{READY_PORT}/v1/readyz"
+        try:
+            return (await self.http.call("GET", url, timeout=1.0)).status == 200
+        except CallFailedError:
+            return False
+
+    async def _retry(self, work: Callable[[], Awaitable[None]]) -> None:
+        for _ in range(100):
+            try:
+                await work()
+                return
+            except CallFailedError:
+                await asyncio.sleep(0.1)
+        raise RuntimeError("a stand-in of the soak did not start")
+
+    async def post(self, port: int, path: str, value: object) -> bytes:
+        """Steer a stand-in."""
+        url = f"http://{self.place.standins}:{port}{path}"
+        answer = await self.http.call("POST", url, body=msgspec.json.encode(value), timeout=3.0)
+        return answer.body
+
+    async def publish(self) -> None:
+        """Publish the present keys as a new version."""
+        tenants = [{"name": "riders", "apiKeys": self.keys, "priority": 1}]
+        document = sample_configuration(self.version, tenants=tenants)
+        await self.post(STORE_PORT, "/soak/put", Put(CONFIGURATION_KEY, document))
+
+    async def _list_worker(self, name: str, port: int, state: str) -> None:
+        entry = {
+            "service": ENGINES if name.startswith("engine") else PLAIN,
+            "address": f"{self.place.standins}:{port}",
+            "zone": CENTERS[port % len(CENTERS)],
+            "slots": 8,
+            "state": state,
+        }
+        await self.post(STORE_PORT, "/soak/put", Put(f"{UPSTREAMS_PREFIX}{name}", entry))
--- a/pondpin/soak/run.py
+++ b/pondpin/soak/run.py
@@ -1,156 +1,66 @@
 """python -m pondpin.soak.run: plays one seed, or several, and tells what promises broke."""
 
 import asyncio
-import json
 import random
 import signal
 import tempfile
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
-from pondpin.http_client import CallFailedError, HttpClient
+from pondpin.http_streams import CallFailedError
 from pondpin.runtime import Ready, run, run_command
-from pondpin.soak.processes import Managed
-from pondpin.soak.promises import Findings, Seen, check_attempts, count_statuses
+from pondpin.soak.deployment import (
+    CALLER_PORT,
+    EVENTS,
+    KEY_MS,
+    Deployment,
+    Place,
+    Size,
+)
+from pondpin.soak.promises import Seen, check_attempts, count_statuses
 from pondpin.soak.proxy import Link, Proxy
-from pondpin.soak.standin import Audit, Put, Steer
+from pondpin.soak.standin import Audit, Steer
 from pondpin.standins.local_platform import (
-    CENTERS,
-    ENGINES,
     HOST,
-    PLAIN,
-    sample_configuration,
 )
 from pondpin.standins.worker import WorkerFault
 
 SEEDS_FILE = Path(__file__).parent / "seeds.txt"
-EVENTS = 8
-EVENT_MS = 20
-KEY_MS = 2000
 KEY_SECONDS = KEY_MS / 1000
-READY_SECONDS = 30.0
 QUIET_SECONDS = 5.0
 REQUEST_SECONDS = 4.0
 REQUESTS_PER_SECOND = 25.0
 FAULT_GAP_SECONDS = 0.8
-STORE_PORT = 7100
-PROXY_PORT = 7200
-CALLER_PORT = 7300
-READY_PORT = 7301
-DOCUMENT_PORT = 7302
-DATAGRAM_PORT = 7303
 WORKER_FAULTS = tuple(fault.value for fault in WorkerFault if fault is not WorkerFault.NONE)
 PROMPT_TOKENS = (2000, 5000, 60_000, 300_000, 700_000)
 CALM_TOKENS = (2000, 5000)
 ROUTES = ("stream", "stream", "once", "again")
 
 
-@dataclass(frozen=True, slots=True)
-class Size:
-    """How large a soak is."""
-
-    instances: int = 3
-    engines: int = 4
-    plain: int = 3
-
-
-@dataclass(frozen=True, slots=True)
-class Place:
-    """The loopback addresses of a soak; several places can be used at the same time."""
-
-    number: int = 0
-
-    @property
-    def standins(self) -> str:
-        """Where the store, the workers and their proxies are."""
-        return f"127.0.{self.number + 2}.250"
-
-    def instance(self, number: int) -> str:
-        """Where an instance is."""
-        return f"127.0.{self.number + 2}.{number + 1}"
-
-
-class Soak:
+class Soak(Deployment):
     """One seeded run."""
 
     def __init__(
         self, reactor: Any, seed: int, seconds: float, size: Size, place: Place, folder: Path
     ) -> None:
+        super().__init__(reactor, size, place, folder)
         self.rng = random.Random(seed)
         self.seconds = seconds
-        self.size = size
-        self.place = place
-        self.folder = folder
-        self.http = HttpClient(reactor, 1.0)
-        self.findings = Findings()
         self.seen: list[Seen] = []
         self.runs: Counter[str] = Counter()
-        self.version = 1
-        self.keys = ["key-1"]
         self.ended_at_by_key: dict[str, float] = {}
         self.faults: list[str] = []
-        self.store = self._program(
-            "store", "pondpin.soak.standin", "store", f"{place.standins}:{STORE_PORT}"
-        )
-        names = [f"engine-{i}" for i in range(size.engines)] + [
-            f"plain-{i}" for i in range(size.plain)
-        ]
-        self.port_by_worker = {name: STORE_PORT + 1 + i for i, name in enumerate(names)}
-        self.workers = {
-            name: self._program(
-                name,
-                "pondpin.soak.standin",
-                "worker",
-                f"{place.standins}:{port}",
-                name,
-                str(EVENTS),
-                str(EVENT_MS),
-            )
-            for name, port in self.port_by_worker.items()
-        }
-        self.worker_links = {
-            name: Proxy(place.standins, PROXY_PORT + i, place.standins, port)
-            for i, (name, port) in enumerate(self.port_by_worker.items())
-        }
-        self.store_links = [
-            Proxy(self.place.instance(i), STORE_PORT, place.standins, STORE_PORT)
-            for i in range(size.instances)
-        ]
-        self.instances = [self._instance(i) for i in range(size.instances)]
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def _program(self, name: str, module: str, *arguments: str) -> Managed:
-        return Managed(name, ["-m", module, *arguments], self.folder / f"{name}.log")
-
-    def _instance(self, number: int) -> Managed:
-        host = self.place.instance(number)
-        settings = {
-            "instance": f"relay-{number}",
-            "data_center": CENTERS[number % len(CENTERS)],
-            "callers": f"{host}:{CALLER_PORT}",
-            "ready": f"{host}:{READY_PORT}",
-            "source": f"{host}:{STORE_PORT}",
-            "peers": {
-                "documents": f"{host}:{DOCUMENT_PORT}",
-                "known": [f"{self.place.instance(0)}:{DOCUMENT_PORT}"],
-                "ports": [DATAGRAM_PORT, DATAGRAM_PORT],
-            },
-            "limits": {"key_ms": KEY_MS, "grace_seconds": 4.0, "retry_allowance": 1000},
-        }
-        path = self.folder / f"relay-{number}.json"
-        path.write_text(json.dumps(settings))
-        return self._program(f"relay-{number}", "pondpin.main", f"--settings={path}")
-
     async def play(self) -> None:
         """Start all, load and break it, let it rest, check."""
         try:
-            await self._start()
+            await self.start()
             end = time.monotonic() + self.seconds
             await asyncio.gather(self._load(end), self._break(end))
             await self._recover()
@@ -158,72 +68,7 @@
             await self._audit()
             check_attempts(self.seen, self.runs, EVENTS, self.findings)
         finally:
-            await self._end()
-
-    async def _start(self) -> None:
-        for program in (self.store, *self.workers.values()):
-            program.start()
-        for link in (*self.store_links, *self.worker_links.values()):
-            await link.start()
-        await self._retry(lambda: self._publish())
-        for name, link in self.worker_links.items():
-            await self._list_worker(name, link.port, "ready")
-        for instance in self.instances:
-            instance.start()
-        await self._until_ready()
-
-    async def _end(self) -> None:
-        programs = (*self.instances, *self.workers.values(), self.store)
-        await asyncio.gather(*(program.end() for program in programs))
-        for link in (*self.store_links, *self.worker_links.values()):
-            await link.stop()
-        await self.http.close()
-
-    async def _until_ready(self) -> None:
-        waited = 0.0
-        while waited < READY_SECONDS:
-            answers = await asyncio.gather(*(self._is_ready(i) for i in range(len(self.instances))))
-            if all(answers):
-                return
-            await asyncio.sleep(0.2)
-            waited += 0.2
-        self.findings.add("an instance serves again after trouble", f"not in {READY_SECONDS} s")
-
-    async def _is_ready(self, number: int) -> bool:
-        url = f"http://{self.place.instance(number)}:{READY_PORT}/v1/readyz"
-        try:
-            return (await self.http.call("GET", url, timeout=1.0)).status == 200
-        except CallFailedError:
-            return False
-
-    async def _retry(self, work: Callable[[], Awaitable[None]]) -> None:
-        for _ in range(100):
-            try:
-                await work()
-                return
-            except CallFailedError:
-                await asyncio.sleep(0.1)
-        raise RuntimeError("a stand-in of the soak did not start")
-
-    async def _post(self, port: int, path: str, value: object) -> bytes:
-        url = f"http://{self.place.standins}:{port}{path}"
-        answer = await self.http.call("POST", url, body=msgspec.json.encode(value), timeout=3.0)
-        return answer.body
-
-    async def _publish(self) -> None:
-        tenants = [{"name": "riders", "apiKeys": self.keys, "priority": 1}]
-        document = sample_configuration(self.version, tenants=tenants)
-        await self._post(STORE_PORT, "/soak/put", Put("op/config", document))
-
-    async def _list_worker(self, name: str, port: int, state: str) -> None:
-        entry = {
-            "service": ENGINES if name.startswith("engine") else PLAIN,
-            "address": f"{self.place.standins}:{port}",
-            "zone": CENTERS[port % len(CENTERS)],
-            "slots": 8,
-            "state": state,
-        }
-        await self._post(STORE_PORT, "/soak/put", Put(f"servers/{name}", entry))
+            await self.end()
 
     async def _load(self, end: float) -> None:
         number = 0
@@ -284,7 +129,7 @@
     async def _fault_worker(self) -> str:
         name = self.rng.choice(list(self.workers))
         faults = tuple(self.rng.choices(WORKER_FAULTS, k=self.rng.randint(1, 5)))
-        await self._post(self.port_by_worker[name], "/soak/steer", Steer(faults))
+        await self.post(self.port_by_worker[name], "/soak/steer", Steer(faults))
         return f"{name} {','.join(faults)}"
 
     async def _link_worker(self) -> str:
@@ -326,7 +171,7 @@
     async def _change_keys(self) -> str:
         self.version += 1
         old, self.keys = self.keys, [f"key-{self.version}"]
-        await self._publish()
+        await self.publish()
         now = time.monotonic()
         self.ended_at_by_key = {key: now for key in old}
         return f"version {self.version}"
@@ -341,14 +186,14 @@
         for link in (*self.store_links, *self.worker_links.values()):
             link.link = Link.OPEN
         for name in self.workers:
-            await self._post(self.port_by_worker[name], "/soak/steer", Steer())
+            await self.post(self.port_by_worker[name], "/soak/steer", Steer())
         await asyncio.sleep(QUIET_SECONDS + 4.0)
         for instance in self.instances:
             instance.send(signal.SIGCONT)
             if instance.crashed:
                 self.findings.add("no process ends by itself", instance.name)
             instance.start()
-        await self._until_ready()
+        await self.until_ready()
         await asyncio.sleep(QUIET_SECONDS)
         before = len(self.seen)
         self.ended_at_by_key.clear()
@@ -360,7 +205,7 @@
 
     async def _audit(self) -> None:
         for name in self.workers:
-            body = await self._post(self.port_by_worker[name], "/soak/audit", {})
+            body = await self.post(self.port_by_worker[name], "/soak/audit", {})
             audit = msgspec.json.decode(body, type=Audit)
             self.runs.update(audit.runs)
             if audit.leases:
--- a/pondpin/soak/standin.py
+++ b/pondpin/soak/standin.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from pondpin.http_server import Incoming, Reply
+from pondpin.http_reply import Incoming, Reply
 from pondpin.network import parse_endpoint
 from pondpin.runtime import Ready, run, run_command, stop_on_signals
 from pondpin.standins.published_store import PublishedStore
--- a/pondpin/standins/engine.py
+++ b/pondpin/standins/engine.py
@@ -23,7 +23,8 @@
     StreamRequest,
 )
 from pondpin.errors import PondpinError
-from pondpin.http_server import Incoming, Reply, ServerLimits, WebServer
+from pondpin.http_reply import Incoming, Reply
+from pondpin.http_server import ServerLimits, WebServer
 from pondpin.network import Endpoint, parse_endpoint
 from pondpin.runtime import Ready, run, run_command, steady_now, stop_on_signals, wall_now
 from pondpin.standins.engine_model import (
--- a/pondpin/standins/health.py
+++ b/pondpin/standins/health.py
@@ -5,7 +5,8 @@
 from aioprometheus import Gauge, Registry
 from aioprometheus.renderer import render
 
-from pondpin.http_server import Incoming, Reply, WebServer
+from pondpin.http_reply import Incoming, Reply
+from pondpin.http_server import WebServer
 
 TEXT = {"content-type": "text/plain"}
 
--- a/pondpin/standins/platform.py
+++ b/pondpin/standins/platform.py
@@ -10,7 +10,8 @@
 
 from pondpin.codes import Code
 from pondpin.errors import PondpinError
-from pondpin.http_server import JSON, Incoming, Reply, WebServer
+from pondpin.http_reply import JSON, Incoming, Reply
+from pondpin.http_server import WebServer
 from pondpin.network import Endpoint, parse_endpoint
 from pondpin.platform_protocol import (
     CONFIGURATION_PATH,
--- a/pondpin/standins/service.py
+++ b/pondpin/standins/service.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from pondpin.http_server import Incoming, Reply, WebServer
+from pondpin.http_reply import Incoming, Reply
+from pondpin.http_server import WebServer
 from pondpin.network import Endpoint, parse_endpoint
 from pondpin.runtime import Ready, run, run_command, stop_on_signals
 from pondpin.standins.faults import Faults
--- a/pondpin/standins/worker.py
+++ b/pondpin/standins/worker.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from pondpin.http_server import Incoming, Reply, WebServer
+from pondpin.http_reply import Incoming, Reply
+from pondpin.http_server import WebServer
 from pondpin.network import Endpoint
 
 HANG_SECONDS = 30.0
--- a/pondpin/stream_attempt.py
+++ b/pondpin/stream_attempt.py
@@ -10,7 +10,7 @@
 from pondpin.clocks import Clock
 from pondpin.engine_client import FrameReader
 from pondpin.frames import FrameGate, GapError
-from pondpin.http_client import CallFailedError, OpenStream
+from pondpin.http_streams import CallFailedError, OpenStream
 
 
 @dataclass(frozen=True, slots=True)
--- a/pondpin/tests/test_ctl.py
+++ b/pondpin/tests/test_ctl.py
@@ -73,7 +73,7 @@
 class GateTest(unittest.TestCase):
     def test_rights(self) -> None:
         from pondpin.errors import PondpinError
-        from pondpin.http_server import Incoming
+        from pondpin.http_reply import Incoming
 
         gate = OperatorGate(
             (
--- a/pondpin/tests/test_frames.py
+++ b/pondpin/tests/test_frames.py
@@ -9,7 +9,7 @@
 from pondpin.engine_client import FrameReader
 from pondpin.engine_protocol import StreamFrame
 from pondpin.frames import Drop, FrameGate, GapError
-from pondpin.http_client import CallFailedError
+from pondpin.http_streams import CallFailedError
 
 
 def frame(offset: int, end: str = "", request: str = "r", attempt: int = 0) -> StreamFrame:
--- a/pondpin/tests/test_http_server.py
+++ b/pondpin/tests/test_http_server.py
@@ -9,7 +9,8 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
-from pondpin.http_server import BodyBudget, Incoming, Reply, ServerLimits, WebFactory, WebServer
+from pondpin.http_reply import Incoming, Reply
+from pondpin.http_server import BodyBudget, ServerLimits, WebFactory, WebServer
 from pondpin.tests.support import run_async
 
 LIMITS = ServerLimits(body_bytes=100, bodies_held_bytes=150, send_seconds=5.0, idle_seconds=60.0)
--- a/pondpin/tests/test_relay_leases.py
+++ b/pondpin/tests/test_relay_leases.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pondpin.http_client import CallFailedError
+from pondpin.http_streams import CallFailedError
 from pondpin.relay.leases import HOLD_SECONDS, RENEW_SECONDS, Leases
 from pondpin.relay.ports import LeaseAnswer, PartPlace
 from pondpin.tests.support import run_async
--- a/pondpin/tests/test_relay_publication.py
+++ b/pondpin/tests/test_relay_publication.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from pondpin.http_client import CallFailedError
+from pondpin.http_streams import CallFailedError
 from pondpin.platform.documents import PlatformDecoder
 from pondpin.relay.digests import (
     ALIVE_SECONDS,
--- a/pondpin/tests/test_relay_serving.py
+++ b/pondpin/tests/test_relay_serving.py
@@ -4,7 +4,8 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
-from pondpin.http_client import Answer, CallFailedError
+from pondpin.http_client import Answer
+from pondpin.http_streams import CallFailedError
 from pondpin.settings import RelayLimits
 from pondpin.standins.local_platform import (
     HOST,
--- a/pondpin/tests/test_scheduler.py
+++ b/pondpin/tests/test_scheduler.py
@@ -14,7 +14,7 @@
 from pondpin.errors import PondpinError
 from pondpin.fair_queue import Flow
 from pondpin.fleet import Fleet, UpstreamState, label_upstream
-from pondpin.http_client import CallFailedError
+from pondpin.http_streams import CallFailedError
 from pondpin.identity import Identity
 from pondpin.invariants import Invariants
 from pondpin.ledger import Ledger
--- a/pondpin/tests/test_soak.py
+++ b/pondpin/tests/test_soak.py
@@ -4,8 +4,9 @@
 import unittest
 from pathlib import Path
 
+from pondpin.soak.deployment import Place, Size
 from pondpin.soak.promises import Findings, Seen, check_attempts, stream_body
-from pondpin.soak.run import Place, Size, known_seeds, play_seed
+from pondpin.soak.run import known_seeds, play_seed
 from pondpin.tests.support import run_async, the_loop
 
 SECONDS = 6.0
--- a/pondpin/tests/test_tls.py
+++ b/pondpin/tests/test_tls.py
@@ -11,7 +11,8 @@
 from pathlib import Path
 
 from pondpin.controllers.peers import GrpcPeers, PeerUnreachableError
-from pondpin.http_client import CallFailedError, HttpClient
+from pondpin.http_client import HttpClient
+from pondpin.http_streams import CallFailedError
 from pondpin.metrics import Metrics
 from pondpin.settings import Tls
 from pondpin.tests.support import FleetCase, sample_spec, the_loop, wait_until
--- a/pondpin/tools/caller.py
+++ b/pondpin/tools/caller.py
@@ -7,8 +7,9 @@
 
 from pondpin.clocks import Clock
 from pondpin.codes import Code, Ran
-from pondpin.http_client import CallFailedError, HttpClient, OpenStream
-from pondpin.http_server import ErrorAnswer
+from pondpin.http_client import HttpClient
+from pondpin.http_reply import ErrorAnswer
+from pondpin.http_streams import CallFailedError, OpenStream
 from pondpin.standins.engine_model import answer_seed, token_text
 from pondpin.tools.balancer import Balancer
 
--- a/pondpin/tools/demo.py
+++ b/pondpin/tools/demo.py
@@ -12,7 +12,8 @@
 from rich.table import Table
 
 from pondpin.codes import Ran
-from pondpin.http_client import CallFailedError, HttpClient
+from pondpin.http_client import HttpClient
+from pondpin.http_streams import CallFailedError
 from pondpin.invariants import INVARIANTS
 from pondpin.runtime import Ready, run, run_command, set_up_logs, steady_now, stop_on_signals
 from pondpin.standins.engine_model import EngineShape
--- a/pondpin/tools/measure_bare.py
+++ b/pondpin/tools/measure_bare.py
@@ -8,7 +8,8 @@
 from pondpin.engine_client import HttpEngines
 from pondpin.engine_protocol import StreamRequest
 from pondpin.http_client import HttpClient
-from pondpin.http_server import Incoming, Reply, WebServer
+from pondpin.http_reply import Incoming, Reply
+from pondpin.http_server import WebServer
 from pondpin.network import parse_endpoint
 from pondpin.runtime import Ready, run, run_command, stop_on_signals, wall_now
 
--- a/pondpin/tools/measure_hop.py
+++ b/pondpin/tools/measure_hop.py
@@ -12,7 +12,8 @@
 
 from pondpin.engine_client import FrameReader, HttpEngines
 from pondpin.engine_protocol import StreamRequest
-from pondpin.http_client import HttpClient, OpenStream
+from pondpin.http_client import HttpClient
+from pondpin.http_streams import OpenStream
 from pondpin.runtime import Ready, run, run_command, steady_now, wall_now
 from pondpin.standins.local_fleet import HOST, SHARED_KEY, free_port, key_hash
 from pondpin.tools.balancer import Balancer
--- a/pondpin/tools/measure_once.py
+++ b/pondpin/tools/measure_once.py
@@ -13,7 +13,8 @@
 import msgspec
 
 from pondpin.codes import Ran
-from pondpin.http_client import CallFailedError, HttpClient
+from pondpin.http_client import HttpClient
+from pondpin.http_streams import CallFailedError
 from pondpin.runtime import Ready, run, run_command, steady_now
 from pondpin.standins.faults import Faults
 from pondpin.standins.local_fleet import HOST, SHARED_KEY, free_port, key_hash
--- a/pondpin/tools/operator_client.py
+++ b/pondpin/tools/operator_client.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
-from pondpin.http_client import CallFailedError, HttpClient
-from pondpin.http_server import ErrorAnswer
+from pondpin.http_client import HttpClient
+from pondpin.http_reply import ErrorAnswer
+from pondpin.http_streams import CallFailedError
 
 TOKEN_VARIABLE = "PONDPIN_OPERATOR_TOKEN"
 # A PEM file: with it, operators' addresses are spoken to over TLS.
--- a/pondpin/tools/reference.py
+++ b/pondpin/tools/reference.py
@@ -12,8 +12,8 @@
 from pondpin.configuration import Configuration, configuration_schema
 from pondpin.metrics import Metrics
 from pondpin.runtime import Ready, run_command
-from pondpin.settings import Settings, settings_schema
-from pondpin.tools.units import UNIT_BY_KEY
+from pondpin.settings import RelaySettings, Settings, settings_schema
+from pondpin.tools.units import RELAY_UNIT_BY_KEY, UNIT_BY_KEY
 
 DOCS = Path(__file__).parents[2] / "docs"
 REQUIRED = "required"
@@ -43,7 +43,8 @@
     lines = [
         "# Metrics",
         "",
-        "`GET /metrics` on the operators' address, in the Prometheus text form. Every metric has",
+        "`GET /metrics` on the operators' address, and on `metrics_port` of a relaying instance, in",
+        "the Prometheus text form. Every metric has",
         "the labels `instance` and `data_center`; others are bounded: classes, result codes,",
         "outcomes, upstreams and causes of the configuration. Times are in seconds.",
         "Written by `python -m pondpin.tools.reference`.",
@@ -72,21 +73,36 @@
         "",
         "## Settings of an instance",
         "",
-        *_key_table(Settings),
+        *_key_table(Settings, UNIT_BY_KEY),
         "",
         "## Configuration",
         "",
         "`*` stands for a name, `[]` for each item of a list.",
         "",
-        *_key_table(Configuration),
+        *_key_table(Configuration, UNIT_BY_KEY),
     ]
     return "\n".join(lines) + "\n"
 
 
-def _key_table(root: type) -> list[str]:
+def write_relay_settings() -> str:
+    """docs/RELAY-SETTINGS.md."""
+    lines = [
+        "# Settings of a relaying instance",
+        "",
+        "The JSON file of `--settings`, on the users' platform written from `deploy/settings.json`.",
+        "Checked as a whole: unknown keys are refused, all faults are told at once. SIGHUP reads it",
+        "again: limits and known peers change, a faulty file leaves the ones in force and is logged.",
+        "Everything else is published by the platform. Written by `python -m pondpin.tools.reference`.",
+        "",
+        *_key_table(RelaySettings, RELAY_UNIT_BY_KEY),
+    ]
+    return "\n".join(lines) + "\n"
+
+
+def _key_table(root: type, unit_by_key: dict[str, str]) -> list[str]:
     rows = ["| key | default | unit or meaning |", "| --- | --- | --- |"]
     for key, default in _walk(root, ""):
-        rows.append(f"| `{key}` | {default} | {UNIT_BY_KEY[key]} |")
+        rows.append(f"| `{key}` | {default} | {unit_by_key[key]} |")
     return rows
 
 
@@ -143,6 +159,7 @@
     "RESULT-CODES.md": write_codes,
     "METRICS.md": write_metrics,
     "SETTINGS.md": write_settings,
+    "RELAY-SETTINGS.md": write_relay_settings,
     "settings.schema.json": lambda: write_schema(settings_schema),
     "configuration.schema.json": lambda: write_schema(configuration_schema),
 }
--- a/pondpin/tools/units.py
+++ b/pondpin/tools/units.py
@@ -120,3 +120,25 @@
     "objectives[].threshold_seconds": "s, for ttft; best an edge of the histogram",
     "objectives[].target": "share of good events, between 0 and 1",
 }
+
+RELAY_UNIT_BY_KEY: dict[str, str] = {
+    "instance": "name of the instance",
+    "data_center": "data centre of the instance",
+    "callers": "IP:port where callers connect",
+    "ready": "IP:port where the balancer asks whether to send connections",
+    "source": "IP:port of the platform's store; this key makes an instance a relay",
+    "peers": "the other instances; all use the same ports",
+    "peers.documents": "IP:port where peers fetch what is published, over gRPC",
+    "peers.known": "IP:port of instances to begin with; they may be stale",
+    "peers.ports": "ports that are free between instances; datagrams use the first",
+    "limits": "bounds of the deployment",
+    "limits.key_ms": "ms that a key may still be served after it was taken away",
+    "limits.retry_ratio": "retries for each request, over all instances and a window",
+    "limits.retry_allowance": "further retries in a window, over all instances",
+    "limits.retry_window_seconds": "s, length of the window",
+    "limits.grace_seconds": "s from SIGTERM to the end",
+    "limits.memory_mebibytes": "MiB; a quarter of it may hold bodies",
+    "metrics_port": "port of `/metrics`; 0 serves none",
+    "placement": "`predicted`, or a baseline: `least_outstanding`, `random`",
+    "use_parts": "whether long prompts are read by several engines",
+}
