--- a/pondpin/tools/reference.py
+++ b/pondpin/tools/reference.py
@@ -43,8 +43,8 @@
     lines = [
         "# Metrics",
         "",
-        "`GET /metrics` on the operators' address, and on `metrics_port` of a relaying instance, in",
-        "the Prometheus text form. Every metric has",
+        "`GET /metrics` on the operators' address, or on `metrics_port` of a relaying instance,",
+        "in the Prometheus text form. Every metric has",
         "the labels `instance` and `data_center`; others are bounded: classes, result codes,",
         "outcomes, upstreams and causes of the configuration. Times are in seconds.",
         "Written by `python -m pondpin.tools.reference`.",
@@ -89,10 +89,11 @@
     lines = [
         "# Settings of a relaying instance",
         "",
-        "The JSON file of `--settings`, on the users' platform written from `deploy/settings.json`.",
-        "Checked as a whole: unknown keys are refused, all faults are told at once. SIGHUP reads it",
-        "again: limits and known peers change, a faulty file leaves the ones in force and is logged.",
-        "Everything else is published by the platform. Written by `python -m pondpin.tools.reference`.",
+        "The JSON file of `--settings`; on the users' platform `deploy/settings.json` makes it.",
+        "It is checked as a whole: unknown keys are refused, all faults are told at once. SIGHUP",
+        "reads it again: limits and known peers change, a faulty file leaves the ones in force",
+        "and is logged. Everything else is published by the platform.",
+        "Written by `python -m pondpin.tools.reference`.",
         "",
         *_key_table(RelaySettings, RELAY_UNIT_BY_KEY),
     ]
