--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -127,7 +127,7 @@
             table=self.table,
             leases=self.leases,
             beliefs=self.beliefs,
-            sharers=lambda: 1 + len(self.gossip.known.alive(steady_now())),
+            sharers=lambda: 1 + len(self.gossip.known.by_host),
             bounds=self._bounds,
             log=self.log,
             metrics=self.metrics,
--- a/pondpin/relay/retry_window.py
+++ b/pondpin/relay/retry_window.py
@@ -10,7 +10,7 @@
 RATIO_SHARE = 0.6
 # Peers come and go faster than they are noticed; a quarter of the allowance stays unused.
 ALLOWANCE_SHARE = 0.75
-# Without peers in sight the others may be cut off from here and alive.
+# An instance that has not heard of its peers yet is not alone.
 FEWEST_SHARERS = 4
 
 
@@ -37,7 +37,10 @@
         self.requests.append(now)
 
     def spend(self, now: float, sharers: int) -> bool:
-        """Take one retry if the share has one left."""
+        """Take one retry if the share has one left.
+
+        sharers counts peers that fell silent too: they may be cut off from here and alive.
+        """
         self._trim(now)
         if len(self.retries) + 1 > self.limit(sharers):
             return False
