A later attempt's refusal is no 'not run'; events that a caller has are not passed again

A repeatable request whose first worker was lost and whose second attempt found no place, or no proof, got 503, which promises that it has not run; and a worker that ignored Last-Event-Id could have repeated events to a caller that resumes. Both tests failed first: 503 != 502, [1, 2, 3, 4, 5] != [4, 5].

--- a/pondpin/platform/paths.py
+++ b/pondpin/platform/paths.py
@@ -1,4 +1,3 @@
-"""Paths that the platform calls, and the environment's name for the settings file."""
+"""Paths that the platform calls."""
 
 READY_PATH = "/v1/readyz"
-SETTINGS_VARIABLE = "PONDPIN_BOOT"
--- a/pondpin/relay/call.py
+++ b/pondpin/relay/call.py
@@ -32,6 +32,12 @@
         """The id that the caller gave."""
         return self.facts.attempt_id
 
+    @property
+    def resumes_after(self) -> int:
+        """The number of the last event that the caller has, -1 when it begins anew."""
+        text = self.facts.resume_after
+        return int(text) if text.isdecimal() else -1
+
     @property
     def patience(self) -> float:
         """Seconds of silence after which the caller gives a stream up."""
--- a/pondpin/relay/engine_choice.py
+++ b/pondpin/relay/engine_choice.py
@@ -55,6 +55,8 @@
 QUEUE_SECONDS = 0.25
 # An engine that reads for longer than this does not become a lead while another can.
 LEAD_READING_SECONDS = 0.05
+# Seconds that a full engine counts as slower than an empty one, so that equals are spread.
+FILLED_SECONDS = 0.05
 # Share of an engine's memory that is given out; answers grow while they are written.
 MEMORY_SHARE = 0.95
 # Tokens of a prompt against the worth of an answer: fitted to no site, only its growth counts.
@@ -200,7 +202,7 @@
     load = view.load
     over = max(0, load.in_flight + 1 - profile.slots)
     score = load.reading + pass_seconds(profile, load) / 2 + over * QUEUE_SECONDS
-    score += load.in_flight / profile.slots * 0.05
+    score += load.in_flight / profile.slots * FILLED_SECONDS
     if not _has_memory(profile, load, job.tokens):
         score += job.target
     return score
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -24,8 +24,9 @@
 from pondpin.relay.admission import Beliefs
 from pondpin.relay.attempt import Attempts
 from pondpin.relay.document_server import DocumentServer
+from pondpin.relay.freshness import is_fresh
 from pondpin.relay.gossip import Gossip, GossipAddress, GossipController
-from pondpin.relay.handler import RelayBounds, RelayHandler
+from pondpin.relay.handler import RelayHandler
 from pondpin.relay.leases import Leases
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import (
@@ -128,7 +129,7 @@
             leases=self.leases,
             beliefs=self.beliefs,
             sharers=lambda: 1 + len(self.gossip.known.by_host),
-            bounds=self._bounds,
+            retry_bounds=self._retry_bounds,
             log=self.log,
             metrics=self.metrics,
             clock=steady_now,
@@ -160,12 +161,9 @@
             HousekeepingController(self),
         )
 
-    def _bounds(self) -> RelayBounds:
+    def _retry_bounds(self) -> RetryBounds:
         limits = self.settings.limits
-        retries = RetryBounds(
-            limits.retry_ratio, limits.retry_allowance, limits.retry_window_seconds
-        )
-        return RelayBounds(limits.key_ms / MILLISECONDS, retries)
+        return RetryBounds(limits.retry_ratio, limits.retry_allowance, limits.retry_window_seconds)
 
     def _server_limits(self, configuration: RelayConfiguration | None) -> ServerLimits:
         held = int(self.settings.limits.memory_mebibytes * MEBIBYTE * BODIES_SHARE)
@@ -190,8 +188,9 @@
         """Whether the balancer should send connections."""
         if self.caller_server.stopping or not self.table.by_id:
             return False
-        beliefs = self.beliefs()
-        return beliefs.proof_age(steady_now()) < beliefs.key_bound
+        publication = self.publication
+        bound = self.beliefs().key_bound
+        return is_fresh(publication.proof, publication.revision, steady_now(), bound)
 
     async def start(self) -> Endpoint:
         """Listen, then learn what is published."""
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from pondpin.clocks import Clock
 from pondpin.codes import Code, Ran
@@ -17,7 +17,7 @@
 from pondpin.relay.leases import LeaseGroup, Leases
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import UpstreamEjected, UpstreamLeaving
-from pondpin.relay.model import AnswerHead, RouteKind
+from pondpin.relay.model import AnswerHead, RequestFacts, RouteKind
 from pondpin.relay.planner import Plan, Planner, make_job
 from pondpin.relay.ports import Dialect
 from pondpin.relay.request_notes import RequestNotes
@@ -30,11 +30,17 @@
 # A second try at another upstream begins after this multiple of the forecast, but not before
 # the shortest, and while the caller still has time for it.
 FORECAST_PATIENCE = 2.0
+FORECAST_SLACK_SECONDS = 0.4
 SHORTEST_PATIENCE = 0.8
-HELPED_PATIENCE_SHARE = 0.85
+# Shares of the time after which a caller gives a silent stream up: before the first event,
+# between events, and for prompts read in parts, before whose parts others may go.
 PATIENCE_SHARE = 0.6
 GAP_PATIENCE_SHARE = 0.6
+HELPED_PATIENCE_SHARE = 0.85
+# A repeatable plain call is tried elsewhere after this multiple of its target.
 SAFE_PATIENCE_TARGETS = 2.5
+SHORTEST_SAFE_PATIENCE = 0.5
+# Groups of leases asked for before a request is refused for want of memory.
 LEASE_TRIES = 3
 # Upstreams tried for a request, counting those that no byte reached.
 MOST_ATTEMPTS = 5
@@ -50,14 +56,6 @@
 SILENT_SECONDS = 0.75
 
 
-@dataclass(frozen=True, slots=True)
-class RelayBounds:
-    """Bounds of the deployment, in seconds; key_bound is how long a lost key may still count."""
-
-    key_bound: float = 5.0
-    retries: RetryBounds = field(default_factory=RetryBounds)
-
-
 @dataclass
 class RelayHandler:
     """Takes requests off the callers' server and relays them."""
@@ -69,7 +67,7 @@
     leases: Leases
     beliefs: Callable[[], Beliefs]
     sharers: Callable[[], int]
-    bounds: Callable[[], RelayBounds]
+    retry_bounds: Callable[[], RetryBounds]
     log: EventLog
     metrics: Metrics
     clock: Clock
@@ -91,7 +89,7 @@
             if self.refuses_new(arrived):
                 raise PondpinError(Code.DRAINING, retry_after=STOPPING_RETRY_SECONDS)
             admitted = admit(self.beliefs(), facts, incoming.path, arrived)
-            call = self._make_call(incoming, reply, admitted, arrived)
+            call = self._make_call(incoming, reply, facts, admitted, arrived)
             self._window(call.service).note_request(arrived)
             await self._serve_unless_gone(call)
         except PondpinError as error:
@@ -100,12 +98,17 @@
             self.open_requests -= 1
 
     def _make_call(
-        self, incoming: Incoming, reply: Reply, admitted: Admitted, arrived: float
+        self,
+        incoming: Incoming,
+        reply: Reply,
+        facts: RequestFacts,
+        admitted: Admitted,
+        arrived: float,
     ) -> RelayCall:
         return RelayCall(
             incoming=incoming,
             reply=reply,
-            facts=self.dialect.read_request(incoming.raw_headers),
+            facts=facts,
             route=admitted.route,
             service=pick_service(admitted.route.shares, self.rng.random()),
             account=admitted.account,
@@ -129,9 +132,12 @@
             self.notes.caller_gone(call)
 
     async def _serve(self, call: RelayCall) -> None:
-        progress = Progress()
+        progress = Progress(last_number=call.resumes_after)
         while True:
-            end = await self._attempt(call, progress)
+            try:
+                end = await self._attempt(call, progress)
+            except PondpinError as error:
+                raise _keep_true(error, progress) from None
             progress.may_have_run = progress.may_have_run or end.may_have_run
             progress.sends += end.kind is not EndKind.NOT_SENT
             if end.kind is EndKind.DONE:
@@ -192,8 +198,7 @@
             if group is not None:
                 return plan, group
             avoid |= frozenset(refusing)
-        ran = Ran.UNKNOWN if progress.may_have_run else Ran.NOT_RUN
-        raise PondpinError(Code.NO_UPSTREAM, call.service, ran, retry_after=RETRY_SECONDS)
+        raise PondpinError(Code.NO_UPSTREAM, call.service, retry_after=RETRY_SECONDS)
 
     async def _plan_when_free(
         self, call: RelayCall, progress: Progress, avoid: frozenset[str]
@@ -212,7 +217,9 @@
         if not call.route.idempotent:
             return Patience(None, None)
         if call.route.kind is RouteKind.SAFE:
-            return Patience(max(0.5, SAFE_PATIENCE_TARGETS * call.route.target), None)
+            return Patience(
+                max(SHORTEST_SAFE_PATIENCE, SAFE_PATIENCE_TARGETS * call.route.target), None
+            )
         gap = GAP_PATIENCE_SHARE * call.patience
         forecast = plan.choice.first_event if plan.choice is not None else 0.0
         if plan.helpers:
@@ -220,7 +227,7 @@
             return Patience(HELPED_PATIENCE_SHARE * call.patience, gap)
         first = max(
             SHORTEST_PATIENCE,
-            FORECAST_PATIENCE * forecast + 0.4,
+            FORECAST_PATIENCE * forecast + FORECAST_SLACK_SECONDS,
             PATIENCE_SHARE * call.patience,
         )
         return Patience(first, gap)
@@ -314,7 +321,7 @@
     def _window(self, service: str) -> RetryWindow:
         window = self._windows.get(service)
         if window is None:
-            window = RetryWindow(self.bounds().retries)
+            window = RetryWindow(self.retry_bounds())
             self._windows[service] = window
         return window
 
@@ -352,6 +359,13 @@
     task.cancel()
 
 
+def _keep_true(error: PondpinError, progress: Progress) -> PondpinError:
+    """An error that ends a later attempt must not say that the request has not run."""
+    if not progress.may_have_run or error.ran is not Ran.NOT_RUN:
+        return error
+    return PondpinError(Code.UPSTREAM_LOST, f"{error.code.name}: {error.detail}", Ran.UNKNOWN)
+
+
 def _is_retryable_answer(call: RelayCall, end: AttemptEnd) -> bool:
     """Whether an upstream's own failure may be tried again elsewhere."""
     answer = end.answer
--- a/pondpin/standins/worker.py
+++ b/pondpin/standins/worker.py
@@ -65,6 +65,7 @@
     faults: list[WorkerFault] = field(default_factory=list)
     lasting_fault: WorkerFault = WorkerFault.NONE
     draining: bool = False
+    ignores_resuming: bool = False
     seen: list[Seen] = field(default_factory=list)
     runs_by_attempt: Counter[str] = field(default_factory=Counter)
     lease_by_id: dict[str, Lease] = field(default_factory=dict)
@@ -189,7 +190,8 @@
     async def _stream(
         self, incoming: Incoming, reply: Reply, headers: dict[str, str], fault: WorkerFault
     ) -> None:
-        first = int(incoming.headers.get("last-event-id", "0")) + 1
+        after = "0" if self.ignores_resuming else incoming.headers.get("last-event-id", "0")
+        first = int(after) + 1
         reply.start(200, headers | {"content-type": "text/event-stream"})
         for number in range(first, self.events + 1):
             if reply.gone:
--- a/pondpin/tests/test_relay_serving.py
+++ b/pondpin/tests/test_relay_serving.py
@@ -3,9 +3,11 @@
 import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 from pondpin.http_client import Answer
 from pondpin.http_streams import CallFailedError
+from pondpin.relay.retry_window import RetryWindow
 from pondpin.settings import RelayLimits
 from pondpin.standins.local_platform import (
     HOST,
@@ -244,6 +246,35 @@
 
         self.play(work)
 
+    def test_events_that_the_caller_has_are_not_passed_again(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            for worker in engines(platform):
+                worker.ignores_resuming = True
+            answer = await ask(platform, "stream", last_event_id="3")
+            self.assertEqual(numbers(answer), [4, 5])
+
+        self.play(work)
+
+    def test_a_second_try_that_finds_no_place_is_not_called_unrun(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            fail_next(platform, WorkerFault.RESET)
+            first = platform.entries[0]
+            spend = first.handler._window("engines").spend
+
+            def take_key_away(now: float, sharers: int) -> bool:
+                # Between both attempts the proof of the key grows too old.
+                first.publication.proof = None
+                return spend(now, sharers)
+
+            first.reader.period = 3600.0
+            with mock.patch.object(RetryWindow, "spend", lambda self, *args: take_key_away(*args)):
+                answer = await ask(platform, "stream")
+            self.assertEqual(runs(platform), 1)
+            self.assertEqual(answer.status, 502)
+            self.assertEqual(answer.headers["pondpin-ran"], "outcome unknown")
+
+        self.play(work)
+
     def test_a_stream_broken_everywhere_does_not_look_whole(self) -> None:
         async def work(platform: LocalPlatform) -> None:
             fail_next(platform, WorkerFault.CUT, 9)
