Only a 421 of another upstream means that the expected one is gone

Ruled out: the list (all were ready), ejection (no such line); the logs name 'peer relay-0' as the source. The new test failed first.

--- a/pondpin/platform/requests.py
+++ b/pondpin/platform/requests.py
@@ -17,6 +17,7 @@
 NOT_EXECUTED = b"x-not-executed"
 AT_FAULT = b"at-server"
 SIGNATURE = b"x-instance-signature"
+INSTANCE = b"x-instance-id"
 BEARER = b"bearer "
 MISDIRECTED = 421
 MILLISECONDS = 1000.0
@@ -115,6 +116,7 @@
             events=content.lower().startswith(b"text/event-stream"),
             signed=bool(_first(raw, SIGNATURE)),
             at_fault=_first(raw, AT_FAULT).decode("latin-1"),
+            instance=_first(raw, INSTANCE).decode("latin-1"),
             headers=passed,
         )
 
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -295,7 +295,9 @@
         plan.lead.heard_at = now
         if head.load is not None:
             plan.lead.told, plan.lead.told_at = head.load, now
-        if head.status == MISDIRECTED and self.table.mark_leaving(plan.lead.id):
+        # Another upstream has the address; one that names itself is still there.
+        elsewhere = head.status == MISDIRECTED and head.instance != plan.lead.id
+        if elsewhere and self.table.mark_leaving(plan.lead.id):
             self.log.write(UpstreamLeaving(upstream=plan.lead.id, source="misdirected"))
 
     def _send_whole(self, call: RelayCall, progress: Progress, end: AttemptEnd) -> None:
--- a/pondpin/relay/model.py
+++ b/pondpin/relay/model.py
@@ -149,7 +149,7 @@
     """The head of an upstream's answer; not_executed is its word that nothing ran.
 
     signed: the upstream vouches for the answer. at_fault names the upstream that made it fail,
-    when that is another one.
+    when that is another one; instance is the answering upstream's id where it says it.
     """
 
     status: int
@@ -159,4 +159,5 @@
     events: bool
     signed: bool
     at_fault: str
+    instance: str
     headers: tuple[tuple[bytes, bytes], ...]
--- a/pondpin/tests/test_relay_serving.py
+++ b/pondpin/tests/test_relay_serving.py
@@ -399,6 +399,20 @@
 
         self.play(work)
 
+    def test_only_another_upstream_at_an_address_means_leaving(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            fail_next(platform, WorkerFault.MISDIRECTED)
+            await ask(platform, "once", "own")
+            self.assertEqual(platform.entries[0].table.left, frozenset())
+            fail_next(platform, WorkerFault.NONE, 0)
+            for name in ("plain-0", "plain-1"):
+                platform.workers_by_id[name].id = f"new-{name}"
+            await ask(platform, "once", "other")
+            self.assertEqual(len(platform.entries[0].table.left), 1)
+            self.assertEqual(runs(platform, "other"), 0)
+
+        self.play(work)
+
     def test_a_moved_route_goes_to_its_new_service(self) -> None:
         async def work(platform: LocalPlatform) -> None:
             routes = sample_configuration()["routes"]
