--- a/pondpin/relay/digests.py
+++ b/pondpin/relay/digests.py
@@ -10,14 +10,20 @@
 
 from pondpin.relay.upstreams import WorkDigest
 
-DIGEST_FORMAT = 1
+DIGEST_FORMAT = 2
 MILLISECONDS = 1000.0
 # A peer that was silent for so long is not counted among the live ones: several digests.
 ALIVE_SECONDS = 1.2
 FORGET_SECONDS = 60.0
+# In a large fleet a peer says how long it will be silent; this many such times may pass.
+QUIET_TIMES = 3
+# Up to so many peers everybody tells everybody: the fleets of today.
+SMALL_FLEET = 16
 # Three digests in a row of every peer of a data centre are missing: it is cut off, or all its
 # instances died. What is heard from its upstreams goes before this sign.
 SILENT_SECONDS = 0.65
+# The same in a large fleet, where a data centre is asked twice a second by each instance.
+LARGE_SILENT_SECONDS = 2.0
 # After this the sign is too old to avoid a data centre's upstreams by.
 SILENCE_COUNTS_SECONDS = 10.0
 
@@ -33,7 +39,8 @@
     """One instance's state for one peer; times in ms, -1 where nothing is known.
 
     boot is a random number of the sender's life; stamp is the sender's steady clock;
-    echo_boot and echo repeat the boot and stamp of the receiver's last digest.
+    echo_boot and echo repeat the boot and stamp of the receiver's last digest. quiet is after how
+    long the receiver will probably hear the sender again; asks: it wants an answer at once.
     """
 
     format: int
@@ -54,6 +61,8 @@
     ejected: tuple[EjectedDigest, ...]
     work: tuple[WorkDigest, ...]
     hosts: tuple[str, ...]
+    quiet: int
+    asks: bool
 
 
 _DECODER = msgspec.msgpack.Decoder(Digest)
@@ -86,6 +95,11 @@
     heard_at: float
     data_center: str
     reads_source: bool
+    quiet: float = 0.0
+
+    def is_alive(self, now: float) -> bool:
+        """Whether it was heard as lately as it should have been."""
+        return now - self.heard_at < max(ALIVE_SECONDS, QUIET_TIMES * self.quiet)
 
 
 class PeerTable:
@@ -111,12 +125,18 @@
             now,
             digest.data_center,
             digest.reads_source,
+            digest.quiet / MILLISECONDS,
         )
         return True
 
+    @property
+    def is_large(self) -> bool:
+        """Whether there are too many peers to tell everybody everything."""
+        return len(self.by_host) > SMALL_FLEET
+
     def alive(self, now: float) -> list[PeerSeen]:
         """Peers heard lately."""
-        return [peer for peer in self.by_host.values() if now - peer.heard_at < ALIVE_SECONDS]
+        return [peer for peer in self.by_host.values() if peer.is_alive(now)]
 
     def silent_centers(self, now: float) -> frozenset[str]:
         """Data centres whose peers were heard a while ago and are all silent now."""
@@ -124,10 +144,11 @@
         for peer in self.by_host.values():
             known = lately.get(peer.data_center, peer.heard_at)
             lately[peer.data_center] = max(known, peer.heard_at)
+        limit = LARGE_SILENT_SECONDS if self.is_large else SILENT_SECONDS
         return frozenset(
             name
             for name, heard_at in lately.items()
-            if SILENT_SECONDS < now - heard_at < SILENCE_COUNTS_SECONDS
+            if limit < now - heard_at < SILENCE_COUNTS_SECONDS
         )
 
     def forget(self, now: float) -> list[PeerSeen]:
@@ -137,9 +158,19 @@
             del self.by_host[peer.host]
         return gone
 
-    def rank(self, instance: str, now: float) -> int:
-        """How many live peers come before this instance among those the source answers."""
-        return sum(1 for peer in self.alive(now) if peer.reads_source and peer.instance < instance)
+    def rank(self, instance: str, data_center: str, now: float) -> int:
+        """How many live peers come before this instance among those the source answers.
+
+        In a large fleet only neighbours are compared, since others are seldom heard; the data
+        centres have an order of their own.
+        """
+        readers = [peer for peer in self.alive(now) if peer.reads_source]
+        if not self.is_large:
+            return sum(1 for peer in readers if peer.instance < instance)
+        near = [peer for peer in readers if peer.data_center == data_center]
+        others = {peer.data_center for peer in readers} - self.silent_centers(now)
+        before = sum(1 for name in others if name < data_center)
+        return before + sum(1 for peer in near if peer.instance < instance)
 
 
 def asked_at(digest: Digest, own_boot: int) -> float | None:
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -128,7 +128,7 @@
             table=self.table,
             leases=self.leases,
             beliefs=self.beliefs,
-            sharers=lambda: 1 + len(self.gossip.known.by_host),
+            sharers=lambda: 1 + len(self.gossip.hosts),
             retry_bounds=self._retry_bounds,
             log=self.log,
             metrics=self.metrics,
@@ -148,8 +148,10 @@
         self.reader = ReaderController(
             source,
             self.publication,
-            lambda now: self.gossip.known.rank(self.settings.instance, now),
-            lambda: self.gossip.send(steady_now()),
+            lambda now: self.gossip.known.rank(
+                self.settings.instance, self.settings.data_center, now
+            ),
+            self.gossip.tell_news,
             self.log,
             steady_now,
             self.rng,
@@ -255,8 +257,7 @@
     def reload(self, settings: RelaySettings) -> None:
         """Take what may change while running: limits and seeds."""
         self.settings = settings
-        hosts = {parse_endpoint(address).host for address in settings.peers.known}
-        self.gossip.hosts.update(hosts - {self.gossip.address.host})
+        self.gossip.seeds = tuple(parse_endpoint(item).host for item in settings.peers.known)
         self.log.write(Reloaded(outcome="taken"))
 
     def refuse_reload(self, reason: str) -> None:
--- /dev/null
+++ b/pondpin/relay/fan_out.py
@@ -0,0 +1,106 @@
+"""Whom an instance tells what it knows, and how often.
+
+In a small fleet everybody tells everybody several times a second. That grows with the square of
+the fleet. In a large one an instance tells its neighbours, the instances of its own data centre,
+when something changed or a heartbeat is due, within a budget of bytes; with the other data
+centres it exchanges proofs, asking one random peer of each that answers at once.
+"""
+
+import random
+from collections import defaultdict
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from pondpin.relay.digests import PeerSeen, PeerTable
+
+# Two digests fit between a choice that needs peers' loads and the end of a usual pass.
+PERIOD_SECONDS = 0.2
+# Neighbours of a large fleet hear at least so often that an instance has nothing new.
+HEARTBEAT_SECONDS = 0.6
+# A peer of each other data centre is asked this often: proofs of half a second more still
+# leave four of the five seconds that a key's bound is in the deployments seen.
+FAR_SECONDS = 0.5
+# Bytes a second for neighbours; what is saved up lasts for a burst of this many seconds.
+NEAR_BYTES_PER_SECOND = 12_288
+BURST_SECONDS = 1.0
+# Headers of IP and UDP, which the budget counts too.
+PACKET_BYTES = 28
+# However tight the budget, a change reaches so many neighbours.
+FEWEST_TOLD = 3
+USUAL_DIGEST_BYTES = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Round:
+    """Peers to tell now; quiet: seconds after which they will probably hear again."""
+
+    near: tuple[PeerSeen, ...]
+    far: tuple[PeerSeen, ...]
+    quiet: float
+    far_quiet: float
+
+
+NOBODY = Round((), (), PERIOD_SECONDS, PERIOD_SECONDS)
+
+
+class FanOut:
+    """Chooses the peers of each round."""
+
+    def __init__(self, data_center: str, rng: random.Random) -> None:
+        self._data_center = data_center
+        self._rng = rng
+        self._told_at = float("-inf")
+        self._asked_at = float("-inf")
+        self._saved = NEAR_BYTES_PER_SECOND * BURST_SECONDS
+        self._saved_at: float | None = None
+        self._digest_bytes = USUAL_DIGEST_BYTES + PACKET_BYTES
+
+    def next_round(self, known: PeerTable, now: float, changed: bool, urgent: bool) -> Round:
+        """Whom to tell now. changed: there is news; urgent: other data centres need it too."""
+        alive = known.alive(now)
+        if not known.is_large:
+            return Round(tuple(alive), (), PERIOD_SECONDS, PERIOD_SECONDS)
+        near = [peer for peer in alive if peer.data_center == self._data_center]
+        told = self._choose_near(near, now, changed)
+        far = [peer for peer in alive if peer.data_center != self._data_center]
+        share = len(near) / max(1, len(told)) if told else 1.0
+        return Round(
+            near=told,
+            far=self._choose_far(far, now, urgent),
+            quiet=HEARTBEAT_SECONDS * share,
+            far_quiet=FAR_SECONDS * max(1, len(near)),
+        )
+
+    def note_bytes(self, size: int) -> None:
+        """A digest of this size went to a neighbour."""
+        self._digest_bytes = size + PACKET_BYTES
+        self._saved -= self._digest_bytes
+
+    def _choose_near(
+        self, near: Sequence[PeerSeen], now: float, changed: bool
+    ) -> tuple[PeerSeen, ...]:
+        if not changed and now - self._told_at < HEARTBEAT_SECONDS:
+            return ()
+        self._told_at = now
+        self._save(now)
+        affordable = max(FEWEST_TOLD, int(self._saved / self._digest_bytes))
+        if affordable >= len(near):
+            return tuple(near)
+        return tuple(self._rng.sample(near, affordable))
+
+    def _save(self, now: float) -> None:
+        if self._saved_at is not None:
+            self._saved += (now - self._saved_at) * NEAR_BYTES_PER_SECOND
+        self._saved_at = now
+        self._saved = min(self._saved, NEAR_BYTES_PER_SECOND * BURST_SECONDS)
+
+    def _choose_far(
+        self, far: Sequence[PeerSeen], now: float, urgent: bool
+    ) -> tuple[PeerSeen, ...]:
+        if not urgent and now - self._asked_at < FAR_SECONDS:
+            return ()
+        self._asked_at = now
+        by_center: dict[str, list[PeerSeen]] = defaultdict(list)
+        for peer in far:
+            by_center[peer.data_center].append(peer)
+        return tuple(self._rng.choice(peers) for peers in by_center.values())
--- a/pondpin/relay/gossip.py
+++ b/pondpin/relay/gossip.py
@@ -15,6 +15,7 @@
 from pondpin.relay.digests import (
     DIGEST_FORMAT,
     MILLISECONDS,
+    QUIET_TIMES,
     Digest,
     EjectedDigest,
     PeerSeen,
@@ -23,23 +24,27 @@
     decode_digest,
     encode_digest,
 )
+from pondpin.relay.fan_out import PERIOD_SECONDS, FanOut
 from pondpin.relay.freshness import peer_proof
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import DataCenterChanged, FetchFailed, PeerChanged, UpstreamLeaving
 from pondpin.relay.publication import Bundle, Publication
-from pondpin.relay.upstreams import UpstreamTable
+from pondpin.relay.upstreams import PEER_LOAD_SECONDS, UpstreamTable
 from pondpin.wire.peer_pb2 import FetchConfigurationRequest
 
-# Two digests fit between a choice that needs peers' loads and the end of a usual pass.
-PERIOD_SECONDS = 0.2
 # Out of turn digests are at least so far apart.
 URGENT_SECONDS = 0.03
 # Hosts that are not heard are tried this often.
 HELLO_SECONDS = 1.0
-# Each digest goes to at most so many peers: all of them in a fleet of today's size.
-FAN_OUT = 16
+# At most so many of them are tried at a time.
+MOST_HELLOS = 16
 HOSTS_TOLD = 6
+# A host that nobody has mentioned for so long is no longer tried; seeds always are.
+HOST_SECONDS = 120.0
 FETCH_SECONDS = 1.0
+# Neighbours hear the same news from another data centre: one of them fetches it first, and the
+# others then have it from near.
+FAR_FETCH_SECONDS = 0.3
 # Leaving upstreams are told for a while; the list then says it too.
 LEAVING_TOLD = 32
 
@@ -70,7 +75,7 @@
     clock: Clock
     rng: random.Random
     reads_source: Callable[[], bool]
-    hosts: set[str] = field(default_factory=set)
+    mentioned_at_by_host: dict[str, float] = field(default_factory=dict)
     sequence: int = 0
     bytes_out: int = 0
     bytes_in: int = 0
@@ -78,6 +83,8 @@
     def __post_init__(self) -> None:
         """Set up the table."""
         self.known = PeerTable(self.boot)
+        self._fan_out = FanOut(self.table.data_center, self.rng)
+        self._told: tuple[object, ...] = ()
         self._hello_at = 0.0
         self._sent_at = 0.0
         self._fetching = False
@@ -85,8 +92,11 @@
         self._alive: set[str] = set()
         self._port: Any = None
         self.transport: Any = None
-        self.hosts.update(self.seeds)
-        self.hosts.discard(self.address.host)
+
+    @property
+    def hosts(self) -> set[str]:
+        """Every host that is or may be a peer."""
+        return (self.mentioned_at_by_host.keys() | set(self.seeds)) - {self.address.host}
 
     def listen(self, reactor: Any) -> None:
         """Open the socket."""
@@ -98,6 +108,7 @@
         if self._port is not None:
             self._port.stopListening()
             self._port = None
+            self.transport = None
         for task in self._tasks:
             task.cancel()
 
@@ -112,16 +123,24 @@
         """Believe what a digest says, dated by this process's clock."""
         if not self.known.take(digest, now):
             return
-        self.hosts.add(digest.host)
-        self.hosts.update(digest.hosts)
-        self.hosts.discard(self.address.host)
+        for host in (digest.host, *digest.hosts):
+            self.mentioned_at_by_host[host] = now
         self._take_proofs(digest, now)
         for name in digest.leaving:
             if self.table.mark_leaving(name):
                 self.log.write(UpstreamLeaving(upstream=name, source=f"peer {digest.instance}"))
         for ejected in digest.ejected:
             self.table.suspect(ejected.upstream, now + ejected.left / MILLISECONDS)
-        self.table.take_peer_work(digest.instance, digest.work, now)
+        quiet = digest.quiet / MILLISECONDS
+        until = now + max(PEER_LOAD_SECONDS, QUIET_TIMES * quiet)
+        self.table.take_peer_work(digest.instance, digest.work, now, until)
+        if digest.asks:
+            self._answer(digest, now)
+
+    def _answer(self, asking: Digest, now: float) -> None:
+        """Tell a peer of another data centre at once, so that it can date what it hears."""
+        base = msgspec.structs.replace(self.describe(now), work=(), quiet=asking.quiet)
+        self._post(base, asking.host, self.known.by_host.get(asking.host))
 
     def _take_proofs(self, digest: Digest, now: float) -> None:
         asked = asked_at(digest, self.boot)
@@ -133,7 +152,9 @@
             newer = newer or self._is_list_newer(digest, asked)
         if newer and not self._fetching:
             self._fetching = True
-            self._spawn(self._fetch(digest.host))
+            is_far = digest.data_center != self.table.data_center
+            wait = self.rng.random() * FAR_FETCH_SECONDS if is_far and self.known.is_large else 0.0
+            self._spawn(self._fetch(digest.host, wait))
 
     def _is_list_newer(self, digest: Digest, asked: float) -> bool:
         if digest.list_age < 0:
@@ -144,7 +165,13 @@
             return False
         return self.publication.list_at is None or at > self.publication.list_at
 
-    async def _fetch(self, host: str) -> None:
+    async def _fetch(self, host: str, wait: float) -> None:
+        before = self.publication.seen_revision, self.publication.list_tag
+        await asyncio.sleep(wait)
+        if before != (self.publication.seen_revision, self.publication.list_tag):
+            # Read meanwhile; what is still newer is told again in a moment.
+            self._fetching = False
+            return
         sent_at = self.clock()
         address = f"{host}:{self.address.document_port}"
         try:
@@ -161,27 +188,45 @@
         if self.clock() - self._sent_at >= URGENT_SECONDS:
             self.send(self.clock())
 
-    def send(self, now: float) -> None:
-        """Send a digest to the live peers, and now and then to hosts that are not heard."""
-        if self._port is None:
+    def tell_news(self) -> None:
+        """Send a digest out of turn, also to other data centres: something new was read."""
+        self.send(self.clock(), urgent=True)
+
+    def send(self, now: float, urgent: bool = False) -> None:
+        """Send a digest to the peers whose turn it is, and now and then to silent hosts."""
+        if self.transport is None:
             return
         self._sent_at = now
         self._note_alive(now)
-        targets = self.known.alive(now)
-        if len(targets) > FAN_OUT:
-            targets = self.rng.sample(targets, FAN_OUT)
         base = self.describe(now)
-        for peer in targets:
-            self._post(base, peer.host, peer)
+        news = _news_of(base)
+        turn = self._fan_out.next_round(self.known, now, news != self._told, urgent)
+        if turn.near:
+            self._told = news
+        near = msgspec.structs.replace(base, quiet=_round_up(turn.quiet))
+        for peer in turn.near:
+            self._fan_out.note_bytes(self._post(near, peer.host, peer))
+        far = msgspec.structs.replace(base, work=(), asks=True, quiet=_round_up(turn.far_quiet))
+        for peer in turn.far:
+            self._post(far, peer.host, peer)
         if now - self._hello_at >= HELLO_SECONDS:
             self._hello_at = now
-            heard = {peer.host for peer in self.known.alive(now)}
-            silent = sorted(self.hosts - heard)
-            for host in self.rng.sample(silent, min(FAN_OUT, len(silent))):
-                self._post(base, host, self.known.by_host.get(host))
-            self.known.forget(now)
-
-    def _post(self, base: Digest, host: str, peer: PeerSeen | None) -> None:
+            quiet = turn.far_quiet if self.known.is_large else turn.quiet
+            self._greet(msgspec.structs.replace(base, quiet=_round_up(quiet)), now)
+
+    def _greet(self, base: Digest, now: float) -> None:
+        """Try hosts that are not heard, and forget those that nobody mentions any more."""
+        heard = {peer.host for peer in self.known.alive(now)}
+        silent = sorted(self.hosts - heard)
+        for host in self.rng.sample(silent, min(MOST_HELLOS, len(silent))):
+            self._post(base, host, self.known.by_host.get(host))
+        self.known.forget(now)
+        for host, at in list(self.mentioned_at_by_host.items()):
+            if now - at > HOST_SECONDS:
+                del self.mentioned_at_by_host[host]
+
+    def _post(self, base: Digest, host: str, peer: PeerSeen | None) -> int:
+        """Send a digest with the receiver's echo; returns its bytes."""
         self.sequence += 1
         digest = msgspec.structs.replace(
             base,
@@ -196,6 +241,7 @@
         except OSError as error:
             # A datagram is allowed to be lost; the next one goes out in a moment.
             self.log.write(FetchFailed(peer=host, reason=f"datagram: {error}"))
+        return len(data)
 
     def describe(self, now: float) -> Digest:
         """What this instance tells, but for the echo."""
@@ -224,6 +270,8 @@
             ejected=self._ejected(now),
             work=tuple(work for work in works if work is not None),
             hosts=tuple(self.rng.sample(others, min(HOSTS_TOLD, len(others)))),
+            quiet=_round_up(PERIOD_SECONDS),
+            asks=False,
         )
 
     def _leaving_told(self) -> tuple[str, ...]:
@@ -258,6 +306,16 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _news_of(digest: Digest) -> tuple[object, ...]:
+    """What of a digest peers need to hear without delay; ages grow by themselves."""
+    work = tuple(
+        (item.upstream, item.in_flight, item.light, item.tokens, len(item.reads), item.writers)
+        for item in digest.work
+    )
+    told = (digest.revision, digest.list_tag, digest.leaving, len(digest.ejected))
+    return (*told, digest.reads_source, work)
+
+
 def _round_up(seconds: float) -> int:
     """Milliseconds that never tell an age too small; -1 for a negative one."""
     return -1 if seconds < 0 else int(seconds * MILLISECONDS) + 1
--- a/pondpin/relay/upstreams.py
+++ b/pondpin/relay/upstreams.py
@@ -110,10 +110,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerWork:
-    """A peer's digest of its work on an upstream, and when it was made by this clock."""
+    """A peer's digest of its work on an upstream; made at at, it counts until until."""
 
     work: WorkDigest
     at: float
+    until: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -268,7 +269,7 @@
 
     def _peer_work(self, now: float) -> list[PeerWork]:
         items = self.peer_work_by_instance.values()
-        return [item for item in items if now - item.at < PEER_LOAD_SECONDS]
+        return [item for item in items if now < item.until]
 
 
 def _add_writers(sums: dict[int, tuple[int, float]], gap: int, count: int, worth: float) -> None:
@@ -343,14 +344,16 @@
     def _in_center(self, center: str) -> list[UpstreamState]:
         return [item for item in self.by_id.values() if item.listed.data_center == center]
 
-    def take_peer_work(self, instance: str, works: Iterable[WorkDigest], at: float) -> None:
-        """Take a peer's work; what it does not name is idle."""
+    def take_peer_work(
+        self, instance: str, works: Iterable[WorkDigest], at: float, until: float
+    ) -> None:
+        """Take a peer's work, good until until; what it does not name is idle."""
         for state in self.by_id.values():
             state.peer_work_by_instance.pop(instance, None)
         for work in works:
             state_named = self.by_id.get(work.upstream)
             if state_named is not None:
-                state_named.peer_work_by_instance[instance] = PeerWork(work, at)
+                state_named.peer_work_by_instance[instance] = PeerWork(work, at, until)
 
     def note_success(self, name: str, now: float) -> None:
         """An upstream answered."""
--- a/pondpin/tests/test_relay_engines.py
+++ b/pondpin/tests/test_relay_engines.py
@@ -241,7 +241,7 @@
         other.by_id["a"].work_by_key[2] = stream_work(NOW - 0.5, first=True)
         told = other.by_id["a"].digest(NOW)
         assert told is not None
-        self.table.take_peer_work("peer", [told], NOW)
+        self.table.take_peer_work("peer", [told], NOW, NOW + PEER_LOAD_SECONDS)
         state = self.table.by_id["a"]
         self.assertEqual(state.in_flight(NOW), 2)
         self.assertEqual(state.light_in_flight(NOW), 2)
@@ -250,7 +250,7 @@
         self.assertEqual(load.tokens, 10_000)
         self.assertEqual(load.writers[0].count, 1)
         self.assertEqual(state.in_flight(NOW + PEER_LOAD_SECONDS), 0)
-        self.table.take_peer_work("peer", [], NOW)
+        self.table.take_peer_work("peer", [], NOW, NOW + PEER_LOAD_SECONDS)
         self.assertEqual(state.in_flight(NOW), 0)
 
     def test_reading_is_a_queue(self) -> None:
--- /dev/null
+++ b/pondpin/tests/test_relay_gossip.py
@@ -0,0 +1,184 @@
+"""What instances tell each other: digests, peers, whom to tell, and fleets of many instances."""
+
+import random
+import unittest
+
+from pondpin.relay.digests import (
+    ALIVE_SECONDS,
+    DIGEST_FORMAT,
+    SILENT_SECONDS,
+    SMALL_FLEET,
+    Digest,
+    PeerTable,
+    asked_at,
+    decode_digest,
+    encode_digest,
+)
+from pondpin.relay.fan_out import (
+    FAR_SECONDS,
+    FEWEST_TOLD,
+    HEARTBEAT_SECONDS,
+    NEAR_BYTES_PER_SECOND,
+    FanOut,
+)
+from pondpin.tools.gossip_fleet import GossipFleet
+
+NOW = 1000.0
+
+
+def digest(instance: str, boot: int, sequence: int, **changes: object) -> Digest:
+    values: dict[str, object] = {
+        "format": DIGEST_FORMAT,
+        "instance": instance,
+        "boot": boot,
+        "host": f"10.0.0.{boot}",
+        "sequence": sequence,
+        "stamp": 5,
+        "echo_boot": 0,
+        "echo": -1,
+        "revision": 1,
+        "proof_age": 0,
+        "list_tag": 0,
+        "list_age": 0,
+        "data_center": "north",
+        "reads_source": True,
+        "leaving": (),
+        "ejected": (),
+        "work": (),
+        "hosts": (),
+        "quiet": 200,
+        "asks": False,
+    }
+    return Digest(**(values | changes))  # type: ignore[arg-type]
+
+
+class PeerTableTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = PeerTable(own_boot=9)
+
+    def test_what_is_no_digest_is_dropped(self) -> None:
+        self.assertIsNone(decode_digest(b"\xff\x00junk"))
+        whole = digest("a", 1, 1)
+        self.assertEqual(decode_digest(encode_digest(whole)), whole)
+
+    def test_an_overtaken_digest_is_dropped(self) -> None:
+        self.assertTrue(self.table.take(digest("a", 1, 5), NOW))
+        self.assertFalse(self.table.take(digest("a", 1, 4), NOW))
+        self.assertFalse(self.table.take(digest("me", 9, 1), NOW))
+
+    def test_a_new_life_starts_its_sequence_anew(self) -> None:
+        self.table.take(digest("a", 1, 5), NOW)
+        self.assertTrue(self.table.take(digest("a", 2, 1, host="10.0.0.1"), NOW))
+
+    def test_an_echo_of_another_life_dates_nothing(self) -> None:
+        self.assertIsNone(asked_at(digest("a", 1, 1, echo=500, echo_boot=8), 9))
+        self.assertIsNone(asked_at(digest("a", 1, 1), 9))
+        self.assertEqual(asked_at(digest("a", 1, 1, echo=500, echo_boot=9), 9), 0.5)
+
+    def test_rank_counts_live_peers_that_can_read(self) -> None:
+        self.table.take(digest("a", 1, 1), NOW)
+        self.table.take(digest("b", 2, 1, reads_source=False), NOW)
+        self.table.take(digest("z", 3, 1), NOW)
+        self.assertEqual(self.table.rank("m", "north", NOW), 1)
+        self.assertEqual(self.table.rank("m", "north", NOW + ALIVE_SECONDS), 0)
+
+    def test_in_a_large_fleet_neighbours_are_ranked_after_other_centres(self) -> None:
+        for number in range(10, SMALL_FLEET + 12):
+            center = "north" if number < 13 else "south"
+            self.table.take(digest(f"i{number:02}", number, 1, data_center=center), NOW)
+        self.assertEqual(self.table.rank("i11", "north", NOW), 1)
+        self.assertEqual(self.table.rank("i00", "south", NOW), 1)
+
+    def test_a_peer_may_be_silent_for_as_long_as_it_said(self) -> None:
+        self.table.take(digest("a", 1, 1, quiet=2000), NOW)
+        self.assertEqual(len(self.table.alive(NOW + 5.9)), 1)
+        self.assertEqual(self.table.alive(NOW + 6.1), [])
+
+    def test_a_data_center_is_silent_when_all_its_peers_are(self) -> None:
+        self.table.take(digest("a", 1, 1), NOW)
+        self.table.take(digest("b", 2, 1), NOW + 0.6)
+        self.assertEqual(self.table.silent_centers(NOW + 0.7), frozenset())
+        silent = self.table.silent_centers(NOW + 0.7 + SILENT_SECONDS)
+        self.assertEqual(silent, frozenset(("north",)))
+
+
+class FanOutTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = PeerTable(own_boot=999)
+        self.fan_out = FanOut("north", random.Random(1))
+
+    def fill(self, near: int, far: int, now: float) -> None:
+        for number in range(1, near + far + 1):
+            center = "north" if number <= near else f"south{number % 2}"
+            peer = digest(f"i{number}", number, int(now * 10), data_center=center, quiet=5000)
+            self.table.take(peer, now)
+
+    def test_a_small_fleet_tells_everybody(self) -> None:
+        self.fill(4, 5, NOW)
+        turn = self.fan_out.next_round(self.table, NOW, changed=False, urgent=False)
+        self.assertEqual((len(turn.near), len(turn.far)), (9, 0))
+
+    def test_a_large_fleet_tells_neighbours_and_one_of_each_other_centre(self) -> None:
+        self.fill(10, 20, NOW)
+        turn = self.fan_out.next_round(self.table, NOW, changed=True, urgent=False)
+        self.assertEqual({peer.data_center for peer in turn.near}, {"north"})
+        self.assertEqual(len(turn.near), 10)
+        self.assertEqual({peer.data_center for peer in turn.far}, {"south0", "south1"})
+
+    def test_without_news_only_the_heartbeat_is_sent(self) -> None:
+        self.fill(10, 20, NOW)
+        self.fan_out.next_round(self.table, NOW, changed=True, urgent=False)
+        turn = self.fan_out.next_round(self.table, NOW + 0.2, changed=False, urgent=False)
+        self.assertEqual((turn.near, turn.far), ((), ()))
+        later = NOW + HEARTBEAT_SECONDS
+        turn = self.fan_out.next_round(self.table, later, changed=False, urgent=False)
+        self.assertEqual(len(turn.near), 10)
+        self.assertGreater(later, NOW + FAR_SECONDS)
+        self.assertEqual(len(turn.far), 2)
+
+    def test_news_for_other_centres_does_not_wait(self) -> None:
+        self.fill(10, 20, NOW)
+        self.fan_out.next_round(self.table, NOW, changed=True, urgent=False)
+        turn = self.fan_out.next_round(self.table, NOW + 0.05, changed=True, urgent=True)
+        self.assertEqual(len(turn.far), 2)
+
+    def test_bytes_are_bounded_but_a_change_reaches_some(self) -> None:
+        self.fill(40, 20, NOW)
+        sent = 0
+        for step in range(100):
+            now = NOW + step * 0.05
+            turn = self.fan_out.next_round(self.table, now, changed=True, urgent=False)
+            self.assertGreaterEqual(len(turn.near), FEWEST_TOLD)
+            for _ in turn.near:
+                self.fan_out.note_bytes(372)
+                sent += 400
+        self.assertLess(sent, NEAR_BYTES_PER_SECOND * 6 + 100 * FEWEST_TOLD * 400)
+
+
+class FleetTest(unittest.TestCase):
+    def test_a_large_fleet_knows_its_proof_everywhere_within_a_budget(self) -> None:
+        fleet = GossipFleet(centers=3, instances=60, seed=1)
+        fleet.play(12.0)
+        before, reads = fleet.bytes_out, fleet.reads
+        fleet.play(5.0)
+        self.assertLess(max(fleet.proof_ages()), 2.0)
+        self.assertEqual({len(item.hosts) for item in fleet.members}, {59})
+        self.assertLess((fleet.bytes_out - before) / 5.0 / 60, NEAR_BYTES_PER_SECOND)
+        self.assertLessEqual((fleet.reads - reads) / 5.0, 5.0)
+
+    def test_a_centre_that_is_cut_off_is_noticed_and_heard_again(self) -> None:
+        fleet = GossipFleet(centers=3, instances=60, seed=2)
+        fleet.play(8.0)
+        fleet.cut = {"c2"}
+        fleet.play(3.0)
+        outside = [item for item in fleet.members if item.table.data_center != "c2"]
+        for member in outside:
+            self.assertEqual(member.known.silent_centers(fleet.now), {"c2"})
+        fleet.cut = set()
+        fleet.play(3.0)
+        for member in outside:
+            self.assertEqual(member.known.silent_centers(fleet.now), frozenset())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/pondpin/tests/test_relay_publication.py
+++ b/pondpin/tests/test_relay_publication.py
@@ -8,16 +8,6 @@
 
 from pondpin.http_streams import CallFailedError
 from pondpin.platform.documents import PlatformDecoder
-from pondpin.relay.digests import (
-    ALIVE_SECONDS,
-    DIGEST_FORMAT,
-    SILENT_SECONDS,
-    Digest,
-    PeerTable,
-    asked_at,
-    decode_digest,
-    encode_digest,
-)
 from pondpin.relay.freshness import Proof
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import LogEvent, SourceChanged
@@ -234,68 +224,6 @@
         self.assertLessEqual(backoff_seconds(50, 1.0), LONGEST_BACKOFF_SECONDS)
 
 
-def digest(instance: str, boot: int, sequence: int, **changes: object) -> Digest:
-    values: dict[str, object] = {
-        "format": DIGEST_FORMAT,
-        "instance": instance,
-        "boot": boot,
-        "host": f"10.0.0.{boot}",
-        "sequence": sequence,
-        "stamp": 5,
-        "echo_boot": 0,
-        "echo": -1,
-        "revision": 1,
-        "proof_age": 0,
-        "list_tag": 0,
-        "list_age": 0,
-        "data_center": "north",
-        "reads_source": True,
-        "leaving": (),
-        "ejected": (),
-        "work": (),
-        "hosts": (),
-    }
-    return Digest(**(values | changes))  # type: ignore[arg-type]
-
-
-class PeerTableTest(unittest.TestCase):
-    def setUp(self) -> None:
-        self.table = PeerTable(own_boot=9)
-
-    def test_what_is_no_digest_is_dropped(self) -> None:
-        self.assertIsNone(decode_digest(b"\xff\x00junk"))
-        whole = digest("a", 1, 1)
-        self.assertEqual(decode_digest(encode_digest(whole)), whole)
-
-    def test_an_overtaken_digest_is_dropped(self) -> None:
-        self.assertTrue(self.table.take(digest("a", 1, 5), NOW))
-        self.assertFalse(self.table.take(digest("a", 1, 4), NOW))
-        self.assertFalse(self.table.take(digest("me", 9, 1), NOW))
-
-    def test_a_new_life_starts_its_sequence_anew(self) -> None:
-        self.table.take(digest("a", 1, 5), NOW)
-        self.assertTrue(self.table.take(digest("a", 2, 1, host="10.0.0.1"), NOW))
-
-    def test_an_echo_of_another_life_dates_nothing(self) -> None:
-        self.assertIsNone(asked_at(digest("a", 1, 1, echo=500, echo_boot=8), 9))
-        self.assertIsNone(asked_at(digest("a", 1, 1), 9))
-        self.assertEqual(asked_at(digest("a", 1, 1, echo=500, echo_boot=9), 9), 0.5)
-
-    def test_rank_counts_live_peers_that_can_read(self) -> None:
-        self.table.take(digest("a", 1, 1), NOW)
-        self.table.take(digest("b", 2, 1, reads_source=False), NOW)
-        self.table.take(digest("z", 3, 1), NOW)
-        self.assertEqual(self.table.rank("m", NOW), 1)
-        self.assertEqual(self.table.rank("m", NOW + ALIVE_SECONDS), 0)
-
-    def test_a_data_center_is_silent_when_all_its_peers_are(self) -> None:
-        self.table.take(digest("a", 1, 1), NOW)
-        self.table.take(digest("b", 2, 1), NOW + 0.6)
-        self.assertEqual(self.table.silent_centers(NOW + 0.7), frozenset())
-        silent = self.table.silent_centers(NOW + 0.7 + SILENT_SECONDS)
-        self.assertEqual(silent, frozenset(("north",)))
-
-
 class LogTest(unittest.TestCase):
     def test_lines_are_bounded_and_refusals_go_last(self) -> None:
         import os
--- /dev/null
+++ b/pondpin/tools/gossip_fleet.py
@@ -0,0 +1,139 @@
+"""Plays digests between many instances in simulated time, without sockets.
+
+One instance in each round of reads has a new proof; a read is made by whoever finds it due.
+Used by tests and by `measure_gossip`.
+"""
+
+import heapq
+import itertools
+import os
+import random
+
+import msgspec
+
+from pondpin.controllers.peers import GrpcPeers
+from pondpin.metrics import Metrics
+from pondpin.platform.documents import PlatformDecoder
+from pondpin.relay.fan_out import PACKET_BYTES, PERIOD_SECONDS
+from pondpin.relay.freshness import Proof
+from pondpin.relay.gossip import Gossip, GossipAddress
+from pondpin.relay.log import EventLog
+from pondpin.relay.publication import Publication, PublishedItem
+from pondpin.relay.reader import is_due
+from pondpin.relay.upstreams import UpstreamTable
+from pondpin.standins.local_platform import sample_configuration
+
+# One way, as between data centres of one region.
+DELAY_SECONDS = 0.0015
+
+
+class _Transport:
+    """Hands datagrams to the fleet."""
+
+    def __init__(self, fleet: "GossipFleet", center: str) -> None:
+        self._fleet = fleet
+        self._center = center
+
+    def write(self, data: bytes, place: tuple[str, int]) -> None:
+        """Send a datagram."""
+        self._fleet.carry(self._center, data, place[0])
+
+
+class GossipFleet:
+    """Instances over some data centres; all begin with the same configuration in force."""
+
+    def __init__(self, centers: int, instances: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now = 1000.0
+        self.cut: set[str] = set()
+        self.bytes_out = 0
+        self.reads = 0
+        self._order = itertools.count()
+        self._events: list[tuple[float, int, int, bytes]] = []
+        self._due: list[tuple[float, int, int]] = []
+        self.members = [self._member(number, centers) for number in range(instances)]
+        self._index_by_host = {
+            member.address.host: index for index, member in enumerate(self.members)
+        }
+        for index in range(instances):
+            start = self.now + self.rng.random() * PERIOD_SECONDS
+            heapq.heappush(self._due, (start, next(self._order), index))
+
+    def _member(self, number: int, centers: int) -> Gossip:
+        center = f"c{number % centers}"
+        name = f"i{number:04}"
+        log = EventLog(name, self._clock, self._clock, os.open(os.devnull, os.O_WRONLY))
+        publication = Publication(
+            PlatformDecoder(), lambda _: None, lambda _: None, lambda *_: None
+        )
+        value = msgspec.json.encode(sample_configuration())
+        publication.offer_configuration(PublishedItem("op/config", 1, value), None)
+        publication.offer_list((), self.now, self.now)
+        gossip = Gossip(
+            instance=name,
+            boot=number + 1,
+            address=GossipAddress(f"10.0.{number // 250}.{number % 250}", 1, 2),
+            seeds=tuple(f"10.0.0.{seed}" for seed in range(centers)),
+            publication=publication,
+            table=UpstreamTable(center),
+            peers=GrpcPeers(Metrics(name, center), lambda: None),
+            log=log,
+            clock=self._clock,
+            rng=random.Random(number),
+            reads_source=lambda: True,
+        )
+        gossip.transport = _Transport(self, center)
+        return gossip
+
+    def _clock(self) -> float:
+        return self.now
+
+    def carry(self, center: str, data: bytes, host: str) -> None:
+        """Send a datagram from a data centre to a host."""
+        self.bytes_out += len(data) + PACKET_BYTES
+        index = self._index_by_host.get(host)
+        if index is None:
+            return
+        there = self.members[index].table.data_center
+        if there != center and self.cut & {there, center}:
+            return
+        arrival = self.now + DELAY_SECONDS
+        heapq.heappush(self._events, (arrival, next(self._order), index, data))
+
+    def play(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while True:
+            arrival = self._events[0][0] if self._events else end
+            due = self._due[0][0]
+            if min(arrival, due) >= end:
+                break
+            if arrival <= due:
+                self._deliver()
+            else:
+                self._step()
+        self.now = end
+
+    def _deliver(self) -> None:
+        self.now, _, index, data = heapq.heappop(self._events)
+        self.members[index].datagramReceived(data, None)
+
+    def _step(self) -> None:
+        """One instance reads if that is due, and tells."""
+        self.now, _, index = heapq.heappop(self._due)
+        member = self.members[index]
+        rank = member.known.rank(member.instance, member.table.data_center, self.now)
+        if is_due(self._proof_age(member), rank):
+            self.reads += 1
+            member.publication.note_proof(Proof(1, self.now))
+        member.note_silence(self.now)
+        member.send(self.now)
+        heapq.heappush(self._due, (self.now + PERIOD_SECONDS, next(self._order), index))
+
+    def _proof_age(self, member: Gossip) -> float:
+        proof = member.publication.proof
+        return float("inf") if proof is None else proof.age(self.now)
+
+    def proof_ages(self) -> list[float]:
+        """Seconds since the proof that each instance knows of was read."""
+        return [self._proof_age(member) for member in self.members]
