--- a/pondpin/relay/gossip.py
+++ b/pondpin/relay/gossip.py
@@ -291,6 +291,7 @@
         for name in silent ^ self.table.silent_centers:
             self.log.write(DataCenterChanged(data_center=name, silent=name in silent))
         self.table.silent_centers = silent
+        self.table.peers_tell_all = not self.known.is_large
 
     def _note_alive(self, now: float) -> None:
         alive = {peer.instance for peer in self.known.alive(now)}
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -24,6 +24,8 @@
 
 # A choice that puts this much reading on an engine is told to peers at once, in seconds.
 TELL_SECONDS = 0.03
+# A data centre with fewer engines shares the others' too: long prompts want many parts.
+FEWEST_NEAR = 12
 # Groups of parts are told apart by random numbers of so many bits.
 GROUP_BITS = 31
 
@@ -97,15 +99,32 @@
         if self._policy.placement is not PlacementPolicy.PREDICTED:
             return self._plan_baseline(call, profile, states, now)
         job = make_job(call)
-        views = [EngineView(state.id, state.load(now), self._is_local(state)) for state in states]
-        light = sum(state.light_in_flight(now) for state in states)
-        most = MOST_PARTS if self._policy.parts else 1
-        choice = choose_engines(profile, job, views, light, self._rng, most)
+        near = self._near(states)
+        choice = self._choose(job, profile, near, now)
+        if len(near) < len(states) and (choice is None or choice.first_event > job.target):
+            wide = self._choose(job, profile, states, now)
+            if choice is None or (wide is not None and wide.loss < choice.loss):
+                choice = wide
         if choice is None:
             return None
         helpers = tuple(self._table.by_id[name] for name in choice.helpers)
         return Plan(self._table.by_id[choice.lead], helpers, choice, len(states))
 
+    def _near(self, states: list[UpstreamState]) -> list[UpstreamState]:
+        """The engines whose load is known here: in a large fleet those of the data centre."""
+        if self._table.peers_tell_all:
+            return states
+        near = [state for state in states if self._is_local(state)]
+        return near if len(near) >= FEWEST_NEAR else states
+
+    def _choose(
+        self, job: Job, profile: EngineProfile, states: list[UpstreamState], now: float
+    ) -> EngineChoice | None:
+        views = [EngineView(state.id, state.load(now), self._is_local(state)) for state in states]
+        light = sum(state.light_in_flight(now) for state in states)
+        most = MOST_PARTS if self._policy.parts else 1
+        return choose_engines(profile, job, views, light, self._rng, most)
+
     def _plan_baseline(
         self, call: RelayCall, profile: EngineProfile, states: list[UpstreamState], now: float
     ) -> Plan:
--- a/pondpin/relay/upstreams.py
+++ b/pondpin/relay/upstreams.py
@@ -286,6 +286,8 @@
         self._ids_by_service: dict[str, list[str]] = {}
         self._left: set[str] = set()
         self.silent_centers: frozenset[str] = frozenset()
+        # In a large fleet only the peers of the own data centre tell of their work.
+        self.peers_tell_all = True
 
     def take_list(self, listed: Iterable[ListedUpstream], missing: Iterable[str]) -> list[str]:
         """Take a reading of the list; returns the ids that newly leave or are gone."""
--- /dev/null
+++ b/pondpin/tests/test_relay_planner.py
@@ -0,0 +1,104 @@
+"""Which engines an attempt may use: all in a small fleet, the neighbours in a large one."""
+
+import random
+import unittest
+from typing import Any
+
+from pondpin.relay.call import Progress, RelayCall
+from pondpin.relay.model import (
+    EngineProfile,
+    ListedUpstream,
+    RelayConfiguration,
+    RequestFacts,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+from pondpin.relay.planner import FEWEST_NEAR, Plan, Planner
+from pondpin.relay.upstreams import UpstreamTable, Work
+
+NOW = 1000.0
+PROFILE = EngineProfile(8, 450_000, 46, 0.000925, 5e-6, 2.5e-6, 256_000.0, 9.17e-11, 2048, 0.0001)
+
+
+def make_call(prompt_tokens: int, target: float = 0.3, gap_target: float = 0.2) -> RelayCall:
+    """An admitted stream."""
+    shares = (ServiceShare("engines", 1.0),)
+    route = Route(
+        "r", "h", "/", RouteKind.STREAM, 10.0, target, 1, shares, 2, False, True, gap_target
+    )
+    configuration = RelayConfiguration(
+        1, {}, {"engines": Service("engines", "/healthz", 64, PROFILE)}, {}
+    )
+    nothing: Any = None
+    return RelayCall(
+        incoming=nothing,
+        reply=nothing,
+        facts=RequestFacts("a1", "h", "", 10.0, prompt_tokens, 800, ""),
+        route=route,
+        service="engines",
+        account="",
+        rank=1,
+        configuration=configuration,
+        arrived=NOW,
+        deadline=NOW + 10.0,
+    )
+
+
+class NearEnginesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = UpstreamTable("north")
+        self.planner = Planner(self.table, lambda: NOW, random.Random(1), lambda: None)
+
+    def fill(self, near: int, far: int) -> None:
+        centers = ["north"] * near + ["south"] * far
+        self.table.take_list(
+            [
+                ListedUpstream(f"e{index}", "engines", "10.0.0.1", index, center, 8, False)
+                for index, center in enumerate(centers)
+            ],
+            [],
+        )
+
+    def plan(self, call: RelayCall) -> Plan:
+        plan = self.planner.plan(call, Progress(), frozenset())
+        assert plan is not None
+        return plan
+
+    def centers(self, plan: Plan) -> set[str]:
+        return {state.listed.data_center for state in (plan.lead, *plan.helpers)}
+
+    def fill_up_near(self) -> None:
+        """Put a long reading on each engine of the own data centre."""
+        for state in self.table.by_id.values():
+            if state.listed.data_center == "north":
+                state.work_by_key[-1] = Work(30.0, NOW, 9000, 0.3, 0.2, 50.0, False, True)
+
+    def test_a_large_fleet_reads_a_long_prompt_on_neighbours(self) -> None:
+        self.fill(FEWEST_NEAR, 20)
+        self.table.peers_tell_all = False
+        for _ in range(20):
+            plan = self.plan(make_call(250_000, target=3.0, gap_target=0.8))
+            self.assertEqual(self.centers(plan), {"north"})
+
+    def test_other_centres_take_what_neighbours_would_be_late_with(self) -> None:
+        self.fill(FEWEST_NEAR, 20)
+        self.table.peers_tell_all = False
+        self.fill_up_near()
+        self.assertEqual(self.centers(self.plan(make_call(2000))), {"south"})
+
+    def test_few_neighbours_are_not_enough(self) -> None:
+        self.fill(FEWEST_NEAR - 1, 20)
+        self.table.peers_tell_all = False
+        seen = [self.centers(self.plan(make_call(2000))) for _ in range(40)]
+        self.assertIn({"south"}, seen)
+
+    def test_a_small_fleet_uses_all(self) -> None:
+        self.fill(FEWEST_NEAR, 20)
+        seen = [self.centers(self.plan(make_call(2000))) for _ in range(40)]
+        self.assertIn({"south"}, seen)
+
+
+if __name__ == "__main__":
+    unittest.main()
