Bound the connections of an instance to an upstream by its share

cause: a service's limit of connections was decoded and not used (listed as open): connections beyond it are reset, which looks like a failing upstream and costs retries. change: an upstream with `connection_share` requests of this instance gets no more; a caller is told to come back when all are at it.

--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -117,7 +117,9 @@
     def _make_serving(self) -> None:
         settings = self.settings
         policy = RelayPolicy(PlacementPolicy(settings.placement), settings.use_parts)
-        planner = Planner(self.table, steady_now, self.rng, lambda: self.gossip.tell_soon(), policy)
+        planner = Planner(
+            self.table, steady_now, self.rng, self.gossip.tell_soon, policy, self._sharers
+        )
         prefix = f"{settings.instance}-{self.boot:x}"
         self.leases = Leases(PlatformLeases(self.http), prefix, self.log)
         dialect = PlatformDialect()
@@ -128,7 +130,7 @@
             table=self.table,
             leases=self.leases,
             beliefs=self.beliefs,
-            sharers=lambda: 1 + len(self.gossip.hosts),
+            sharers=self._sharers,
             retry_bounds=self._retry_bounds,
             log=self.log,
             metrics=self.metrics,
@@ -163,6 +165,10 @@
             HousekeepingController(self),
         )
 
+    def _sharers(self) -> int:
+        """Instances that share the bounds of the whole system; silent ones may be alive."""
+        return 1 + len(self.gossip.hosts)
+
     def _retry_bounds(self) -> RetryBounds:
         limits = self.settings.limits
         return RetryBounds(limits.retry_ratio, limits.retry_allowance, limits.retry_window_seconds)
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -26,6 +26,11 @@
 TELL_SECONDS = 0.03
 # A data centre with fewer engines shares the others' too: long prompts want many parts.
 FEWEST_NEAR = 12
+# An upstream resets connections beyond its limit, which all instances share; a tenth is left
+# for connections that are just closing.
+CONNECTIONS_SHARE = 0.9
+# However many instances there are: callers are spread unevenly, and few are busy at once.
+FEWEST_CONNECTIONS = 4
 # Groups of parts are told apart by random numbers of so many bits.
 GROUP_BITS = 31
 
@@ -55,6 +60,11 @@
         )
 
 
+def connection_share(connections: int, sharers: int) -> int:
+    """Connections that one instance may have open to an upstream that takes so many in all."""
+    return max(FEWEST_CONNECTIONS, int(connections * CONNECTIONS_SHARE / max(1, sharers)))
+
+
 class Planner:
     """Chooses among the usable upstreams of a service."""
 
@@ -65,12 +75,14 @@
         rng: random.Random,
         tell_soon: Callable[[], None],
         policy: RelayPolicy | None = None,
+        sharers: Callable[[], int] = lambda: 1,
     ) -> None:
         self._table = table
         self._clock = clock
         self._rng = rng
         self._tell_soon = tell_soon
         self._policy = policy or RelayPolicy()
+        self._sharers = sharers
         self._keys = itertools.count(1)
 
     def plan(self, call: RelayCall, progress: Progress, avoid: frozenset[str]) -> Plan | None:
@@ -79,6 +91,9 @@
         states = self._table.usable(call.service, now, progress.tried | avoid)
         service = call.configuration.services_by_name.get(call.service)
         profile = service.engine if service is not None else None
+        if service is not None:
+            share = connection_share(service.connections, self._sharers())
+            states = [state for state in states if state.open_here < share]
         if not states:
             return None
         if profile is None or call.facts.prompt_tokens <= 0:
--- a/pondpin/relay/upstreams.py
+++ b/pondpin/relay/upstreams.py
@@ -166,12 +166,16 @@
 
     def in_flight(self, now: float) -> int:
         """Requests there, of this instance and of peers; what it told itself may be more."""
-        own = sum(1 for work in self.work_by_key.values() if work.writes)
-        known = own + sum(item.work.in_flight for item in self._peer_work(now))
+        known = self.open_here + sum(item.work.in_flight for item in self._peer_work(now))
         if self.told is not None and now - self.told_at < TOLD_LOAD_SECONDS:
             return max(known, self.told.running + self.told.waiting)
         return known
 
+    @property
+    def open_here(self) -> int:
+        """Requests of this instance there, each on a connection of its own."""
+        return sum(1 for work in self.work_by_key.values() if work.writes)
+
     def light_in_flight(self, now: float) -> int:
         """Light streams there."""
         own = sum(1 for work in self.work_by_key.values() if work.light and work.writes)
--- a/pondpin/tests/test_relay_planner.py
+++ b/pondpin/tests/test_relay_planner.py
@@ -15,7 +15,13 @@
     Service,
     ServiceShare,
 )
-from pondpin.relay.planner import FEWEST_NEAR, Plan, Planner
+from pondpin.relay.planner import (
+    FEWEST_CONNECTIONS,
+    FEWEST_NEAR,
+    Plan,
+    Planner,
+    connection_share,
+)
 from pondpin.relay.upstreams import UpstreamTable, Work
 
 NOW = 1000.0
@@ -46,6 +52,24 @@
     )
 
 
+class ConnectionShareTest(unittest.TestCase):
+    def test_instances_share_what_an_upstream_takes(self) -> None:
+        self.assertEqual(connection_share(100, 9), 10)
+        self.assertEqual(connection_share(100, 80), FEWEST_CONNECTIONS)
+
+    def test_an_upstream_at_its_share_gets_nothing_more(self) -> None:
+        table = UpstreamTable("north")
+        listed = ListedUpstream("e0", "engines", "10.0.0.1", 80, "north", 8, False)
+        table.take_list([listed], [])
+        planner = Planner(table, lambda: NOW, random.Random(1), lambda: None, sharers=lambda: 64)
+        call = make_call(2000)
+        for _ in range(FEWEST_CONNECTIONS):
+            plan = planner.plan(call, Progress(), frozenset())
+            assert plan is not None
+            planner.begin(call, plan)
+        self.assertIsNone(planner.plan(call, Progress(), frozenset()))
+
+
 class NearEnginesTest(unittest.TestCase):
     def setUp(self) -> None:
         self.table = UpstreamTable("north")
