--- a/pondpin/relay/digests.py
+++ b/pondpin/relay/digests.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from pondpin.relay.upstreams import WorkDigest
+from pondpin.relay.upstreams import CenterLoad, WorkDigest
 
 DIGEST_FORMAT = 2
 MILLISECONDS = 1000.0
@@ -40,7 +40,8 @@
 
     boot is a random number of the sender's life; stamp is the sender's steady clock;
     echo_boot and echo repeat the boot and stamp of the receiver's last digest. quiet is after how
-    long the receiver will probably hear the sender again; asks: it wants an answer at once.
+    long the receiver will probably hear the sender again; asks: it wants an answer at once;
+    center_loads is told to other data centres, where work on each upstream is not.
     """
 
     format: int
@@ -63,6 +64,7 @@
     hosts: tuple[str, ...]
     quiet: int
     asks: bool
+    center_loads: tuple[CenterLoad, ...] = ()
 
 
 _DECODER = msgspec.msgpack.Decoder(Digest)
--- a/pondpin/relay/fan_out.py
+++ b/pondpin/relay/fan_out.py
@@ -17,6 +17,9 @@
 PERIOD_SECONDS = 0.2
 # Neighbours of a large fleet hear at least so often that an instance has nothing new.
 HEARTBEAT_SECONDS = 0.6
+# A heartbeat goes to so many neighbours at random: it finds the living and carries proofs, whose
+# way through a data centre takes two or three rounds. Changes go to all that the budget allows.
+HEARTBEAT_FAN_OUT = 8
 # A peer of each other data centre is asked this often: proofs of half a second more still
 # leave four of the five seconds that a key's bound is in the deployments seen.
 FAR_SECONDS = 0.5
@@ -63,11 +66,11 @@
         near = [peer for peer in alive if peer.data_center == self._data_center]
         told = self._choose_near(near, now, changed)
         far = [peer for peer in alive if peer.data_center != self._data_center]
-        share = len(near) / max(1, len(told)) if told else 1.0
+        rounds = max(1.0, len(near) / HEARTBEAT_FAN_OUT)
         return Round(
             near=told,
             far=self._choose_far(far, now, urgent),
-            quiet=HEARTBEAT_SECONDS * share,
+            quiet=HEARTBEAT_SECONDS * rounds,
             far_quiet=FAR_SECONDS * max(1, len(near)),
         )
 
@@ -84,6 +87,8 @@
         self._told_at = now
         self._save(now)
         affordable = max(FEWEST_TOLD, int(self._saved / self._digest_bytes))
+        if not changed:
+            affordable = min(affordable, HEARTBEAT_FAN_OUT)
         if affordable >= len(near):
             return tuple(near)
         return tuple(self._rng.sample(near, affordable))
--- a/pondpin/relay/gossip.py
+++ b/pondpin/relay/gossip.py
@@ -24,7 +24,7 @@
     decode_digest,
     encode_digest,
 )
-from pondpin.relay.fan_out import PERIOD_SECONDS, FanOut
+from pondpin.relay.fan_out import PERIOD_SECONDS, FanOut, Round
 from pondpin.relay.freshness import peer_proof
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import DataCenterChanged, FetchFailed, PeerChanged, UpstreamLeaving
@@ -134,12 +134,18 @@
         quiet = digest.quiet / MILLISECONDS
         until = now + max(PEER_LOAD_SECONDS, QUIET_TIMES * quiet)
         self.table.take_peer_work(digest.instance, digest.work, now, until)
+        self.table.take_center_loads(digest.data_center, digest.center_loads, now)
         if digest.asks:
             self._answer(digest, now)
 
     def _answer(self, asking: Digest, now: float) -> None:
         """Tell a peer of another data centre at once, so that it can date what it hears."""
-        base = msgspec.structs.replace(self.describe(now), work=(), quiet=asking.quiet)
+        base = msgspec.structs.replace(
+            self.describe(now),
+            work=(),
+            quiet=asking.quiet,
+            center_loads=self.table.own_center_loads(now),
+        )
         self._post(base, asking.host, self.known.by_host.get(asking.host))
 
     def _take_proofs(self, digest: Digest, now: float) -> None:
@@ -206,14 +212,25 @@
         near = msgspec.structs.replace(base, quiet=_round_up(turn.quiet))
         for peer in turn.near:
             self._fan_out.note_bytes(self._post(near, peer.host, peer))
-        far = msgspec.structs.replace(base, work=(), asks=True, quiet=_round_up(turn.far_quiet))
-        for peer in turn.far:
-            self._post(far, peer.host, peer)
+        if turn.far:
+            self._ask_far(base, turn, now)
         if now - self._hello_at >= HELLO_SECONDS:
             self._hello_at = now
             quiet = turn.far_quiet if self.known.is_large else turn.quiet
             self._greet(msgspec.structs.replace(base, quiet=_round_up(quiet)), now)
 
+    def _ask_far(self, base: Digest, turn: Round, now: float) -> None:
+        """Tell peers of other data centres, and ask for theirs."""
+        far = msgspec.structs.replace(
+            base,
+            work=(),
+            asks=True,
+            quiet=_round_up(turn.far_quiet),
+            center_loads=self.table.own_center_loads(now),
+        )
+        for peer in turn.far:
+            self._post(far, peer.host, peer)
+
     def _greet(self, base: Digest, now: float) -> None:
         """Try hosts that are not heard, and forget those that nobody mentions any more."""
         heard = {peer.host for peer in self.known.alive(now)}
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -19,13 +19,15 @@
 from pondpin.relay.forecast import read_seconds
 from pondpin.relay.model import EngineProfile
 from pondpin.relay.ports import PartPlace
-from pondpin.relay.upstreams import UpstreamState, UpstreamTable, Work
+from pondpin.relay.upstreams import CenterLoadSeen, UpstreamState, UpstreamTable, Work
 from pondpin.service_choice import ServiceView, choose_service
 
 # A choice that puts this much reading on an engine is told to peers at once, in seconds.
 TELL_SECONDS = 0.03
 # A data centre with fewer engines shares the others' too: long prompts want many parts.
 FEWEST_NEAR = 12
+# A light stream leaves a crowded data centre for one whose engines have fewer requests by this.
+CENTER_DIFFERENCE = 2.0
 # An upstream resets connections beyond its limit, which all instances share; a tenth is left
 # for connections that are just closing.
 CONNECTIONS_SHARE = 0.9
@@ -116,15 +118,52 @@
         job = make_job(call)
         near = self._near(states)
         choice = self._choose(job, profile, near, now)
-        if len(near) < len(states) and (choice is None or choice.first_event > job.target):
-            wide = self._choose(job, profile, states, now)
-            if choice is None or (wide is not None and wide.loss < choice.loss):
-                choice = wide
+        if len(near) < len(states):
+            choice = self._look_further(call.service, job, profile, states, choice, now)
         if choice is None:
             return None
         helpers = tuple(self._table.by_id[name] for name in choice.helpers)
         return Plan(self._table.by_id[choice.lead], helpers, choice, len(states))
 
+    def _look_further(
+        self,
+        service: str,
+        job: Job,
+        profile: EngineProfile,
+        states: list[UpstreamState],
+        near: EngineChoice | None,
+        now: float,
+    ) -> EngineChoice | None:
+        """Use other data centres' engines when the own ones would be late or are crowded."""
+        late = near is None or near.first_event > job.target
+        light = is_light(profile, job.prompt_tokens, job.gap_target)
+        there = self._idle_center(service, profile, near, late, now) if light else None
+        if there is not None:
+            center, seen = there
+            engines = [state for state in states if state.listed.data_center == center]
+            return self._choose(job, profile, engines, now, seen.load.light) or near
+        if not late:
+            return near
+        wide = self._choose(job, profile, states, now)
+        return wide if near is None or (wide and wide.loss < near.loss) else near
+
+    def _idle_center(
+        self,
+        service: str,
+        profile: EngineProfile,
+        near: EngineChoice | None,
+        late: bool,
+        now: float,
+    ) -> tuple[str, CenterLoadSeen] | None:
+        """A data centre that a light stream had better go to."""
+        found = self._table.idlest_center(service, now)
+        if found is None or late or near is None:
+            return found
+        in_flight = self._table.by_id[near.lead].in_flight(now)
+        if in_flight < profile.slots - 1:
+            return None
+        return found if found[1].mean_in_flight <= in_flight - CENTER_DIFFERENCE else None
+
     def _near(self, states: list[UpstreamState]) -> list[UpstreamState]:
         """The engines whose load is known here: in a large fleet those of the data centre."""
         if self._table.peers_tell_all:
@@ -133,10 +172,16 @@
         return near if len(near) >= FEWEST_NEAR else states
 
     def _choose(
-        self, job: Job, profile: EngineProfile, states: list[UpstreamState], now: float
+        self,
+        job: Job,
+        profile: EngineProfile,
+        states: list[UpstreamState],
+        now: float,
+        light: int = 0,
     ) -> EngineChoice | None:
+        """Choose among some engines; light is what is told of their light streams."""
         views = [EngineView(state.id, state.load(now), self._is_local(state)) for state in states]
-        light = sum(state.light_in_flight(now) for state in states)
+        light = max(light, sum(state.light_in_flight(now) for state in states))
         most = MOST_PARTS if self._policy.parts else 1
         return choose_engines(profile, job, views, light, self._rng, most)
 
--- a/pondpin/relay/reader.py
+++ b/pondpin/relay/reader.py
@@ -21,9 +21,10 @@
 # The first in rank reads when the proof is this old: a change is then in force everywhere
 # well within the two seconds that the deployments allow.
 FIRST_AGE_SECONDS = 0.6
-# Each further one waits a little longer, up to the last of them.
+# Each further one waits a little longer, up to the last of them: proofs that come through two
+# data centres and several peers are one and a half seconds old.
 RANK_SECONDS = 0.3
-LAST_RANK = 3
+LAST_RANK = 6
 # A read that takes longer is given up and its connection dropped; slow days of the source
 # need a third of a second.
 READ_SECONDS = 1.0
--- a/pondpin/relay/upstreams.py
+++ b/pondpin/relay/upstreams.py
@@ -12,6 +12,8 @@
 
 # A peer's word on its work counts for so many seconds; digests come several times a second.
 PEER_LOAD_SECONDS = 1.5
+# A word on a whole data centre changes slowly; it is told twice a second.
+CENTER_LOAD_SECONDS = 2.0
 # What an upstream told of its load in an answer counts for so many seconds.
 TOLD_LOAD_SECONDS = 0.5
 # An upstream that was heard this lately proves that its data centre can be reached; the
@@ -60,6 +62,28 @@
     writers: tuple[WritersDigest, ...]
 
 
+class CenterLoad(msgspec.Struct, frozen=True, array_like=True):
+    """The load of a service's upstreams in one data centre, as an instance there knows it."""
+
+    service: str
+    upstreams: int
+    in_flight: int
+    light: int
+
+
+@dataclass(frozen=True, slots=True)
+class CenterLoadSeen:
+    """What was told of a data centre, and when by this clock."""
+
+    load: CenterLoad
+    at: float
+
+    @property
+    def mean_in_flight(self) -> float:
+        """Requests on an upstream there."""
+        return self.load.in_flight / max(1, self.load.upstreams)
+
+
 @dataclass(slots=True)
 class Work:
     """A request, or a part of a prompt, of this instance on an upstream.
@@ -292,6 +316,7 @@
         self.silent_centers: frozenset[str] = frozenset()
         # In a large fleet only the peers of the own data centre tell of their work.
         self.peers_tell_all = True
+        self._center_loads: dict[tuple[str, str], CenterLoadSeen] = {}
 
     def take_list(self, listed: Iterable[ListedUpstream], missing: Iterable[str]) -> list[str]:
         """Take a reading of the list; returns the ids that newly leave or are gone."""
@@ -361,6 +386,35 @@
             if state_named is not None:
                 state_named.peer_work_by_instance[instance] = PeerWork(work, at, until)
 
+    def own_center_loads(self, now: float) -> tuple[CenterLoad, ...]:
+        """The load of the own data centre's upstreams, by service."""
+        loads = []
+        for service in self._ids_by_service:
+            local = [
+                state
+                for state in self.of_service(service)
+                if state.listed.data_center == self.data_center and not state.leaving
+            ]
+            in_flight = sum(state.in_flight(now) for state in local)
+            light = sum(state.light_in_flight(now) for state in local)
+            loads.append(CenterLoad(service, len(local), in_flight, light))
+        return tuple(loads)
+
+    def take_center_loads(self, center: str, loads: Iterable[CenterLoad], now: float) -> None:
+        """Take a peer's word on its data centre."""
+        for load in loads:
+            self._center_loads[center, load.service] = CenterLoadSeen(load, now)
+
+    def idlest_center(self, service: str, now: float) -> tuple[str, CenterLoadSeen] | None:
+        """The other data centre whose upstreams of a service have the fewest requests."""
+        known = [
+            (center, seen)
+            for (center, name), seen in self._center_loads.items()
+            if name == service and now - seen.at < CENTER_LOAD_SECONDS and seen.load.upstreams
+        ]
+        heard = [item for item in known if item[0] not in self.silent_centers]
+        return min(heard, key=lambda item: item[1].mean_in_flight, default=None)
+
     def note_success(self, name: str, now: float) -> None:
         """An upstream answered."""
         state = self.by_id.get(name)
--- a/pondpin/tests/test_relay_planner.py
+++ b/pondpin/tests/test_relay_planner.py
@@ -22,7 +22,7 @@
     Planner,
     connection_share,
 )
-from pondpin.relay.upstreams import UpstreamTable, Work
+from pondpin.relay.upstreams import CenterLoad, UpstreamTable, Work
 
 NOW = 1000.0
 PROFILE = EngineProfile(8, 450_000, 46, 0.000925, 5e-6, 2.5e-6, 256_000.0, 9.17e-11, 2048, 0.0001)
@@ -112,6 +112,20 @@
         self.fill_up_near()
         self.assertEqual(self.centers(self.plan(make_call(2000))), {"south"})
 
+    def test_a_light_stream_leaves_a_crowded_centre_for_an_idle_one(self) -> None:
+        self.fill(FEWEST_NEAR, 20)
+        self.table.peers_tell_all = False
+        for state in self.table.by_id.values():
+            if state.listed.data_center == "north":
+                for key in range(PROFILE.slots - 1):
+                    state.work_by_key[key] = Work(0.0, NOW, 1, 0.3, 0.2, 1.0, True, True)
+                    state.work_by_key[key].first_event = True
+        self.assertEqual(self.centers(self.plan(make_call(2000))), {"north"})
+        self.table.take_center_loads("south", [CenterLoad("engines", 20, 90, 90)], NOW)
+        self.assertEqual(self.centers(self.plan(make_call(2000))), {"south"})
+        self.table.take_center_loads("south", [CenterLoad("engines", 20, 140, 140)], NOW)
+        self.assertEqual(self.centers(self.plan(make_call(2000))), {"north"})
+
     def test_few_neighbours_are_not_enough(self) -> None:
         self.fill(FEWEST_NEAR - 1, 20)
         self.table.peers_tell_all = False
