--- a/pondpin/standins/local_platform.py
+++ b/pondpin/standins/local_platform.py
@@ -57,6 +57,12 @@
     return route | changes
 
 
+def instance_host(number: int) -> str:
+    """The loopback address of an instance: processes side by side use the same ports."""
+    process = os.getpid()
+    return f"127.{1 + process // 250 % 250}.{1 + process % 250}.{number + 1}"
+
+
 def sample_configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
     """A configuration as the operator writes it."""
     document: dict[str, Any] = {
@@ -137,7 +143,7 @@
 
     async def add_instance(self, number: int) -> RelayEntry:
         """Start a relaying instance."""
-        host = f"127.0.1.{number + 1}"
+        host = instance_host(number)
         settings = RelaySettings(
             instance=f"relay-{number}",
             data_center=CENTERS[number % len(CENTERS)],
@@ -146,7 +152,7 @@
             source=str(self.source),
             peers=RelayPeers(
                 documents=f"{host}:{DOCUMENT_PORT}",
-                known=(f"127.0.1.1:{DOCUMENT_PORT}",),
+                known=(f"{instance_host(0)}:{DOCUMENT_PORT}",),
                 ports=(DATAGRAM_PORT, DATAGRAM_PORT + 15),
             ),
             limits=self.limits,
