--- a/pondpin/relay/fan_out.py
+++ b/pondpin/relay/fan_out.py
@@ -20,9 +20,9 @@
 # A heartbeat goes to so many neighbours at random: it finds the living and carries proofs, whose
 # way through a data centre takes two or three rounds. Changes go to all that the budget allows.
 HEARTBEAT_FAN_OUT = 8
-# A peer of each other data centre is asked this often: proofs of half a second more still
-# leave four of the five seconds that a key's bound is in the deployments seen.
-FAR_SECONDS = 0.5
+# A peer of each other data centre is asked this often, so that proofs pass through three data
+# centres before the last in rank would read itself (`measure_gossip`).
+FAR_SECONDS = 0.3
 # Bytes a second for neighbours; what is saved up lasts for a burst of this many seconds.
 NEAR_BYTES_PER_SECOND = 12_288
 BURST_SECONDS = 1.0
--- a/pondpin/relay/reader.py
+++ b/pondpin/relay/reader.py
@@ -24,7 +24,7 @@
 # Each further one waits a little longer, up to the last of them: proofs that come through two
 # data centres and several peers are one and a half seconds old.
 RANK_SECONDS = 0.3
-LAST_RANK = 6
+LAST_RANK = 4
 # A read that takes longer is given up and its connection dropped; slow days of the source
 # need a third of a second.
 READ_SECONDS = 1.0
