--- a/pondpin/relay/digests.py
+++ b/pondpin/relay/digests.py
@@ -22,7 +22,8 @@
 # Three digests in a row of every peer of a data centre are missing: it is cut off, or all its
 # instances died. What is heard from its upstreams goes before this sign.
 SILENT_SECONDS = 0.65
-# The same in a large fleet, where a data centre is asked twice a second by each instance.
+# The same in a large fleet, where each instance asks one peer of a data centre several times a
+# second, and that one may just be dead.
 LARGE_SILENT_SECONDS = 2.0
 # After this the sign is too old to avoid a data centre's upstreams by.
 SILENCE_COUNTS_SECONDS = 10.0
--- a/pondpin/relay/fan_out.py
+++ b/pondpin/relay/fan_out.py
@@ -43,9 +43,6 @@
     far_quiet: float
 
 
-NOBODY = Round((), (), PERIOD_SECONDS, PERIOD_SECONDS)
-
-
 class FanOut:
     """Chooses the peers of each round."""
 
--- a/pondpin/standins/engine.py
+++ b/pondpin/standins/engine.py
@@ -13,13 +13,11 @@
     CacheEvent,
     CacheEvents,
     EngineError,
-    HeldWork,
     KvBlocks,
     LoadReport,
     Order,
     OrderAnswer,
     ReservationRequest,
-    StreamFrame,
     StreamRequest,
 )
 from pondpin.errors import PondpinError
@@ -37,6 +35,7 @@
     StreamKey,
     Submission,
 )
+from pondpin.standins.engine_reports import Audit, audit_of, encode_frame, held_work
 from pondpin.standins.faults import Faults
 from pondpin.standins.health import Health
 
@@ -60,29 +59,6 @@
     shape: EngineShape = field(default_factory=EngineShape)
 
 
-class Audit(msgspec.Struct, frozen=True):
-    """What the engine found out about itself."""
-
-    blocks_held: int
-    blocks_leaked: int
-    run_twice: int
-    cancelled: int
-    prefill_tokens: int
-    cached_tokens: int
-    decode_tokens: int
-    live: int
-    stale_orders: int
-
-
-def encode_frame(frame: Frame) -> bytes:
-    """One server-sent event."""
-    key = frame.key
-    message = StreamFrame(
-        key.request, key.attempt, frame.offset, frame.text, frame.end, frame.cached
-    )
-    return b"data: " + msgspec.json.encode(message) + b"\n\n"
-
-
 class Engine:
     """Serves one EngineModel over HTTP."""
 
@@ -386,18 +362,7 @@
 
     def audit(self) -> Audit:
         """What the engine finds out about itself."""
-        totals = self.model.totals
-        return Audit(
-            blocks_held=self.model.held_blocks(),
-            blocks_leaked=self.model.leaked_blocks(),
-            run_twice=totals.run_twice,
-            cancelled=totals.cancelled,
-            prefill_tokens=totals.prefill_tokens,
-            cached_tokens=totals.cached_tokens,
-            decode_tokens=totals.decode_tokens,
-            live=len(self.model.running) + len(self.model.waiting),
-            stale_orders=self.stale_orders,
-        )
+        return audit_of(self.model, self.stale_orders)
 
     async def _report_forever(self) -> None:
         while True:
@@ -407,28 +372,6 @@
 
     def _make_report(self) -> LoadReport:
         model, totals = self.model, self.model.totals
-        live = [*model.running, *model.waiting]
-        held = [
-            HeldWork(
-                instance=item.submission.holder.instance,
-                incarnation=item.submission.holder.incarnation,
-                deadline=item.submission.deadline,
-                blocks=item.blocks,
-                request=item.submission.key.request,
-                attempt=item.submission.key.attempt,
-            )
-            for item in live
-        ]
-        held += [
-            HeldWork(
-                instance=item.holder.instance,
-                incarnation=item.holder.incarnation,
-                deadline=item.deadline,
-                blocks=item.blocks,
-                reservation=item.name,
-            )
-            for item in model.reservations_by_name.values()
-        ]
         return LoadReport(
             incarnation=self.incarnation,
             state=self.state,
@@ -452,7 +395,7 @@
             fence=self.fence,
             order_age=steady_now() - self.ordered_at,
             adapters=self.adapters,
-            held=tuple(held),
+            held=held_work(model),
         )
 
 
