Tests for four places whose removal no test noticed; a test run may ignore hang-ups

cause: places of docs/PROMISES.md were taken out one by one on a scratch copy (19 places). Four removals were not noticed: the revision check of a configuration of equal version; the check that a call which may have run is not sent again, since the tested route had one attempt only; the cancellation of a caller that leaves before the answer begins; the check of a key's proof at the moment of sending. (The budget's check was noticed by a test that then never ended.) change: a test for each; the first three were seen to fail with their place taken out. test_main failed under nohup, where hang-ups are ignored from the start: it now sets the default itself and checks the same. ruled out: a fault of the program in any of them. conclusion: tests only.

--- a/pondpin/tests/test_main.py
+++ b/pondpin/tests/test_main.py
@@ -22,6 +22,11 @@
 
 
 class MainTest(unittest.TestCase):
+    def setUp(self) -> None:
+        # A test run that outlives its terminal ignores hang-ups: that is not the program's doing.
+        before = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+        self.addCleanup(signal.signal, signal.SIGHUP, before)
+
     def test_a_hang_up_while_loading_does_not_end_it(self) -> None:
         answer = subprocess.run(
             [sys.executable, "-c", SCRIPT], capture_output=True, text=True, check=True
--- a/pondpin/tests/test_relay_lifecycle.py
+++ b/pondpin/tests/test_relay_lifecycle.py
@@ -4,8 +4,12 @@
 import contextlib
 import os
 import unittest
+from typing import Any
+from unittest import mock
 
 from pondpin.http_streams import CallFailedError
+from pondpin.relay.freshness import Proof
+from pondpin.relay.planner import Plan
 from pondpin.settings import RelayLimits
 from pondpin.standins.local_platform import (
     PLAIN,
@@ -67,6 +71,24 @@
 
         self.play(work)
 
+    def test_a_key_whose_proof_ages_while_its_request_waits_is_not_served(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            entry = platform.entries[0]
+            plan = entry.handler.planner.plan
+
+            def plan_for_long(*arguments: Any) -> Plan | None:
+                publication = entry.publication
+                entered_at = entry.handler.clock() - SHORT_KEY_MS / 1000
+                publication.proof = Proof(publication.revision, entered_at)
+                return plan(*arguments)
+
+            with mock.patch.object(entry.handler.planner, "plan", plan_for_long):
+                answer = await ask(platform, "once", "aged")
+            self.assertEqual(answer.status, 503)
+            self.assertEqual(runs(platform, "aged"), 0)
+
+        self.play(work)
+
     def test_without_the_store_keys_end_and_come_back(self) -> None:
         async def work(platform: LocalPlatform) -> None:
             platform.store.fail(StoreFault.SILENT)
--- a/pondpin/tests/test_relay_publication.py
+++ b/pondpin/tests/test_relay_publication.py
@@ -78,6 +78,13 @@
         self.assertEqual(self.recorder.versions, [5])
         self.assertEqual(self.publication.proof, Proof(50, NOW))
 
+    def test_the_same_version_of_an_older_revision_is_not_taken(self) -> None:
+        self.publication.offer_configuration(configuration_item(5, 50), Proof(50, NOW))
+        self.publication.offer_configuration(configuration_item(5, 50), Proof(50, NOW + 1))
+        self.publication.offer_configuration(configuration_item(5, 49), None)
+        self.assertEqual(self.recorder.versions, [5])
+        self.assertEqual(self.publication.revision, 50)
+
     def test_a_refused_value_leaves_the_last_good_one(self) -> None:
         self.publication.offer_configuration(configuration_item(5, 50), Proof(50, NOW))
         broken = PublishedItem("op/config", 51, b'{"version": 6, "routes": [{"name": 3}]}')
--- a/pondpin/tests/test_relay_serving.py
+++ b/pondpin/tests/test_relay_serving.py
@@ -2,9 +2,7 @@
 
 import unittest
 
-from pondpin.standins.local_platform import (
-    LocalPlatform,
-)
+from pondpin.standins.local_platform import PLAIN, LocalPlatform, sample_route
 from pondpin.standins.worker import WorkerFault
 from pondpin.tests.support import (
     RelayTest,
@@ -74,6 +72,25 @@
 
         self.play(work)
 
+    def test_an_unsafe_request_of_a_route_with_two_attempts_runs_once(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            route = sample_route("once", "unsafe", PLAIN, maxAttempts=2)
+            platform.publish(2, routes=[route])
+            publication = platform.entries[0].publication
+            await platform.until(lambda: publication.configuration.version == 2)  # type: ignore[union-attr]
+            for fault in (WorkerFault.RESET, WorkerFault.CUT, WorkerFault.SPOILED):
+                fail_next(platform, fault)
+                answer = await ask(platform, "once", fault.name)
+                self.assertEqual((fault, answer.status), (fault, 502))
+                self.assertEqual((fault, runs(platform, fault.name)), (fault, 1))
+                fail_next(platform, fault, 0)
+            shedding = next(item for item in platform.workers_by_id.values() if item.seen)
+            shedding.faults = [WorkerFault.SHED]
+            self.assertEqual((await ask(platform, "once", "shed")).status, 200)
+            self.assertEqual(runs(platform, "shed"), 1)
+
+        self.play(work)
+
     def test_a_shed_unsafe_request_is_told_truly_to_come_back(self) -> None:
         async def work(platform: LocalPlatform) -> None:
             for fault in (WorkerFault.SHED, WorkerFault.MISDIRECTED):
--- a/pondpin/tests/test_relay_streams.py
+++ b/pondpin/tests/test_relay_streams.py
@@ -97,6 +97,18 @@
 
         self.play(work)
 
+    def test_a_caller_that_leaves_before_the_answer_is_not_tried_elsewhere(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            fail_next(platform, WorkerFault.HANG)
+            task = asyncio.ensure_future(ask(platform, "stream"))
+            await platform.until(lambda: busy(platform))
+            task.cancel()
+            await platform.until(lambda: not platform.entries[0].handler.open_requests)
+            await platform.until(lambda: not busy(platform))
+            self.assertEqual(runs(platform), 1)
+
+        self.play(work)
+
     def test_a_long_prompt_is_read_in_parts_and_leases_are_returned(self) -> None:
         async def work(platform: LocalPlatform) -> None:
             platform.workers_by_id["engine-0"].memory = 450_000
