What never reached an upstream is tried elsewhere without spending a retry

The bound is on what arrives at upstreams beyond the first time; this never arrived. ruled out: a wrong ejection (the eight were sound); the limit of attempts (one of two sends, none made). change: no retry is spent before the first send; at most five upstreams, as before. The test answered 503 before.

--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -238,14 +238,16 @@
             return False
         if progress.may_have_run and not call.route.idempotent:
             return False
-        if progress.sends >= call.route.attempts or progress.attempts >= MOST_ATTEMPTS:
-            return False
         now = self.clock()
-        if now >= call.deadline:
+        used_up = progress.sends >= call.route.attempts or progress.attempts >= MOST_ATTEMPTS
+        if used_up or now >= call.deadline:
             return False
         progress.tried |= {progress.upstream}
         if not self.table.usable(call.service, now, progress.tried):
             return False
+        if not progress.sends:
+            # No upstream has seen the request yet: this is no retry to them.
+            return True
         return self._window(call.service).spend(now, self.sharers())
 
     def _final_error(self, call: RelayCall, progress: Progress, end: AttemptEnd) -> PondpinError:
--- a/pondpin/tests/test_relay_gossip.py
+++ b/pondpin/tests/test_relay_gossip.py
@@ -167,6 +167,18 @@
         self.assertLess((fleet.bytes_out - before) / 5.0 / 60, NEAR_BYTES_PER_SECOND)
         self.assertLessEqual((fleet.reads - reads) / 5.0, 8.0)
 
+    def test_an_instance_that_joins_is_found_and_has_a_proof(self) -> None:
+        for size in (5, 40):
+            fleet = GossipFleet(centers=3, instances=size, seed=3)
+            fleet.play(6.0)
+            spare = fleet.join()
+            fleet.play(6.0)
+            self.assertEqual(len(spare.hosts), size)
+            self.assertTrue(all(spare.address.host in item.hosts for item in fleet.members[:size]))
+            proof = spare.publication.proof
+            assert proof is not None
+            self.assertLess(proof.age(fleet.now), 2.0)
+
     def test_a_centre_that_is_cut_off_is_noticed_and_heard_again(self) -> None:
         fleet = GossipFleet(centers=3, instances=60, seed=2)
         fleet.play(8.0)
--- a/pondpin/tests/test_relay_serving.py
+++ b/pondpin/tests/test_relay_serving.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from pondpin.relay.retry_window import RetryBounds
 from pondpin.standins.local_platform import PLAIN, LocalPlatform, sample_route
 from pondpin.standins.worker import WorkerFault
 from pondpin.tests.support import (
@@ -113,6 +114,20 @@
 
         self.play(work)
 
+    def test_what_never_reached_a_worker_goes_elsewhere_without_a_retry(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            window = platform.entries[0].handler._window(PLAIN)
+            window.bounds = RetryBounds(0.0, 0.0, 10.0)
+            gone = platform.workers_by_id["plain-0"]
+            await gone.server.close()
+            gone.server.cut()
+            for number in range(4):
+                answer = await ask(platform, "once", f"n{number}")
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(runs(platform, f"n{number}"), 1)
+
+        self.play(work)
+
     def test_an_unreachable_worker_is_no_send(self) -> None:
         async def work(platform: LocalPlatform) -> None:
             gone = platform.workers_by_id["plain-0"]
--- a/pondpin/tools/gossip_fleet.py
+++ b/pondpin/tools/gossip_fleet.py
@@ -51,13 +51,21 @@
         self._order = itertools.count()
         self._events: list[tuple[float, int, int, bytes]] = []
         self._due: list[tuple[float, int, int]] = []
-        self.members = [self._member(number, centers) for number in range(instances)]
-        self._index_by_host = {
-            member.address.host: index for index, member in enumerate(self.members)
-        }
-        for index in range(instances):
-            start = self.now + self.rng.random() * PERIOD_SECONDS
-            heapq.heappush(self._due, (start, next(self._order), index))
+        self._centers = centers
+        self.members: list[Gossip] = []
+        self._index_by_host: dict[str, int] = {}
+        for _ in range(instances):
+            self.join()
+
+    def join(self) -> Gossip:
+        """Start a further instance, which knows nothing but the seeds."""
+        index = len(self.members)
+        member = self._member(index, self._centers)
+        self.members.append(member)
+        self._index_by_host[member.address.host] = index
+        start = self.now + self.rng.random() * PERIOD_SECONDS
+        heapq.heappush(self._due, (start, next(self._order), index))
+        return member
 
     def _member(self, number: int, centers: int) -> Gossip:
         center = f"c{number % centers}"
@@ -67,7 +75,7 @@
             PlatformDecoder(), lambda _: None, lambda _: None, lambda *_: None
         )
         value = msgspec.json.encode(sample_configuration())
-        publication.offer_configuration(PublishedItem("op/config", 1, value), None)
+        publication.offer_configuration(PublishedItem("configuration", 1, value), None)
         publication.offer_list((), self.now, self.now)
         gossip = Gossip(
             instance=name,
