Serve through a store that is away where keys need no proof

Cause: every keyed request was refused (NOT_PROVED) and the instance called itself not ready once the last proof was older than revokeMs, also on deployments that do not ask for proofs (strictRevocation false). The setting `limits.keys_need_proof`, filled from that field, decides now; without it an instance goes on with what it knows. Where it is true nothing changes, and an unknown key or route is still answered 503, not 401 or 404, while the version is not sure.

Ruled out: stretching the bound (a longer outage ends the same way); leaving readiness on the old bound (the balancer then takes every instance out and callers get no connection).

--- a/pondpin/relay/admission.py
+++ b/pondpin/relay/admission.py
@@ -19,16 +19,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Beliefs:
-    """What an instance goes by when it admits; key_bound in seconds."""
+    """What an instance goes by when it admits.
+
+    key_bound: seconds after its last proof for which the configuration admits keys; None when
+    keys need no proof.
+    """
 
     configuration: RelayConfiguration | None
     proof: Proof | None
-    key_bound: float
+    key_bound: float | None
 
     def proof_age(self, now: float) -> float:
         """Seconds since the version in force was proved."""
         return self.proof.age(now) if self.proof is not None else float("inf")
 
+    def accepts_keys(self, now: float) -> bool:
+        """Whether keys of the configuration in force may be served."""
+        return self.key_bound is None or self.proof_age(now) < self.key_bound
+
 
 @dataclass(frozen=True, slots=True)
 class Admitted:
@@ -55,7 +63,7 @@
         found = find_account(configuration, facts.key)
         if found is None:
             raise _missing(Code.UNKNOWN_KEY, age)
-        check_proof(age, beliefs.key_bound)
+        check_proof(beliefs, now)
         account = found.name
         rank = route.priority if found.priority is None else found.priority
     seconds = DEFAULT_DEADLINE_SECONDS if facts.deadline is None else facts.deadline
@@ -66,10 +74,11 @@
     return Admitted(configuration, route, account, max(0, min(9, rank)), seconds)
 
 
-def check_proof(age: float, bound: float) -> None:
-    """Raise PondpinError unless the version was proved less than bound seconds ago."""
-    if age >= bound:
-        raise PondpinError(Code.NOT_PROVED, f"{age:.2f} s old", retry_after=RETRY_SECONDS)
+def check_proof(beliefs: Beliefs, now: float) -> None:
+    """Raise PondpinError when the last proof is too old to serve a key by."""
+    if not beliefs.accepts_keys(now):
+        detail = f"{beliefs.proof_age(now):.2f} s old"
+        raise PondpinError(Code.NOT_PROVED, detail, retry_after=RETRY_SECONDS)
 
 
 def _missing(code: Code, age: float) -> PondpinError:
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -188,8 +188,13 @@
 
     def beliefs(self) -> Beliefs:
         """What requests are admitted by now."""
-        bound = self.settings.limits.key_ms / MILLISECONDS - KEY_MARGIN_SECONDS
-        return Beliefs(self.publication.configuration, self.publication.proof, bound)
+        limits = self.settings.limits
+        bound = limits.key_ms / MILLISECONDS - KEY_MARGIN_SECONDS
+        return Beliefs(
+            self.publication.configuration,
+            self.publication.proof,
+            bound if limits.keys_need_proof else None,
+        )
 
     @property
     def ready(self) -> bool:
@@ -198,6 +203,8 @@
             return False
         publication = self.publication
         bound = self.beliefs().key_bound
+        if bound is None:
+            return publication.configuration is not None
         return is_fresh(publication.proof, publication.revision, steady_now(), bound)
 
     async def start(self) -> Endpoint:
@@ -274,7 +281,7 @@
         """Log when keys begin or cease to be accepted."""
         beliefs = self.beliefs()
         age = beliefs.proof_age(steady_now())
-        fresh = age < beliefs.key_bound
+        fresh = beliefs.accepts_keys(steady_now())
         if fresh != self._fresh:
             self._fresh = fresh
             told = -1.0 if age == float("inf") else round(age, 3)
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -184,7 +184,7 @@
         """The key must still hold at the moment of sending."""
         if call.account:
             admit(beliefs, call.facts, call.incoming.path, self.clock())
-            check_proof(beliefs.proof_age(self.clock()), beliefs.key_bound)
+            check_proof(beliefs, self.clock())
 
     async def _plan(self, call: RelayCall, progress: Progress) -> tuple[Plan, LeaseGroup | None]:
         avoid: frozenset[str] = frozenset()
--- a/pondpin/tests/test_platform.py
+++ b/pondpin/tests/test_platform.py
@@ -28,6 +28,7 @@
     "seedNodes|json": '["10.1.0.40:8229","10.2.0.29:8229"]',
     "internalPortRange|json": "[7340,7355]",
     "bounds.revokeMs": "5000",
+    "bounds.strictRevocation|json": "false",
     "bounds.retryBudgetRatio": "0.2",
     "bounds.retryAllowance": "106",
     "bounds.budgetWindowS": "10",
@@ -177,6 +178,7 @@
         path.write_text(filled)
         settings = read_relay_settings(str(path))
         self.assertEqual(settings.limits.key_ms, 5000)
+        self.assertFalse(settings.limits.keys_need_proof)
         self.assertEqual(len(settings.peers.known), 2)
         self.assertEqual(json.loads(filled)["data_center"], "north")
 
--- a/pondpin/tests/test_relay_lifecycle.py
+++ b/pondpin/tests/test_relay_lifecycle.py
@@ -4,10 +4,12 @@
 import contextlib
 import os
 import unittest
+from dataclasses import replace
 from typing import Any
 from unittest import mock
 
 from pondpin.http_streams import CallFailedError
+from pondpin.relay.entry import RelayEntry
 from pondpin.relay.freshness import Proof
 from pondpin.relay.planner import Plan
 from pondpin.settings import RelayLimits
@@ -102,6 +104,24 @@
 
         self.play(work)
 
+    def test_where_keys_need_no_proof_serving_goes_on_without_the_store(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            for entry in platform.entries:
+                limits = replace(self.limits, keys_need_proof=False)
+                entry.reload(replace(entry.settings, limits=limits))
+            platform.store.fail(StoreFault.SILENT)
+            await platform.until(lambda: all(self.is_stale(entry) for entry in platform.entries))
+            self.assertTrue(all(entry.ready for entry in platform.entries))
+            for instance in range(3):
+                self.assertEqual((await ask(platform, "once", instance=instance)).status, 200)
+            self.assertEqual(runs(platform), 3)
+
+        self.play(work)
+
+    def is_stale(self, entry: RelayEntry) -> bool:
+        age = entry.beliefs().proof_age(entry.handler.clock())
+        return age > SHORT_KEY_MS / 1000
+
     def test_a_leaving_worker_gets_nothing_more(self) -> None:
         async def work(platform: LocalPlatform) -> None:
             worker = platform.workers_by_id["plain-0"]
--- a/pondpin/tests/test_relay_rules.py
+++ b/pondpin/tests/test_relay_rules.py
@@ -80,7 +80,7 @@
     def setUp(self) -> None:
         self.configuration = make_configuration(make_route("/a/"))
 
-    def admit(self, age: float, bound: float = 4.6, **changes: object) -> object:
+    def admit(self, age: float, bound: float | None = 4.6, **changes: object) -> object:
         beliefs = Beliefs(self.configuration, Proof(1, NOW - age), bound)
         return admit(beliefs, facts(**changes), "/a/x", NOW)
 
@@ -103,6 +103,13 @@
         self.assertEqual(self.code(4.6), Code.NOT_PROVED)
         self.assertEqual(self.code(100.0), Code.NOT_PROVED)
 
+    def test_where_keys_need_no_proof_an_old_configuration_serves_them(self) -> None:
+        admitted = self.admit(100.0, None)
+        self.assertEqual(getattr(admitted, "account", None), "riders")
+        with self.assertRaises(PondpinError) as caught:
+            self.admit(100.0, None, key="other")
+        self.assertEqual(caught.exception.code, Code.NOT_PROVED)
+
     def test_an_unknown_key_is_final_only_when_the_version_is_sure(self) -> None:
         self.assertEqual(self.code(0.1, key="other"), Code.UNKNOWN_KEY)
         self.assertEqual(self.code(SURE_SECONDS + 0.01, key="other"), Code.NOT_PROVED)
--- a/pondpin/tools/units.py
+++ b/pondpin/tools/units.py
@@ -133,6 +133,7 @@
     "peers.ports": "ports that are free between instances; datagrams use the first",
     "limits": "bounds of the deployment",
     "limits.key_ms": "ms that a key may still be served after it was taken away",
+    "limits.keys_need_proof": "whether keys are refused once the configuration is older than that",
     "limits.retry_ratio": "retries for each request, over all instances and a window",
     "limits.retry_allowance": "further retries in a window, over all instances",
     "limits.retry_window_seconds": "s, length of the window",
