Long prompts wait for their engines in an order common to all instances

Waiting outside helped no one, since whoever looked first after a release went first and newcomers went before all.

Now a prompt of more than 80 ms a part takes only engines that have read what they hold, waits here until they have, and is told to peers while it waits (digest format 3). Each instance works out the same order (due time; when not all can be in time the longest gives way) and sends only when its own prompt is first; a silent peer holds nobody up. `tell_soon` within 30 ms of the last digest was dropped until the next period; it is sent when the 30 ms are over.

--- /dev/null
+++ b/pondpin/relay/calendar.py
@@ -0,0 +1,139 @@
+"""The order in which long prompts that wait for engines are sent, common to all instances.
+
+Engines read the newest part first, so two long prompts on the same engines delay each other and
+the older one loses its head start. A long prompt therefore waits at its instance until the engines
+it wants have read what they hold. Each instance tells its peers which prompts wait; every one then
+works out the same order and sends its own only when it is first.
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+import msgspec
+
+MILLISECONDS = 1000.0
+# What a prompt costs its engines beside reading: a pass that is under way, the first token.
+TURN_SECONDS = 0.08
+# A peer that is first and does not send within this time does not hold up the others: three
+# digests of its own were due meanwhile.
+HOLD_SECONDS = 0.6
+
+
+class WaitingDigest(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt that waits at its sender; reading, due and last are in ms from now.
+
+    key is a random number, age how long it has waited. See WaitingPrompt.
+    """
+
+    key: int
+    reading: int
+    due: int
+    last: int
+    age: int
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingPrompt:
+    """A long prompt that waits for its turn.
+
+    reading: seconds of one engine; due: when its first event is due; last: when it is of no use
+    any more; since: when it began to wait. Times are by this process's clock.
+    """
+
+    key: int
+    reading: float
+    due: float
+    last: float
+    since: float
+
+
+@dataclass(frozen=True, slots=True)
+class _PeerWaiting:
+    prompts: tuple[WaitingPrompt, ...]
+    until: float
+
+
+def order_of(waiting: Iterable[WaitingPrompt], now: float, engines: int) -> list[WaitingPrompt]:
+    """Those that wait in the order in which they are sent, taking all engines as one machine.
+
+    By due time; when not all can be in time the longest gives way, which keeps the number that
+    is late least (Moore and Hodgson). Those come last, the shortest first.
+    """
+    chosen: list[WaitingPrompt] = []
+    late: list[WaitingPrompt] = []
+    end = now
+    for prompt in sorted(waiting, key=lambda item: (item.due, item.key)):
+        chosen.append(prompt)
+        end += _turn(prompt, engines)
+        if end > prompt.due:
+            longest = max(chosen, key=lambda item: (item.reading, item.key))
+            chosen.remove(longest)
+            late.append(longest)
+            end -= _turn(longest, engines)
+    return chosen + sorted(late, key=lambda item: (item.reading, item.key))
+
+
+def _turn(prompt: WaitingPrompt, engines: int) -> float:
+    """Seconds that a prompt takes when all engines read it."""
+    return prompt.reading / max(1, engines) + TURN_SECONDS
+
+
+class Calendar:
+    """The long prompts that wait here and at peers."""
+
+    def __init__(self) -> None:
+        self.own_by_key: dict[int, WaitingPrompt] = {}
+        self._peers: dict[str, _PeerWaiting] = {}
+
+    def enter(self, prompt: WaitingPrompt) -> None:
+        """A prompt begins to wait here."""
+        self.own_by_key[prompt.key] = prompt
+
+    def leave(self, key: int) -> None:
+        """A prompt of this instance waits no more."""
+        self.own_by_key.pop(key, None)
+
+    def take_peer(
+        self, instance: str, waiting: Sequence[WaitingDigest], now: float, until: float
+    ) -> None:
+        """Take a peer's word on what waits there; it counts until until."""
+        prompts = tuple(
+            WaitingPrompt(
+                item.key,
+                item.reading / MILLISECONDS,
+                now + item.due / MILLISECONDS,
+                now + item.last / MILLISECONDS,
+                now - item.age / MILLISECONDS,
+            )
+            for item in waiting
+        )
+        if prompts:
+            self._peers[instance] = _PeerWaiting(prompts, min(until, now + HOLD_SECONDS))
+        else:
+            self._peers.pop(instance, None)
+
+    def digest(self, now: float) -> tuple[WaitingDigest, ...]:
+        """What waits here, for peers."""
+        return tuple(
+            WaitingDigest(
+                prompt.key,
+                round(prompt.reading * MILLISECONDS),
+                round((prompt.due - now) * MILLISECONDS),
+                round((prompt.last - now) * MILLISECONDS),
+                round((now - prompt.since) * MILLISECONDS),
+            )
+            for prompt in self.own_by_key.values()
+        )
+
+    def waiting(self, now: float) -> list[WaitingPrompt]:
+        """All that wait, here and at peers that were heard lately."""
+        found = list(self.own_by_key.values())
+        for peer in self._peers.values():
+            if now < peer.until:
+                found += peer.prompts
+        return found
+
+    def is_first(self, key: int, now: float, engines: int) -> bool:
+        """Whether it is the turn of a prompt that waits here."""
+        order = order_of(self.waiting(now), now, engines)
+        return bool(order) and order[0].key == key
--- a/pondpin/relay/digests.py
+++ b/pondpin/relay/digests.py
@@ -8,9 +8,10 @@
 
 import msgspec
 
+from pondpin.relay.calendar import WaitingDigest
 from pondpin.relay.upstreams import CenterLoad, WorkDigest
 
-DIGEST_FORMAT = 2
+DIGEST_FORMAT = 3
 MILLISECONDS = 1000.0
 # A peer that was silent for so long is not counted among the live ones: several digests.
 ALIVE_SECONDS = 1.2
@@ -66,6 +67,7 @@
     quiet: int
     asks: bool
     center_loads: tuple[CenterLoad, ...] = ()
+    waiting: tuple[WaitingDigest, ...] = ()
 
 
 _DECODER = msgspec.msgpack.Decoder(Digest)
--- a/pondpin/relay/engine_choice.py
+++ b/pondpin/relay/engine_choice.py
@@ -17,6 +17,7 @@
     read_seconds,
 )
 from pondpin.relay.model import EngineProfile
+from pondpin.relay.upstreams import LONG_READ_SECONDS
 
 # Numbers of engines that are compared for one prompt; an engine lets 16 others help.
 PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
@@ -69,7 +70,8 @@
 class Job:
     """A streamed request to be placed; targets in seconds.
 
-    patience: seconds after which the caller gives up without a first event.
+    patience: seconds after which the caller gives up without a first event; waited: how many of
+    them are over.
     """
 
     prompt_tokens: int
@@ -77,6 +79,7 @@
     target: float
     gap_target: float
     patience: float
+    waited: float = 0.0
 
     @property
     def worth(self) -> float:
@@ -104,7 +107,8 @@
 
     lease_tokens is the memory to set aside at each helper, 0 when the lead holds all.
     first_event is the forecast in seconds, loss the worth expected to be lost; delays is the
-    part of it that those lose whose prompts are being read.
+    part of it that those lose whose prompts are being read. start: seconds until the engines
+    have read the long prompts they hold; first_event counts from now and includes them.
     """
 
     lead: str
@@ -115,6 +119,7 @@
     loss: float
     pool: int
     delays: float = 0.0
+    start: float = 0.0
 
 
 def should_wait(choice: EngineChoice, job: Job, waited: float) -> bool:
@@ -155,9 +160,11 @@
     light_in_flight: int,
     rng: random.Random,
     most_parts: int = MOST_PARTS,
+    in_turn: bool = True,
 ) -> EngineChoice | None:
     """The best way found to serve a job; engines come in the order common to all instances.
 
+    in_turn: a long prompt gets its engines once they have read others, which it waits for.
     None when no engine, or no group with leases, has the memory.
     """
     if not engines:
@@ -165,7 +172,7 @@
     pool = pool_size(profile, light_in_flight, len(engines))
     if is_light(profile, job.prompt_tokens, job.gap_target):
         return _choose_light(profile, job, engines, pool, rng)
-    return _choose_heavy(profile, job, engines, pool, rng, most_parts)
+    return _choose_heavy(profile, job, engines, pool, rng, most_parts, in_turn)
 
 
 def _has_memory(profile: EngineProfile, load: EngineLoad, tokens: int) -> bool:
@@ -215,16 +222,18 @@
     pool: int,
     rng: random.Random,
     most_parts: int,
+    in_turn: bool,
 ) -> EngineChoice | None:
     alone = read_seconds(profile, job.prompt_tokens)
     choices = [
-        _choose_parts(profile, job, engines, pool, count, alone / count, rng)
+        _choose_parts(profile, job, engines, pool, count, alone / count, rng, in_turn)
         for count in PART_COUNTS
         if count <= min(len(engines), most_parts)
     ]
     possible = [choice for choice in choices if choice is not None]
     # What comes after its caller gave up is work for nobody.
-    useful = [item for item in possible if item.first_event < USEFUL_SHARE * job.patience]
+    limit = USEFUL_SHARE * job.patience - job.waited
+    useful = [item for item in possible if item.first_event < limit]
     return min(useful or possible, key=lambda choice: choice.loss, default=None)
 
 
@@ -236,14 +245,21 @@
     count: int,
     part: float,
     rng: random.Random,
+    in_turn: bool,
 ) -> EngineChoice | None:
     """The cheapest count engines for parts of part seconds each."""
     costs = {
         view.id: _part_cost(profile, view, index < pool, part) for index, view in enumerate(engines)
     }
+    waits = in_turn and part >= LONG_READ_SECONDS
+    second = job.worth / job.target
     ranked = sorted(
         engines,
-        key=lambda view: (costs[view.id] + _pending_share(view, part), rng.random()),
+        key=lambda view: (
+            costs[view.id]
+            + (second * view.load.long_until if waits else _pending_share(view, part)),
+            rng.random(),
+        ),
     )
     chosen = ranked[:count]
     lease = _lease_tokens(profile, job, chosen, count)
@@ -257,14 +273,17 @@
         profile, lead.load, [view.load for view in helpers], part, job.prompt_tokens
     )
     first += max(0, lead.load.in_flight + 1 - profile.slots) * QUEUE_SECONDS
+    start = max(view.load.long_until for view in chosen) if waits else 0.0
+    first += max(0.0, start - lead.load.reading) if waits else 0.0
     loss = sum(costs[view.id] for view in chosen)
-    delays = delays_of_pending((view.load for view in chosen), part)
+    delays = 0.0 if waits else delays_of_pending((view.load for view in chosen), part)
     loss += delays
-    loss += job.worth * (LATE_LOSS * first_late(first, job.target) + HASTE * first / job.target)
-    loss += job.worth * GONE_LOSS * late_share(first, job.patience, GONE_SURE, GONE_LATE)
+    total = job.waited + first
+    loss += job.worth * (LATE_LOSS * first_late(total, job.target) + HASTE * first / job.target)
+    loss += job.worth * GONE_LOSS * late_share(total, job.patience, GONE_SURE, GONE_LATE)
     loss += PART_WORTH * count
     names = tuple(view.id for view in helpers)
-    return EngineChoice(lead.id, names, part, lease, first, loss, pool, delays)
+    return EngineChoice(lead.id, names, part, lease, first, loss, pool, delays, start)
 
 
 def _pending_share(view: EngineView, part: float) -> float:
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -118,7 +118,13 @@
         settings = self.settings
         policy = RelayPolicy(PlacementPolicy(settings.placement), settings.use_parts)
         planner = Planner(
-            self.table, steady_now, self.rng, self.gossip.tell_soon, policy, self._sharers
+            self.table,
+            steady_now,
+            self.rng,
+            self.gossip.tell_soon,
+            policy,
+            self._sharers,
+            self.gossip.calendar,
         )
         prefix = f"{settings.instance}-{self.boot:x}"
         self.leases = Leases(PlatformLeases(self.http), prefix, self.log)
--- a/pondpin/relay/forecast.py
+++ b/pondpin/relay/forecast.py
@@ -52,7 +52,8 @@
     """An engine as believed now; reading is seconds of prompts still to be read.
 
     A part that is read for another engine goes before all that the engine reads already, the
-    newest first (measured), so each of pending waits for it.
+    newest first (measured), so each of pending waits for it. long_until: seconds until the long
+    readings there are over, 0 when there are none.
     """
 
     in_flight: int
@@ -60,6 +61,7 @@
     pending: tuple[Pending, ...]
     tokens: int
     writers: tuple[Writers, ...]
+    long_until: float = 0.0
 
 
 def read_seconds(profile: EngineProfile, tokens: int) -> float:
--- a/pondpin/relay/gossip.py
+++ b/pondpin/relay/gossip.py
@@ -12,6 +12,7 @@
 from pondpin.clocks import Clock
 from pondpin.controllers.base import Controller
 from pondpin.controllers.peers import PeerPort, PeerUnreachableError
+from pondpin.relay.calendar import Calendar
 from pondpin.relay.digests import (
     DIGEST_FORMAT,
     MILLISECONDS,
@@ -75,6 +76,7 @@
     clock: Clock
     rng: random.Random
     reads_source: Callable[[], bool]
+    calendar: Calendar = field(default_factory=Calendar)
     mentioned_at_by_host: dict[str, float] = field(default_factory=dict)
     sequence: int = 0
     bytes_out: int = 0
@@ -88,6 +90,7 @@
         self._hello_at = 0.0
         self._sent_at = 0.0
         self._fetching = False
+        self._telling = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._alive: set[str] = set()
         self._port: Any = None
@@ -134,6 +137,7 @@
         quiet = digest.quiet / MILLISECONDS
         until = now + max(PEER_LOAD_SECONDS, QUIET_TIMES * quiet)
         self.table.take_peer_work(digest.instance, digest.work, now, until)
+        self.calendar.take_peer(digest.instance, digest.waiting, now, until)
         self.table.take_center_loads(digest.data_center, digest.center_loads, now)
         if digest.asks:
             self._answer(digest, now)
@@ -143,6 +147,7 @@
         base = msgspec.structs.replace(
             self.describe(now),
             work=(),
+            waiting=(),
             quiet=asking.quiet,
             center_loads=self.table.own_center_loads(now),
         )
@@ -191,8 +196,17 @@
 
     def tell_soon(self) -> None:
         """Send a digest out of turn, so that peers learn of a big choice."""
-        if self.clock() - self._sent_at >= URGENT_SECONDS:
+        wait = self._sent_at + URGENT_SECONDS - self.clock()
+        if wait <= 0:
             self.send(self.clock())
+        elif not self._telling:
+            self._telling = True
+            self._spawn(self._tell_after(wait))
+
+    async def _tell_after(self, wait: float) -> None:
+        await asyncio.sleep(wait)
+        self._telling = False
+        self.send(self.clock())
 
     def tell_news(self) -> None:
         """Send a digest out of turn, also to other data centres: something new was read."""
@@ -224,6 +238,7 @@
         far = msgspec.structs.replace(
             base,
             work=(),
+            waiting=(),
             asks=True,
             quiet=_round_up(turn.far_quiet),
             center_loads=self.table.own_center_loads(now),
@@ -289,6 +304,7 @@
             hosts=tuple(self.rng.sample(others, min(HOSTS_TOLD, len(others)))),
             quiet=_round_up(PERIOD_SECONDS),
             asks=False,
+            waiting=self.calendar.digest(now),
         )
 
     def _leaving_told(self) -> tuple[str, ...]:
@@ -331,7 +347,8 @@
         for item in digest.work
     )
     told = (digest.revision, digest.list_tag, digest.leaving, len(digest.ejected))
-    return (*told, digest.reads_source, work)
+    waiting = tuple(item.key for item in digest.waiting)
+    return (*told, digest.reads_source, work, waiting)
 
 
 def _round_up(seconds: float) -> int:
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -13,12 +13,11 @@
 from pondpin.relay.admission import Admitted, Beliefs, admit, check_proof
 from pondpin.relay.attempt import Attempts, Patience
 from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall
-from pondpin.relay.engine_choice import should_wait
 from pondpin.relay.leases import LeaseGroup, Leases
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import UpstreamEjected, UpstreamLeaving
 from pondpin.relay.model import AnswerHead, RequestFacts, RouteKind
-from pondpin.relay.planner import Plan, Planner, make_job
+from pondpin.relay.planner import Plan, Planner
 from pondpin.relay.ports import Dialect
 from pondpin.relay.request_notes import RequestNotes
 from pondpin.relay.retry_window import RetryBounds, RetryWindow
@@ -45,7 +44,9 @@
 # Upstreams tried for a request, counting those that no byte reached.
 MOST_ATTEMPTS = 5
 # How long a waiting long prompt rests before it looks again, on average.
-WAIT_SECONDS = 0.1
+WAIT_SECONDS = 0.03
+# A prompt whose first event is forecast after this share of its caller's patience is refused.
+LATEST_SHARE = 0.95
 # A caller whose request found no place comes back after this, in seconds.
 RETRY_SECONDS = 0.4
 # A caller that kept its connection to a stopping instance finds another one at once.
@@ -203,15 +204,28 @@
     async def _plan_when_free(
         self, call: RelayCall, progress: Progress, avoid: frozenset[str]
     ) -> Plan | None:
-        """Plan; a long prompt waits while sending it would delay others too much."""
-        while True:
-            plan = self.planner.plan(call, progress, avoid)
-            if plan is None or plan.choice is None:
-                return plan
-            waited = self.clock() - call.arrived
-            if not should_wait(plan.choice, make_job(call), waited):
-                return plan
-            await asyncio.sleep(WAIT_SECONDS * (0.5 + self.rng.random()))
+        """Plan; a long prompt waits for its turn."""
+        turn: int | None = None
+        try:
+            while True:
+                plan = self.planner.plan(call, progress, avoid)
+                if plan is None or not self.planner.must_wait(call, plan, turn):
+                    return plan
+                self._check_useful(call, plan)
+                if turn is None:
+                    turn = self.planner.enter_calendar(call, plan)
+                await asyncio.sleep(WAIT_SECONDS * (0.5 + self.rng.random()))
+        finally:
+            if turn is not None:
+                self.planner.calendar.leave(turn)
+
+    def _check_useful(self, call: RelayCall, plan: Plan) -> None:
+        """Refuse a prompt that would be read when its caller has given up."""
+        assert plan.choice is not None, "only prompts wait"
+        first = self.clock() - call.arrived + plan.choice.first_event
+        if first > LATEST_SHARE * min(call.patience, call.deadline - call.arrived):
+            detail = f"first event after {first:.2f} s"
+            raise PondpinError(Code.CANNOT_FINISH, detail, retry_after=RETRY_SECONDS)
 
     def _patience(self, call: RelayCall, plan: Plan) -> Patience:
         if not call.route.idempotent:
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -7,6 +7,7 @@
 
 from pondpin.clocks import Clock
 from pondpin.configuration import PlacementPolicy
+from pondpin.relay.calendar import Calendar, WaitingPrompt
 from pondpin.relay.call import Progress, RelayCall
 from pondpin.relay.engine_choice import (
     MOST_PARTS,
@@ -15,11 +16,18 @@
     Job,
     choose_engines,
     is_light,
+    should_wait,
 )
 from pondpin.relay.forecast import read_seconds
 from pondpin.relay.model import EngineProfile
 from pondpin.relay.ports import PartPlace
-from pondpin.relay.upstreams import CenterLoadSeen, UpstreamState, UpstreamTable, Work
+from pondpin.relay.upstreams import (
+    LONG_READ_SECONDS,
+    CenterLoadSeen,
+    UpstreamState,
+    UpstreamTable,
+    Work,
+)
 from pondpin.service_choice import ServiceView, choose_service
 
 # A choice that puts this much reading on an engine is told to peers at once, in seconds.
@@ -33,6 +41,13 @@
 CONNECTIONS_SHARE = 0.9
 # However many instances there are: callers are spread unevenly, and few are busy at once.
 FEWEST_CONNECTIONS = 4
+# A prompt is sent when its engines are free within this time: about what a request takes to
+# reach them.
+START_SLACK_SECONDS = 0.02
+# A first event is counted on for this share of its target; forecasts err by a tenth or so.
+DUE_SHARE = 0.9
+# Long prompts get a third of the engines at least, in the calendar's reckoning.
+FEWEST_LONG_SHARE = 3
 # Groups of parts are told apart by random numbers of so many bits.
 GROUP_BITS = 31
 
@@ -43,6 +58,7 @@
 
     placement: PlacementPolicy = PlacementPolicy.PREDICTED
     parts: bool = True
+    calendar: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +94,7 @@
         tell_soon: Callable[[], None],
         policy: RelayPolicy | None = None,
         sharers: Callable[[], int] = lambda: 1,
+        calendar: Calendar | None = None,
     ) -> None:
         self._table = table
         self._clock = clock
@@ -85,6 +102,7 @@
         self._tell_soon = tell_soon
         self._policy = policy or RelayPolicy()
         self._sharers = sharers
+        self.calendar = calendar or Calendar()
         self._keys = itertools.count(1)
 
     def plan(self, call: RelayCall, progress: Progress, avoid: frozenset[str]) -> Plan | None:
@@ -115,7 +133,7 @@
     ) -> Plan | None:
         if self._policy.placement is not PlacementPolicy.PREDICTED:
             return self._plan_baseline(call, profile, states, now)
-        job = make_job(call)
+        job = make_job(call, now)
         near = self._near(states)
         choice = self._choose(job, profile, near, now)
         if len(near) < len(states):
@@ -183,7 +201,8 @@
         views = [EngineView(state.id, state.load(now), self._is_local(state)) for state in states]
         light = max(light, sum(state.light_in_flight(now) for state in states))
         most = MOST_PARTS if self._policy.parts else 1
-        return choose_engines(profile, job, views, light, self._rng, most)
+        in_turn = self._policy.calendar
+        return choose_engines(profile, job, views, light, self._rng, most, in_turn)
 
     def _plan_baseline(
         self, call: RelayCall, profile: EngineProfile, states: list[UpstreamState], now: float
@@ -206,7 +225,7 @@
         if choice is None:
             plan.lead.work_by_key[key] = Work(0.0, now, 0, call.route.target, 0.0, 1.0, False, True)
             return key
-        job = make_job(call)
+        job = make_job(call, now)
         lead_tokens = job.tokens
         if choice.lease_tokens:
             lead_tokens = choice.lease_tokens + job.answer_tokens
@@ -232,6 +251,44 @@
             self._tell_soon()
         return key
 
+    def must_wait(self, call: RelayCall, plan: Plan, turn: int | None) -> bool:
+        """Whether a long prompt waits here before it is sent as planned.
+
+        turn is its key in the calendar, None while it has not waited.
+        """
+        choice = plan.choice
+        if choice is None:
+            return False
+        now = self._clock()
+        if not self._policy.calendar:
+            return should_wait(choice, make_job(call, now), now - call.arrived)
+        if choice.part_seconds < LONG_READ_SECONDS:
+            return False
+        if choice.start > START_SLACK_SECONDS:
+            return True
+        engines = max(1, plan.candidates - choice.pool, plan.candidates // FEWEST_LONG_SHARE)
+        if turn is None:
+            return bool(self.calendar.waiting(now))
+        return not self.calendar.is_first(turn, now, engines)
+
+    def enter_calendar(self, call: RelayCall, plan: Plan) -> int:
+        """Let a prompt wait for its turn; returns its key."""
+        now = self._clock()
+        key = self._rng.getrandbits(GROUP_BITS)
+        job = make_job(call, now)
+        profile = call.configuration.services_by_name[call.service].engine
+        assert profile is not None, "only engines' prompts wait"
+        prompt = WaitingPrompt(
+            key=key,
+            reading=read_seconds(profile, job.prompt_tokens),
+            due=call.arrived + DUE_SHARE * job.target,
+            last=call.arrived + job.patience,
+            since=now,
+        )
+        self.calendar.enter(prompt)
+        self._tell_soon()
+        return key
+
     def note_first(self, plan: Plan, key: int) -> None:
         """The first event came: all parts are read."""
         now = self._clock()
@@ -244,7 +301,7 @@
             state.work_by_key.pop(key, None)
 
 
-def make_job(call: RelayCall) -> Job:
+def make_job(call: RelayCall, now: float) -> Job:
     """What placement needs to know of a call."""
     return Job(
         prompt_tokens=call.facts.prompt_tokens,
@@ -252,4 +309,5 @@
         target=call.route.target,
         gap_target=call.route.gap_target or call.route.target,
         patience=min(call.patience, call.deadline - call.arrived),
+        waited=now - call.arrived,
     )
--- a/pondpin/relay/upstreams.py
+++ b/pondpin/relay/upstreams.py
@@ -14,6 +14,14 @@
 PEER_LOAD_SECONDS = 1.5
 # A word on a whole data centre changes slowly; it is told twice a second.
 CENTER_LOAD_SECONDS = 2.0
+# A reading of this length keeps other long ones from its engine: shorter ones cost less than
+# waiting for them would.
+LONG_READ_SECONDS = 0.08
+# One that should be over and is not may end at any time, up to this multiple of its length and
+# some more; after that its request is probably gone.
+OVERDUE_SECONDS = 0.05
+OVERDUE_TIMES = 2.0
+OVERDUE_SLACK_SECONDS = 0.5
 # What an upstream told of its load in an answer counts for so many seconds.
 TOLD_LOAD_SECONDS = 0.5
 # An upstream that was heard this lately proves that its data centre can be reached; the
@@ -132,6 +140,16 @@
     return end
 
 
+def long_reads_end(reads: Iterable[Read], end: float, now: float) -> float:
+    """When no long reading is left on an engine that is through at end; now when there is none."""
+    limit = now
+    for read in reads:
+        if read.length >= LONG_READ_SECONDS:
+            latest = read.since + OVERDUE_TIMES * read.length + OVERDUE_SLACK_SECONDS
+            limit = max(limit, min(latest, max(end, now + OVERDUE_SECONDS)))
+    return limit
+
+
 @dataclass(frozen=True, slots=True)
 class PeerWork:
     """A peer's digest of its work on an upstream; made at at, it counts until until."""
@@ -231,6 +249,7 @@
             ),
             tokens=tokens,
             writers=writers,
+            long_until=long_reads_end(reads, end, now) - now,
         )
 
     def reads_until(self, now: float) -> float:
