A peer that has the configuration fetches the list alone, packed

Now the request says which revision its sender has (`above_revision`, on the wire already), the answer leaves the configuration out when it is not newer, and it is compressed; a channel on which a fetch timed out is closed.

--- a/pondpin/controllers/peers.py
+++ b/pondpin/controllers/peers.py
@@ -118,6 +118,8 @@
         try:
             reply = await self._stub(address).FetchConfiguration(request, timeout=timeout)
         except FAILURES as error:
+            if isinstance(error, TimeoutError):
+                self._drop(address)
             raise PeerUnreachableError(type(error).__name__) from None
         self._count(request.ByteSize(), reply.ByteSize())
         return reply
@@ -136,6 +138,12 @@
         except FAILURES as error:
             raise PeerUnreachableError(type(error).__name__) from None
 
+    def _drop(self, address: str) -> None:
+        """Close a channel that may be silent for good; the next call opens another one."""
+        channel = self._channels_by_address.pop(address, None)
+        if channel is not None:
+            channel.close()
+
     def close(self) -> None:
         """Close all channels."""
         for channel in self._channels_by_address.values():
--- a/pondpin/relay/document_server.py
+++ b/pondpin/relay/document_server.py
@@ -1,12 +1,11 @@
 """Serves the published documents to peers."""
 
-import msgspec
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
 
 from pondpin.clocks import Clock
-from pondpin.relay.publication import Publication
+from pondpin.relay.publication import Publication, pack_bundle
 from pondpin.wire.peer_grpc import PeerBase
 from pondpin.wire.peer_pb2 import (
     ExplainReply,
@@ -30,10 +29,13 @@
     async def FetchConfiguration(
         self, stream: Stream[FetchConfigurationRequest, FetchConfigurationReply]
     ) -> None:
-        """Send all that is published."""
-        await stream.recv_message()
-        document = msgspec.msgpack.encode(self._publication.bundle(self._clock()))
-        reply = FetchConfigurationReply(revision=self._publication.revision, document=document)
+        """Send the list, and the configuration to those that have an older one."""
+        request = await stream.recv_message()
+        above = request.above_revision if request is not None else 0
+        bundle = self._publication.bundle(self._clock(), above)
+        reply = FetchConfigurationReply(
+            revision=self._publication.revision, document=pack_bundle(bundle)
+        )
         await stream.send_message(reply)
 
     async def Heartbeat(self, stream: Stream[HeartbeatRequest, HeartbeatReply]) -> None:
--- a/pondpin/relay/gossip.py
+++ b/pondpin/relay/gossip.py
@@ -29,7 +29,7 @@
 from pondpin.relay.freshness import peer_proof
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import DataCenterChanged, FetchFailed, PeerChanged, UpstreamLeaving
-from pondpin.relay.publication import Bundle, Publication
+from pondpin.relay.publication import Publication, unpack_bundle
 from pondpin.relay.upstreams import PEER_LOAD_SECONDS, UpstreamTable
 from pondpin.wire.peer_pb2 import FetchConfigurationRequest
 
@@ -49,8 +49,6 @@
 # Leaving upstreams are told for a while; the list then says it too.
 LEAVING_TOLD = 32
 
-_BUNDLE = msgspec.msgpack.Decoder(Bundle)
-
 
 @dataclass(frozen=True, slots=True)
 class GossipAddress:
@@ -186,10 +184,11 @@
         sent_at = self.clock()
         address = f"{host}:{self.address.document_port}"
         try:
-            reply = await self.peers.fetch(address, FetchConfigurationRequest(), FETCH_SECONDS)
-            bundle = _BUNDLE.decode(reply.document)
+            request = FetchConfigurationRequest(above_revision=self.publication.seen_revision)
+            reply = await self.peers.fetch(address, request, FETCH_SECONDS)
+            bundle = unpack_bundle(reply.document)
             self.publication.take_bundle(bundle, sent_at, self.clock())
-        except (PeerUnreachableError, msgspec.MsgspecError) as error:
+        except (PeerUnreachableError, ValueError) as error:
             self.log.write(FetchFailed(peer=host, reason=str(error)))
         finally:
             self._fetching = False
--- a/pondpin/relay/publication.py
+++ b/pondpin/relay/publication.py
@@ -1,5 +1,6 @@
 """The published configuration and list of upstreams in force, with proofs of freshness."""
 
+import zlib
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -26,7 +27,10 @@
 
 
 class Bundle(msgspec.Struct, frozen=True, array_like=True):
-    """All that is published, as instances pass it on; ages in seconds, -1 when unknown."""
+    """What is published, as instances pass it on; ages in seconds, -1 when unknown.
+
+    The configuration is left out when its receiver has it.
+    """
 
     configuration: PublishedItem | None
     configuration_age: float
@@ -34,6 +38,31 @@
     list_age: float
 
 
+_BUNDLE = msgspec.msgpack.Decoder(Bundle)
+# Many instances fetch from the one that read first, over links of 10 Mbit/s: a configuration
+# of 150 KB shrinks to a tenth, in a few ms.
+BUNDLE_LEVEL = 1
+# A bundle that unpacks to more is refused: a published value has a megabyte at most.
+MOST_BUNDLE_BYTES = 8 << 20
+
+
+def pack_bundle(bundle: Bundle) -> bytes:
+    """A bundle as one message."""
+    return zlib.compress(msgspec.msgpack.encode(bundle), BUNDLE_LEVEL)
+
+
+def unpack_bundle(data: bytes) -> Bundle:
+    """A bundle from a message; raises ValueError for anything else."""
+    unpacking = zlib.decompressobj()
+    try:
+        document = unpacking.decompress(data, MOST_BUNDLE_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"not a bundle: {error}") from None
+    if not unpacking.eof:
+        raise ValueError("a bundle that is cut or too large")
+    return _BUNDLE.decode(document)
+
+
 class Decoder(Protocol):
     """Turns published values into the product's types; raises ValueError for a bad one."""
 
@@ -96,11 +125,12 @@
         """The highest revision looked at, in force or refused."""
         return max(self.revision, self.refused_revision)
 
-    def bundle(self, now: float) -> Bundle:
-        """All that is published, for a peer."""
+    def bundle(self, now: float, above_revision: int = 0) -> Bundle:
+        """What is published, for a peer; the configuration only above a revision."""
         proof_age = self.proof.age(now) if self.proof is not None else -1.0
         list_age = now - self.list_at if self.list_at is not None else -1.0
-        return Bundle(self.item, proof_age, self.list_items, list_age)
+        item = self.item if self.revision > above_revision else None
+        return Bundle(item, proof_age, self.list_items, list_age)
 
     def take_bundle(self, bundle: Bundle, asked_at: float, now: float) -> None:
         """Take what a peer had when it was asked, at asked_at of this process's clock."""
--- a/pondpin/tests/test_relay_publication.py
+++ b/pondpin/tests/test_relay_publication.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+import zlib
 
 import msgspec
 
@@ -18,6 +19,8 @@
     ListChange,
     Publication,
     PublishedItem,
+    pack_bundle,
+    unpack_bundle,
 )
 from pondpin.relay.reader import (
     FIRST_AGE_SECONDS,
@@ -116,6 +119,28 @@
         self.assertEqual(other.proof, Proof(50, 75.0))
         self.assertEqual(other.list_at, 76.0)
 
+    def test_a_peer_that_has_the_configuration_gets_the_list_alone(self) -> None:
+        self.publication.offer_configuration(configuration_item(5, 50), Proof(50, NOW))
+        self.publication.offer_list([server_item("a", 1)], NOW, NOW)
+        other = Recorder().publication
+        other.offer_configuration(configuration_item(5, 50), Proof(50, NOW - 9))
+        bundle = self.publication.bundle(NOW, other.seen_revision)
+        self.assertIsNone(bundle.configuration)
+        other.take_bundle(unpack_bundle(pack_bundle(bundle)), NOW, NOW)
+        self.assertEqual(other.list_tag, self.publication.list_tag)
+        self.assertEqual(other.revision, 50)
+        self.assertIsNotNone(self.publication.bundle(NOW, 49).configuration)
+
+    def test_a_bundle_is_packed_small_and_a_spoiled_one_is_refused(self) -> None:
+        item = configuration_item(5, 50)
+        self.publication.offer_configuration(item, Proof(50, NOW))
+        data = pack_bundle(self.publication.bundle(NOW))
+        self.assertLess(len(data), len(item.value))
+        self.assertEqual(unpack_bundle(data), self.publication.bundle(NOW))
+        for spoiled in (b"", data[:-3], b"x" + data, zlib.compress(b"x")):
+            with self.assertRaises(ValueError):
+                unpack_bundle(spoiled)
+
 
 class ListTest(unittest.TestCase):
     def setUp(self) -> None:
