--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -16,7 +16,7 @@
 from pondpin.relay.leases import LeaseGroup, Leases
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import UpstreamEjected, UpstreamLeaving
-from pondpin.relay.model import AnswerHead, RequestFacts, RouteKind
+from pondpin.relay.model import AnswerHead, RequestFacts, Route, RouteKind
 from pondpin.relay.planner import Plan, Planner
 from pondpin.relay.ports import Dialect
 from pondpin.relay.request_notes import RequestNotes
@@ -85,16 +85,19 @@
         """Serve one request."""
         arrived = self.clock()
         facts = self.dialect.read_request(incoming.raw_headers)
+        route: Route | None = None
         self.open_requests += 1
         try:
             if self.refuses_new(arrived):
                 raise PondpinError(Code.DRAINING, retry_after=STOPPING_RETRY_SECONDS)
             admitted = admit(self.beliefs(), facts, incoming.path, arrived)
+            route = admitted.route
             call = self._make_call(incoming, reply, facts, admitted, arrived)
             self._window(call.service).note_request(arrived)
             await self._serve_unless_gone(call)
         except PondpinError as error:
-            self._refuse(reply, facts.attempt_id, error, arrived)
+            self.notes.refused(facts, route, error, arrived, self.beliefs())
+            _send_refusal(reply, facts.attempt_id, error)
         finally:
             self.open_requests -= 1
 
@@ -328,14 +331,6 @@
         call.reply.finish()
         self.notes.ended(call, progress, 200, Code.OK)
 
-    def _refuse(self, reply: Reply, request: str, error: PondpinError, arrived: float) -> None:
-        """Send an error's answer, or cut an answer that had begun."""
-        self.notes.refused(request, error, arrived, self.beliefs())
-        if reply.started:
-            reply.abort()
-            return
-        reply.send_error(error, request, fractions=True)
-
     def _window(self, service: str) -> RetryWindow:
         window = self._windows.get(service)
         if window is None:
@@ -373,6 +368,14 @@
         return self.plan.lead.needs_probe or self.handler.table.is_cut(self.plan.lead, now)
 
 
+def _send_refusal(reply: Reply, request: str, error: PondpinError) -> None:
+    """Send an error's answer, or cut an answer that had begun."""
+    if reply.started:
+        reply.abort()
+        return
+    reply.send_error(error, request, fractions=True)
+
+
 def _cancel(task: "asyncio.Future[None]") -> None:
     task.cancel()
 
--- a/pondpin/relay/log_events.py
+++ b/pondpin/relay/log_events.py
@@ -128,6 +128,8 @@
     candidates: int
     rank: int = 0
     prompt_tokens: int = 0
+    target_ms: int = 0
+    waited_ms: int = 0
     part_ms: int = 0
     first_event_ms: int = 0
     loss: float = 0.0
@@ -158,6 +160,8 @@
     detail: str
     after_ms: int
     route: str = ""
+    prompt_tokens: int = 0
+    target_ms: int = 0
     version: int = 0
     proof_age_ms: int = -1
     retry_after: float = 0.0
@@ -175,6 +179,9 @@
     total_ms: int
     events: int
     longest_gap_ms: int = 0
+    prompt_tokens: int = 0
+    target_ms: int = 0
+    gap_target_ms: int = 0
     detail: str = ""
 
 
@@ -185,6 +192,8 @@
     route: str
     after_ms: int
     events: int
+    prompt_tokens: int = 0
+    target_ms: int = 0
 
 
 class LeasesEnded(LogEvent, frozen=True, kw_only=True, tag="leases"):
--- a/pondpin/relay/request_notes.py
+++ b/pondpin/relay/request_notes.py
@@ -11,6 +11,7 @@
 from pondpin.relay.leases import LeaseGroup
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import AttemptEnded, CallerGone, Ended, Placed, Refused
+from pondpin.relay.model import RequestFacts, Route
 from pondpin.relay.planner import Plan
 
 MILLISECONDS = 1000
@@ -41,6 +42,9 @@
                 total_ms=round((now - call.arrived) * MILLISECONDS),
                 events=progress.events,
                 longest_gap_ms=round(progress.longest_gap * MILLISECONDS),
+                prompt_tokens=call.facts.prompt_tokens,
+                target_ms=round(call.route.target * MILLISECONDS),
+                gap_target_ms=round(call.route.gap_target * MILLISECONDS),
             )
         )
         self.metrics.ttft.observe({"class": call.route.kind.value}, first - call.arrived)
@@ -51,13 +55,23 @@
         self.metrics.requests.inc(labels | {"code": str(int(code)), "ran": ran.value})
         self.metrics.duration.observe(labels, self.clock() - call.arrived)
 
-    def refused(self, request: str, error: PondpinError, arrived: float, beliefs: Beliefs) -> None:
-        """A request was refused, or failed."""
+    def refused(
+        self,
+        facts: RequestFacts,
+        route: Route | None,
+        error: PondpinError,
+        arrived: float,
+        beliefs: Beliefs,
+    ) -> None:
+        """A request was refused, or failed; route is None when none was found."""
         now = self.clock()
         age = beliefs.proof_age(now)
         self.log.write(
             Refused(
-                request=request,
+                request=facts.attempt_id,
+                route=route.name if route is not None else "",
+                prompt_tokens=facts.prompt_tokens,
+                target_ms=round(route.target * MILLISECONDS) if route is not None else 0,
                 code=error.code.name,
                 detail=error.detail,
                 after_ms=round((now - arrived) * MILLISECONDS),
@@ -71,7 +85,14 @@
     def caller_gone(self, call: RelayCall) -> None:
         """The caller closed its connection."""
         after = round((self.clock() - call.arrived) * MILLISECONDS)
-        line = CallerGone(request=call.id, route=call.route.name, after_ms=after, events=0)
+        line = CallerGone(
+            request=call.id,
+            route=call.route.name,
+            after_ms=after,
+            events=0,
+            prompt_tokens=call.facts.prompt_tokens,
+            target_ms=round(call.route.target * MILLISECONDS),
+        )
         self.log.write(line)
         self._count(call, Code.CALLER_GONE, Ran.UNKNOWN)
 
@@ -99,6 +120,8 @@
                 reading_ms=round(load.reading * MILLISECONDS),
                 rank=call.rank,
                 prompt_tokens=call.facts.prompt_tokens,
+                target_ms=round(call.route.target * MILLISECONDS),
+                waited_ms=round((now - call.arrived) * MILLISECONDS),
                 part_ms=round(choice.part_seconds * MILLISECONDS) if choice is not None else 0,
                 candidates=plan.candidates,
                 first_event_ms=round(choice.first_event * MILLISECONDS)
