--- a/pondpin/relay/engine_choice.py
+++ b/pondpin/relay/engine_choice.py
@@ -33,7 +33,6 @@
 # Worth a second of a heavy part costs on an engine of the light pool beside what it disturbs
 # now: light streams that come meanwhile are late too. From two or three of them a second.
 POOL_WORTH_PER_SECOND = 4.0
-MOST_POOL_WORTH = 8.0
 # Worth of a second of waiting as a share of a request's, so that of two sure ways the
 # faster is taken.
 HASTE = 0.06
@@ -48,6 +47,8 @@
 LATE_LOSS = 0.75
 GONE_LOSS = 0.4
 USEFUL_SHARE = 0.8
+# A first event that is forecast after this share of the caller's patience comes for nobody.
+LATEST_SHARE = 0.95
 GONE_SURE = 0.2
 GONE_LATE = 0.6
 # Worth lost for each further engine that reads a part: each may fail or be late.
@@ -108,7 +109,8 @@
     lease_tokens is the memory to set aside at each helper, 0 when the lead holds all.
     first_event is the forecast in seconds, loss the worth expected to be lost; delays is the
     part of it that those lose whose prompts are being read. start: seconds until the engines
-    have read the long prompts they hold; first_event counts from now and includes them.
+    have read the long prompts they hold; first_event counts from now and includes them. harm is
+    the worth that others lose, of loss.
     """
 
     lead: str
@@ -120,6 +122,7 @@
     pool: int
     delays: float = 0.0
     start: float = 0.0
+    harm: float = 0.0
 
 
 def should_wait(choice: EngineChoice, job: Job, waited: float) -> bool:
@@ -136,6 +139,24 @@
     return end < WAIT_SHARE * job.target and choice.delays > WAIT_WORTH * job.worth
 
 
+def is_useful(choice: EngineChoice, job: Job) -> bool:
+    """Whether the caller probably still waits when its first event comes."""
+    return job.waited + choice.first_event <= LATEST_SHARE * job.patience
+
+
+def should_hold(choice: EngineChoice, job: Job) -> bool:
+    """Whether a long prompt had better wait until others would lose less by it.
+
+    While it is sure to be in time waiting is free, so little harm is enough; afterwards it is
+    sent once it earns more than others lose.
+    """
+    total = job.waited + choice.first_event
+    if total < WAIT_SHARE * job.target:
+        return choice.harm > WAIT_WORTH * job.worth
+    earned = job.worth * (1.0 - LATE_LOSS * first_late(total, job.target))
+    return choice.harm > earned
+
+
 def worth_of(tokens: int) -> float:
     """The weight of a request by its size."""
     return max(SMALLEST_WORTH, float((tokens / WORTH_TOKENS) ** WORTH_POWER))
@@ -275,15 +296,16 @@
     first += max(0, lead.load.in_flight + 1 - profile.slots) * QUEUE_SECONDS
     start = max(view.load.long_until for view in chosen) if waits else 0.0
     first += max(0.0, start - lead.load.reading) if waits else 0.0
-    loss = sum(costs[view.id] for view in chosen)
+    harm = sum(costs[view.id] for view in chosen)
     delays = 0.0 if waits else delays_of_pending((view.load for view in chosen), part)
-    loss += delays
+    harm += delays
+    loss = harm
     total = job.waited + first
     loss += job.worth * (LATE_LOSS * first_late(total, job.target) + HASTE * first / job.target)
     loss += job.worth * GONE_LOSS * late_share(total, job.patience, GONE_SURE, GONE_LATE)
     loss += PART_WORTH * count
     names = tuple(view.id for view in helpers)
-    return EngineChoice(lead.id, names, part, lease, first, loss, pool, delays, start)
+    return EngineChoice(lead.id, names, part, lease, first, loss, pool, delays, start, harm)
 
 
 def _pending_share(view: EngineView, part: float) -> float:
@@ -292,10 +314,10 @@
 
 
 def _part_cost(profile: EngineProfile, view: EngineView, in_pool: bool, part: float) -> float:
-    cost = disturbance(profile, view.load, part)
+    cost = LATE_LOSS * disturbance(profile, view.load, part)
     if in_pool:
         # Light streams will come here soon, with targets about as short as those there now.
-        cost += min(MOST_POOL_WORTH, POOL_WORTH_PER_SECOND * part)
+        cost += POOL_WORTH_PER_SECOND * part
     return cost
 
 
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -17,7 +17,7 @@
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import UpstreamEjected, UpstreamLeaving
 from pondpin.relay.model import AnswerHead, RequestFacts, Route, RouteKind
-from pondpin.relay.planner import Plan, Planner
+from pondpin.relay.planner import Plan, Planner, Verdict
 from pondpin.relay.ports import Dialect
 from pondpin.relay.request_notes import RequestNotes
 from pondpin.relay.retry_window import RetryBounds, RetryWindow
@@ -45,8 +45,6 @@
 MOST_ATTEMPTS = 5
 # How long a waiting long prompt rests before it looks again, on average.
 WAIT_SECONDS = 0.03
-# A prompt whose first event is forecast after this share of its caller's patience is refused.
-LATEST_SHARE = 0.95
 # A caller whose request found no place comes back after this, in seconds.
 RETRY_SECONDS = 0.4
 # A caller that kept its connection to a stopping instance finds another one at once.
@@ -212,23 +210,35 @@
         try:
             while True:
                 plan = self.planner.plan(call, progress, avoid)
-                if plan is None or not self.planner.must_wait(call, plan, turn):
+                if plan is None:
+                    return None
+                verdict = self.planner.judge(call, plan, turn)
+                if verdict is Verdict.SEND:
                     return plan
-                self._check_useful(call, plan)
-                if turn is None:
-                    turn = self.planner.enter_calendar(call, plan)
+                if verdict is Verdict.REFUSE:
+                    raise self._too_late(call, plan)
+                turn = self._take_turn(call, plan, turn, verdict)
                 await asyncio.sleep(WAIT_SECONDS * (0.5 + self.rng.random()))
         finally:
             if turn is not None:
                 self.planner.calendar.leave(turn)
 
-    def _check_useful(self, call: RelayCall, plan: Plan) -> None:
-        """Refuse a prompt that would be read when its caller has given up."""
+    def _take_turn(
+        self, call: RelayCall, plan: Plan, turn: int | None, verdict: Verdict
+    ) -> int | None:
+        """Enter or leave the calendar; returns the key there."""
+        if verdict is Verdict.QUEUE:
+            return self.planner.enter_calendar(call, plan) if turn is None else turn
+        if turn is not None:
+            self.planner.calendar.leave(turn)
+        return None
+
+    def _too_late(self, call: RelayCall, plan: Plan) -> PondpinError:
+        """The refusal of a prompt that would be read when its caller has given up."""
         assert plan.choice is not None, "only prompts wait"
         first = self.clock() - call.arrived + plan.choice.first_event
-        if first > LATEST_SHARE * min(call.patience, call.deadline - call.arrived):
-            detail = f"first event after {first:.2f} s"
-            raise PondpinError(Code.CANNOT_FINISH, detail, retry_after=RETRY_SECONDS)
+        detail = f"first event after {first:.2f} s"
+        return PondpinError(Code.CANNOT_FINISH, detail, retry_after=RETRY_SECONDS)
 
     def _patience(self, call: RelayCall, plan: Plan) -> Patience:
         if not call.route.idempotent:
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -1,5 +1,6 @@
 """Plans an attempt: which upstream, which helpers; keeps the ledger of own work."""
 
+import enum
 import itertools
 import random
 from collections.abc import Callable
@@ -16,6 +17,8 @@
     Job,
     choose_engines,
     is_light,
+    is_useful,
+    should_hold,
     should_wait,
 )
 from pondpin.relay.forecast import read_seconds
@@ -69,6 +72,7 @@
     helpers: tuple[UpstreamState, ...]
     choice: EngineChoice | None
     candidates: int
+    is_long: bool = False
 
     @property
     def places(self) -> tuple[PartPlace, ...]:
@@ -83,6 +87,15 @@
     return max(FEWEST_CONNECTIONS, int(connections * CONNECTIONS_SHARE / max(1, sharers)))
 
 
+class Verdict(enum.Enum):
+    """What becomes of a planned request now."""
+
+    SEND = "send"
+    QUEUE = "wait for its turn"
+    HOLD = "wait until others lose less by it"
+    REFUSE = "refuse"
+
+
 class Planner:
     """Chooses among the usable upstreams of a service."""
 
@@ -141,7 +154,8 @@
         if choice is None:
             return None
         helpers = tuple(self._table.by_id[name] for name in choice.helpers)
-        return Plan(self._table.by_id[choice.lead], helpers, choice, len(states))
+        is_long = not is_light(profile, job.prompt_tokens, job.gap_target)
+        return Plan(self._table.by_id[choice.lead], helpers, choice, len(states), is_long)
 
     def _look_further(
         self,
@@ -251,25 +265,35 @@
             self._tell_soon()
         return key
 
-    def must_wait(self, call: RelayCall, plan: Plan, turn: int | None) -> bool:
-        """Whether a long prompt waits here before it is sent as planned.
+    def judge(self, call: RelayCall, plan: Plan, turn: int | None) -> Verdict:
+        """Whether a request is sent as planned.
 
-        turn is its key in the calendar, None while it has not waited.
+        turn is its key in the calendar, None while it is not there.
         """
         choice = plan.choice
-        if choice is None:
-            return False
+        if choice is None or not plan.is_long:
+            return Verdict.SEND
         now = self._clock()
+        job = make_job(call, now)
+        if not is_useful(choice, job):
+            return Verdict.REFUSE
         if not self._policy.calendar:
-            return should_wait(choice, make_job(call, now), now - call.arrived)
+            return Verdict.HOLD if should_wait(choice, job, job.waited) else Verdict.SEND
+        if should_hold(choice, job):
+            return Verdict.HOLD
         if choice.part_seconds < LONG_READ_SECONDS:
-            return False
-        if choice.start > START_SLACK_SECONDS:
-            return True
-        engines = max(1, plan.candidates - choice.pool, plan.candidates // FEWEST_LONG_SHARE)
+            return Verdict.SEND
+        if choice.start > START_SLACK_SECONDS or not self._is_next(plan, turn, now):
+            return Verdict.QUEUE
+        return Verdict.SEND
+
+    def _is_next(self, plan: Plan, turn: int | None, now: float) -> bool:
         if turn is None:
-            return bool(self.calendar.waiting(now))
-        return not self.calendar.is_first(turn, now, engines)
+            return not self.calendar.waiting(now)
+        assert plan.choice is not None, "only prompts take turns"
+        free = plan.candidates - plan.choice.pool
+        engines = max(1, free, plan.candidates // FEWEST_LONG_SHARE)
+        return self.calendar.is_first(turn, now, engines)
 
     def enter_calendar(self, call: RelayCall, plan: Plan) -> int:
         """Let a prompt wait for its turn; returns its key."""
