Silent engines are asked for their report: a busy one is not ejected, a lost one is left early

The other way round a dark engine was waited for 1.2 s (short) to 10 s (long). Now a request that hears nothing for 1.5 times its forecast and 0.3 s has the engine asked for its report (takes no slot; requests share the answer for 0.3 s). No answer: the attempt ends there and goes elsewhere. An answer: it waits on, and when it gives up all the same, an engine that is known to be busy gets no mark.

--- /dev/null
+++ b/pondpin/platform/reports.py
@@ -0,0 +1,35 @@
+"""Reads workers' reports."""
+
+import msgspec
+
+from pondpin.http_client import HttpClient
+from pondpin.http_streams import CallFailedError
+from pondpin.relay.model import EngineReport
+
+OK = 200
+REPORT_PATH = "/v1/report"
+
+
+class WireReport(msgspec.Struct, frozen=True, rename="camel"):
+    """What a worker says of itself; `active` are the requests that it runs."""
+
+    active: int
+    queued: int
+
+
+class PlatformReports:
+    """The product's ReportPort over the workers' report."""
+
+    def __init__(self, http: HttpClient) -> None:
+        self._http = http
+
+    async def read_report(self, host: str, port: int, timeout: float) -> EngineReport:
+        """Ask a worker; raises CallFailedError when it gives no sound answer in time."""
+        answer = await self._http.call("GET", f"http://{host}:{port}{REPORT_PATH}", timeout=timeout)
+        if answer.status != OK:
+            raise CallFailedError(f"status {answer.status}", sent=True)
+        try:
+            report = msgspec.json.decode(answer.body, type=WireReport)
+        except msgspec.MsgspecError as error:
+            raise CallFailedError(f"no report: {error}", sent=True) from None
+        return EngineReport(running=report.active, waiting=report.queued)
--- a/pondpin/relay/attempt.py
+++ b/pondpin/relay/attempt.py
@@ -26,10 +26,12 @@
 @dataclass(frozen=True, slots=True)
 class Patience:
     """Seconds of silence after which an attempt counts as stalled, before and after the first
-    event; None waits until the deadline."""
+    event; None waits until the deadline. ask: seconds after which a silent upstream is asked
+    whether it lives, None when it can't be asked."""
 
     first: float | None
     gap: float | None
+    ask: float | None = None
 
 
 class Watcher(Protocol):
@@ -55,6 +57,10 @@
         """Whether the upstream is probably out of reach."""
         ...
 
+    async def ask(self) -> bool:
+        """Ask the upstream whether it lives."""
+        ...
+
 
 class EventSink:
     """Passes the whole events of an answer on to the caller, in order and none twice."""
@@ -166,6 +172,8 @@
                 done, _ = await asyncio.wait((opening,), timeout=min(left, LOOK_SECONDS))
                 if done:
                     return opening.result()
+                if not await self._is_alive(patience, watcher, began):
+                    return None
         finally:
             opening.cancel()
 
@@ -197,6 +205,12 @@
             body=call.incoming.body,
         )
 
+    async def _is_alive(self, patience: Patience, watcher: Watcher, heard_at: float) -> bool:
+        """Ask an upstream that has been silent for long; False when it does not answer."""
+        if patience.ask is None or self._clock() - heard_at < patience.ask:
+            return True
+        return await watcher.ask()
+
     def _limit(self, call: RelayCall, patience: float | None, began: float) -> float:
         left = max(0.0, call.deadline - self._clock())
         if patience is None:
@@ -280,6 +294,8 @@
             done, _ = await asyncio.wait((sink.ended,), timeout=min(left, LOOK_SECONDS))
             if done:
                 return sink.ended.result()
+            if not await self._is_alive(patience, watcher, sink.heard_at):
+                return None
 
     def _explained_limit(
         self, call: RelayCall, heard_at: float, limit: float, watcher: Watcher
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -19,6 +19,7 @@
 from pondpin.platform.documents import PlatformDecoder
 from pondpin.platform.orders import PlatformLeases
 from pondpin.platform.paths import READY_PATH
+from pondpin.platform.reports import PlatformReports
 from pondpin.platform.requests import PlatformDialect
 from pondpin.platform.store import PlatformStore
 from pondpin.relay.admission import Beliefs
@@ -44,6 +45,7 @@
 from pondpin.relay.probe import ProbeController
 from pondpin.relay.publication import ListChange, Publication
 from pondpin.relay.reader import ReaderController
+from pondpin.relay.reports import Reports
 from pondpin.relay.retry_window import RetryBounds
 from pondpin.relay.upstreams import UpstreamTable
 from pondpin.runtime import steady_now, wall_now
@@ -135,6 +137,7 @@
             planner=planner,
             table=self.table,
             leases=self.leases,
+            reports=Reports(PlatformReports(self.http), self.log, steady_now),
             beliefs=self.beliefs,
             sharers=self._sharers,
             retry_bounds=self._retry_bounds,
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -19,6 +19,7 @@
 from pondpin.relay.model import AnswerHead, RequestFacts, Route, RouteKind
 from pondpin.relay.planner import Plan, Planner, Verdict
 from pondpin.relay.ports import Dialect
+from pondpin.relay.reports import Reports
 from pondpin.relay.request_notes import RequestNotes
 from pondpin.relay.retry_window import RetryBounds, RetryWindow
 from pondpin.relay.routing import pick_service
@@ -31,6 +32,10 @@
 FORECAST_PATIENCE = 2.0
 FORECAST_SLACK_SECONDS = 0.4
 SHORTEST_PATIENCE = 0.8
+# An engine that is silent for this multiple of the forecast and some more is asked whether it
+# lives: nine in ten first events come earlier (`pondpinctl losses`).
+ASK_TIMES = 1.5
+ASK_SLACK_SECONDS = 0.3
 # Shares of the time after which a caller gives a silent stream up: before the first event,
 # between events, and for prompts read in parts, before whose parts others may go.
 PATIENCE_SHARE = 0.6
@@ -64,6 +69,7 @@
     planner: Planner
     table: UpstreamTable
     leases: Leases
+    reports: Reports
     beliefs: Callable[[], Beliefs]
     sharers: Callable[[], int]
     retry_bounds: Callable[[], RetryBounds]
@@ -249,15 +255,16 @@
             )
         gap = GAP_PATIENCE_SHARE * call.patience
         forecast = plan.choice.first_event if plan.choice is not None else 0.0
+        ask = ASK_TIMES * forecast + ASK_SLACK_SECONDS
         if plan.helpers:
             # Parts of others may come before its own; the engine itself tells of lost helpers.
-            return Patience(HELPED_PATIENCE_SHARE * call.patience, gap)
+            return Patience(HELPED_PATIENCE_SHARE * call.patience, gap, ask)
         first = max(
             SHORTEST_PATIENCE,
             FORECAST_PATIENCE * forecast + FORECAST_SLACK_SECONDS,
             PATIENCE_SHARE * call.patience,
         )
-        return Patience(first, gap)
+        return Patience(first, gap, ask)
 
     def _may_try_again(self, call: RelayCall, progress: Progress, end: AttemptEnd) -> bool:
         """Whether another upstream may get the request now; spends the budget."""
@@ -303,6 +310,9 @@
         if end.kind is EndKind.STALLED and now - began < SILENT_SECONDS:
             # The request's own time was over; that says nothing of the upstream.
             return
+        if end.kind is EndKind.STALLED and plan.lead.heard_at > began and plan.lead.is_busy(now):
+            # It lives and is known to be busy: placement weighs that already.
+            return
         failing = end.kind in (EndKind.NOT_SENT, EndKind.STALLED)
         if failing or end.kind in (EndKind.BROKEN, EndKind.INVALID):
             silent = plan.lead.heard_at < began
@@ -373,6 +383,10 @@
         """See Watcher."""
         return self.plan.lead.reads_until(now) + READING_SLACK_SECONDS
 
+    async def ask(self) -> bool:
+        """See Watcher."""
+        return await self.handler.reports.ask(self.plan.lead)
+
     def is_cut(self, now: float) -> bool:
         """See Watcher."""
         return self.plan.lead.needs_probe or self.handler.table.is_cut(self.plan.lead, now)
--- a/pondpin/relay/log_events.py
+++ b/pondpin/relay/log_events.py
@@ -196,6 +196,16 @@
     target_ms: int = 0
 
 
+class UpstreamAsked(LogEvent, frozen=True, kw_only=True, tag="upstream_asked"):
+    """A silent engine was asked for its report."""
+
+    upstream: str
+    answers: bool
+    reason: str = ""
+    running: int = 0
+    waiting: int = 0
+
+
 class LeasesEnded(LogEvent, frozen=True, kw_only=True, tag="leases"):
     """Memory leases of a request were refused or could not be given back."""
 
--- a/pondpin/relay/model.py
+++ b/pondpin/relay/model.py
@@ -144,6 +144,14 @@
     slots: int
 
 
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What a model engine says of itself when it is asked; some hundred ms old."""
+
+    running: int
+    waiting: int
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
     """The head of an upstream's answer; not_executed is its word that nothing ran.
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -281,11 +281,11 @@
             return Verdict.HOLD if should_wait(choice, job, job.waited) else Verdict.SEND
         if should_hold(choice, job):
             return Verdict.HOLD
-        if choice.part_seconds < LONG_READ_SECONDS:
+        is_short = choice.part_seconds < LONG_READ_SECONDS
+        is_free = choice.start <= START_SLACK_SECONDS
+        if is_short or (is_free and self._is_next(plan, turn, now)):
             return Verdict.SEND
-        if choice.start > START_SLACK_SECONDS or not self._is_next(plan, turn, now):
-            return Verdict.QUEUE
-        return Verdict.SEND
+        return Verdict.QUEUE
 
     def _is_next(self, plan: Plan, turn: int | None, now: float) -> bool:
         if turn is None:
--- a/pondpin/relay/ports.py
+++ b/pondpin/relay/ports.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from pondpin.relay.model import AnswerHead, RequestFacts
+from pondpin.relay.model import AnswerHead, EngineReport, RequestFacts
 from pondpin.relay.publication import PublishedItem
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
@@ -61,6 +61,14 @@
         ...
 
 
+class ReportPort(Protocol):
+    """Reports of model engines; calls raise CallFailedError."""
+
+    async def read_report(self, host: str, port: int, timeout: float) -> EngineReport:
+        """Ask an engine what it does."""
+        ...
+
+
 class LeaseAnswer(enum.Enum):
     """What an engine says to a wish for memory."""
 
--- /dev/null
+++ b/pondpin/relay/reports.py
@@ -0,0 +1,59 @@
+"""Asks silent engines for their report: one that answers is busy, one that doesn't is lost."""
+
+import asyncio
+
+from pondpin.clocks import Clock
+from pondpin.http_streams import CallFailedError
+from pondpin.relay.log import EventLog
+from pondpin.relay.log_events import UpstreamAsked
+from pondpin.relay.model import EngineReport
+from pondpin.relay.ports import ReportPort
+from pondpin.relay.upstreams import UpstreamState
+
+# A report takes no slot and is sent at once: a way there and back takes a few ms, a lost
+# packet is sent again after a quarter of a second or so.
+ASK_SECONDS = 0.3
+# What one request learnt counts for the others that wait for the same engine.
+KEPT_SECONDS = 0.3
+
+
+class Reports:
+    """Reports of engines, asked for when they are silent; requests share them."""
+
+    def __init__(self, port: ReportPort, log: EventLog, clock: Clock) -> None:
+        self._port = port
+        self._log = log
+        self._clock = clock
+        self._tasks_by_id: dict[str, asyncio.Task[EngineReport | None]] = {}
+
+    async def ask(self, state: UpstreamState) -> bool:
+        """Whether an engine answers now, or did a moment ago."""
+        if self._clock() - state.report_at < KEPT_SECONDS:
+            return True
+        task = self._tasks_by_id.get(state.id)
+        if task is None:
+            task = asyncio.get_running_loop().create_task(self._read(state))
+            self._tasks_by_id[state.id] = task
+            task.add_done_callback(lambda _: self._tasks_by_id.pop(state.id, None))
+        return await asyncio.shield(task) is not None
+
+    async def _read(self, state: UpstreamState) -> EngineReport | None:
+        listed = state.listed
+        reason = ""
+        report = None
+        try:
+            report = await self._port.read_report(listed.host, listed.port, ASK_SECONDS)
+            state.report, state.report_at = report, self._clock()
+            state.heard_at = state.report_at
+        except CallFailedError as error:
+            reason = str(error)
+        self._log.write(
+            UpstreamAsked(
+                upstream=state.id,
+                answers=report is not None,
+                reason=reason,
+                running=report.running if report is not None else 0,
+                waiting=report.waiting if report is not None else 0,
+            )
+        )
+        return report
--- a/pondpin/relay/upstreams.py
+++ b/pondpin/relay/upstreams.py
@@ -8,7 +8,7 @@
 
 from pondpin.health import Health, note_failure, note_success
 from pondpin.relay.forecast import EngineLoad, Pending, Writers
-from pondpin.relay.model import ListedUpstream, Load
+from pondpin.relay.model import EngineReport, ListedUpstream, Load
 
 # A peer's word on its work counts for so many seconds; digests come several times a second.
 PEER_LOAD_SECONDS = 1.5
@@ -192,6 +192,8 @@
     told: Load | None = None
     told_at: float = 0.0
     heard_at: float = 0.0
+    report: EngineReport | None = None
+    report_at: float = float("-inf")
     work_by_key: dict[int, Work] = field(default_factory=dict)
     peer_work_by_instance: dict[str, PeerWork] = field(default_factory=dict)
 
@@ -213,6 +215,13 @@
             return max(known, self.told.running + self.told.waiting)
         return known
 
+    def is_busy(self, now: float) -> bool:
+        """Whether an engine's silence is explained by what it is known to do."""
+        load = self.load(now)
+        if load.long_until > 0 or load.in_flight > self.listed.slots:
+            return True
+        return self.report is not None and self.report.waiting > 0
+
     @property
     def open_here(self) -> int:
         """Requests of this instance there, each on a connection of its own."""
--- a/pondpin/standins/local_platform.py
+++ b/pondpin/standins/local_platform.py
@@ -69,6 +69,15 @@
         "version": version,
         "routes": [
             sample_route("stream", "streaming", ENGINES, streamResume=True, gap_aim_ms=200),
+            sample_route(
+                "long",
+                "streaming",
+                ENGINES,
+                streamResume=True,
+                gap_aim_ms=1000,
+                targetLatencyMs=5000,
+                timeoutMs=20000,
+            ),
             sample_route("once", "unsafe", PLAIN, maxAttempts=1),
             sample_route("again", "safe", PLAIN),
         ],
--- a/pondpin/standins/worker.py
+++ b/pondpin/standins/worker.py
@@ -71,6 +71,8 @@
     lease_by_id: dict[str, Lease] = field(default_factory=dict)
     refused_leases: int = 0
     probes: int = 0
+    reports: int = 0
+    dark: bool = False
     working: int = 0
 
     def __post_init__(self) -> None:
@@ -79,6 +81,7 @@
         self.server.route("", self._serve)
         self.server.route("/healthz", self._health)
         self.server.route("/v1/order", self._order)
+        self.server.route("/v1/report", self._report)
 
     def listen(self, endpoint: Endpoint) -> Endpoint:
         """Listen; returns the endpoint with its port."""
@@ -91,6 +94,12 @@
         bad = self.draining or self.lasting_fault is not WorkerFault.NONE
         reply.send(503 if bad else 200, {"x-instance-id": self.id}, b"")
 
+    async def _report(self, incoming: Incoming, reply: Reply) -> None:
+        self.reports += 1
+        if self.dark:
+            await asyncio.sleep(HANG_SECONDS)
+        reply.send_json({"stage": "bidirectional", "queued": 0, "active": self.working})
+
     async def _order(self, incoming: Incoming, reply: Reply) -> None:
         order = msgspec.json.decode(incoming.body)
         name = order["id"]
--- a/pondpin/tools/log_story.py
+++ b/pondpin/tools/log_story.py
@@ -115,6 +115,10 @@
     "caller_gone": "the caller closed its connection after {after_ms} ms",
     "upstream_leaving": "{upstream} gets no new work: {source}",
     "upstream_ejected": "{upstream} is left alone for {seconds} s: {reason}",
+    "upstream_asked": (
+        "silent {upstream} answers its report: {answers} {reason} "
+        "({running} running, {waiting} waiting)"
+    ),
     "upstream_back": "{upstream} answers its liveness check again",
     "source": "the published source answers: {answers} ({reason})",
     "peer": "peer {peer} heard: {alive}; {alive_peers} peers alive",
