A part on the light pool costs what the light streams there are worth

Cause: the price of a part on an engine of the light pool was 4 a second of reading whatever streams there were; with none in flight it kept long prompts off half of a small fleet and let them wait for nobody. It follows the streams an engine of the pool has on average now (0.5 a second and stream: as many come every two seconds, and lose three quarters of 1.3). A stream that is resumed after events counts its patience from the last of them, not from its arrival: the refusal of hopeless prompts would have hit streams that were running for longer than that.

--- a/pondpin/relay/engine_choice.py
+++ b/pondpin/relay/engine_choice.py
@@ -30,9 +30,10 @@
 # The light pool is sized for this multiple of the light streams in flight, and some more.
 POOL_GROWTH = 1.25
 POOL_MARGIN = 4
-# Worth a second of a heavy part costs on an engine of the light pool beside what it disturbs
-# now: light streams that come meanwhile are late too. From two or three of them a second.
-POOL_WORTH_PER_SECOND = 4.0
+# Worth a second of a heavy part costs on an engine of the light pool, for each light stream
+# that an engine there has on average: as many come every two seconds or so, and those that come
+# meanwhile lose three quarters of their worth of 1.3.
+POOL_WORTH_PER_SECOND = 0.5
 # Worth of a second of waiting as a share of a request's, so that of two sure ways the
 # faster is taken.
 HASTE = 0.06
@@ -193,7 +194,8 @@
     pool = pool_size(profile, light_in_flight, len(engines))
     if is_light(profile, job.prompt_tokens, job.gap_target):
         return _choose_light(profile, job, engines, pool, rng)
-    return _choose_heavy(profile, job, engines, pool, rng, most_parts, in_turn)
+    pool_worth = POOL_WORTH_PER_SECOND * light_in_flight / pool
+    return _choose_heavy(profile, job, engines, pool, pool_worth, rng, most_parts, in_turn)
 
 
 def _has_memory(profile: EngineProfile, load: EngineLoad, tokens: int) -> bool:
@@ -241,13 +243,14 @@
     job: Job,
     engines: Sequence[EngineView],
     pool: int,
+    pool_worth: float,
     rng: random.Random,
     most_parts: int,
     in_turn: bool,
 ) -> EngineChoice | None:
     alone = read_seconds(profile, job.prompt_tokens)
     choices = [
-        _choose_parts(profile, job, engines, pool, count, alone / count, rng, in_turn)
+        _choose_parts(profile, job, engines, pool, pool_worth, count, alone / count, rng, in_turn)
         for count in PART_COUNTS
         if count <= min(len(engines), most_parts)
     ]
@@ -263,6 +266,7 @@
     job: Job,
     engines: Sequence[EngineView],
     pool: int,
+    pool_worth: float,
     count: int,
     part: float,
     rng: random.Random,
@@ -270,7 +274,8 @@
 ) -> EngineChoice | None:
     """The cheapest count engines for parts of part seconds each."""
     costs = {
-        view.id: _part_cost(profile, view, index < pool, part) for index, view in enumerate(engines)
+        view.id: _part_cost(profile, view, pool_worth if index < pool else 0.0, part)
+        for index, view in enumerate(engines)
     }
     waits = in_turn and part >= LONG_READ_SECONDS
     second = job.worth / job.target
@@ -313,12 +318,11 @@
     return sum(delay_of_pending(item, part) / item.parts for item in view.load.pending)
 
 
-def _part_cost(profile: EngineProfile, view: EngineView, in_pool: bool, part: float) -> float:
-    cost = LATE_LOSS * disturbance(profile, view.load, part)
-    if in_pool:
-        # Light streams will come here soon, with targets about as short as those there now.
-        cost += POOL_WORTH_PER_SECOND * part
-    return cost
+def _part_cost(
+    profile: EngineProfile, view: EngineView, worth_per_second: float, part: float
+) -> float:
+    """Worth that others lose by a part: those who write there, and light streams to come."""
+    return LATE_LOSS * disturbance(profile, view.load, part) + worth_per_second * part
 
 
 def _lease_tokens(
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -163,7 +163,7 @@
     async def _attempt(self, call: RelayCall, progress: Progress) -> AttemptEnd:
         """Plan and run one attempt; raises PondpinError when nothing can take the request."""
         plan, group = await self._plan(call, progress)
-        key = self.planner.begin(call, plan)
+        key = self.planner.begin(call, progress, plan)
         keeper = asyncio.ensure_future(self.leases.keep(group)) if group is not None else None
         progress.upstream = plan.lead.id
         began = self.clock()
@@ -218,23 +218,28 @@
                 plan = self.planner.plan(call, progress, avoid)
                 if plan is None:
                     return None
-                verdict = self.planner.judge(call, plan, turn)
+                verdict = self.planner.judge(call, progress, plan, turn)
                 if verdict is Verdict.SEND:
                     return plan
                 if verdict is Verdict.REFUSE:
                     raise self._too_late(call, plan)
-                turn = self._take_turn(call, plan, turn, verdict)
+                turn = self._take_turn(call, progress, plan, turn, verdict)
                 await asyncio.sleep(WAIT_SECONDS * (0.5 + self.rng.random()))
         finally:
             if turn is not None:
                 self.planner.calendar.leave(turn)
 
     def _take_turn(
-        self, call: RelayCall, plan: Plan, turn: int | None, verdict: Verdict
+        self,
+        call: RelayCall,
+        progress: Progress,
+        plan: Plan,
+        turn: int | None,
+        verdict: Verdict,
     ) -> int | None:
         """Enter or leave the calendar; returns the key there."""
         if verdict is Verdict.QUEUE:
-            return self.planner.enter_calendar(call, plan) if turn is None else turn
+            return self.planner.enter_calendar(call, progress, plan) if turn is None else turn
         if turn is not None:
             self.planner.calendar.leave(turn)
         return None
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -131,7 +131,7 @@
             return None
         if profile is None or call.facts.prompt_tokens <= 0:
             return self._plan_plain(states, now)
-        return self._plan_engines(call, profile, states, now)
+        return self._plan_engines(call, progress, profile, states, now)
 
     def _plan_plain(self, states: list[UpstreamState], now: float) -> Plan:
         views = [
@@ -142,11 +142,16 @@
         return Plan(self._table.by_id[name], (), None, len(states))
 
     def _plan_engines(
-        self, call: RelayCall, profile: EngineProfile, states: list[UpstreamState], now: float
+        self,
+        call: RelayCall,
+        progress: Progress,
+        profile: EngineProfile,
+        states: list[UpstreamState],
+        now: float,
     ) -> Plan | None:
         if self._policy.placement is not PlacementPolicy.PREDICTED:
             return self._plan_baseline(call, profile, states, now)
-        job = make_job(call, now)
+        job = make_job(call, progress, now)
         near = self._near(states)
         choice = self._choose(job, profile, near, now)
         if len(near) < len(states):
@@ -231,7 +236,7 @@
     def _is_local(self, state: UpstreamState) -> bool:
         return state.listed.data_center == self._table.data_center
 
-    def begin(self, call: RelayCall, plan: Plan) -> int:
+    def begin(self, call: RelayCall, progress: Progress, plan: Plan) -> int:
         """Enter an attempt's work in the ledger; returns its key."""
         now = self._clock()
         key = next(self._keys)
@@ -239,7 +244,7 @@
         if choice is None:
             plan.lead.work_by_key[key] = Work(0.0, now, 0, call.route.target, 0.0, 1.0, False, True)
             return key
-        job = make_job(call, now)
+        job = make_job(call, progress, now)
         lead_tokens = job.tokens
         if choice.lease_tokens:
             lead_tokens = choice.lease_tokens + job.answer_tokens
@@ -265,7 +270,7 @@
             self._tell_soon()
         return key
 
-    def judge(self, call: RelayCall, plan: Plan, turn: int | None) -> Verdict:
+    def judge(self, call: RelayCall, progress: Progress, plan: Plan, turn: int | None) -> Verdict:
         """Whether a request is sent as planned.
 
         turn is its key in the calendar, None while it is not there.
@@ -274,7 +279,7 @@
         if choice is None or not plan.is_long:
             return Verdict.SEND
         now = self._clock()
-        job = make_job(call, now)
+        job = make_job(call, progress, now)
         if not is_useful(choice, job):
             return Verdict.REFUSE
         if not self._policy.calendar:
@@ -295,18 +300,18 @@
         engines = max(1, free, plan.candidates // FEWEST_LONG_SHARE)
         return self.calendar.is_first(turn, now, engines)
 
-    def enter_calendar(self, call: RelayCall, plan: Plan) -> int:
+    def enter_calendar(self, call: RelayCall, progress: Progress, plan: Plan) -> int:
         """Let a prompt wait for its turn; returns its key."""
         now = self._clock()
         key = self._rng.getrandbits(GROUP_BITS)
-        job = make_job(call, now)
+        job = make_job(call, progress, now)
         profile = call.configuration.services_by_name[call.service].engine
         assert profile is not None, "only engines' prompts wait"
         prompt = WaitingPrompt(
             key=key,
             reading=read_seconds(profile, job.prompt_tokens),
-            due=call.arrived + DUE_SHARE * job.target,
-            last=call.arrived + job.patience,
+            due=now - job.waited + DUE_SHARE * job.target,
+            last=now - job.waited + job.patience,
             since=now,
         )
         self.calendar.enter(prompt)
@@ -325,13 +330,15 @@
             state.work_by_key.pop(key, None)
 
 
-def make_job(call: RelayCall, now: float) -> Job:
+def make_job(call: RelayCall, progress: Progress, now: float) -> Job:
     """What placement needs to know of a call."""
+    # A caller that has events waits anew for the next one.
+    since = progress.last_at if progress.events else call.arrived
     return Job(
         prompt_tokens=call.facts.prompt_tokens,
         answer_tokens=call.facts.answer_tokens,
         target=call.route.target,
         gap_target=call.route.gap_target or call.route.target,
-        patience=min(call.patience, call.deadline - call.arrived),
-        waited=now - call.arrived,
+        patience=min(call.patience, call.deadline - since),
+        waited=now - since,
     )
--- a/pondpin/tests/test_relay_planner.py
+++ b/pondpin/tests/test_relay_planner.py
@@ -66,7 +66,7 @@
         for _ in range(FEWEST_CONNECTIONS):
             plan = planner.plan(call, Progress(), frozenset())
             assert plan is not None
-            planner.begin(call, plan)
+            planner.begin(call, Progress(), plan)
         self.assertIsNone(planner.plan(call, Progress(), frozenset()))
 
 
