Light is what disturbs no stream of its service, not only those of its own kind

A prompt is light now by the strictest pause target of the streams that share its service, which each configuration tells.

--- a/pondpin/relay/engine_choice.py
+++ b/pondpin/relay/engine_choice.py
@@ -22,8 +22,8 @@
 # Numbers of engines that are compared for one prompt; an engine lets 16 others help.
 PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
 MOST_PARTS = max(PART_COUNTS)
-# A prompt whose reading is below this share of its own pause target disturbs nobody who
-# writes under that target: it counts as light.
+# A prompt whose reading is below this share of the strictest pause target disturbs nobody who
+# writes: it counts as light.
 LIGHT_SHARE = 0.5
 # Free slots kept on each engine of the light pool, for what peers place unseen.
 SPARE_SLOTS = 2
@@ -73,7 +73,8 @@
     """A streamed request to be placed; targets in seconds.
 
     patience: seconds after which the caller gives up without a first event; waited: how many of
-    them are over.
+    them are over. shortest_gap: the strictest target of pauses among those that share the
+    engines, infinite when it is not known.
     """
 
     prompt_tokens: int
@@ -82,6 +83,12 @@
     gap_target: float
     patience: float
     waited: float = 0.0
+    shortest_gap: float = math.inf
+
+    @property
+    def light_gap(self) -> float:
+        """The target of pauses that reading this prompt beside others must leave room for."""
+        return min(self.gap_target, self.shortest_gap)
 
     @property
     def worth(self) -> float:
@@ -192,7 +199,7 @@
     if not engines:
         return None
     pool = pool_size(profile, light_in_flight, len(engines))
-    if is_light(profile, job.prompt_tokens, job.gap_target):
+    if is_light(profile, job.prompt_tokens, job.light_gap):
         return _choose_light(profile, job, engines, pool, rng)
     pool_worth = POOL_WORTH_PER_SECOND * light_in_flight / pool
     return _choose_heavy(profile, job, engines, pool, pool_worth, rng, most_parts, in_turn)
--- a/pondpin/relay/model.py
+++ b/pondpin/relay/model.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+import itertools
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -100,13 +101,27 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayConfiguration:
-    """One published version, decoded; routes of a host are sorted by falling prefix length."""
+    """One published version, decoded; routes of a host are sorted by falling prefix length.
+
+    shortest_gap_by_service: the strictest target of pauses of each service's streams, in seconds.
+    """
 
     version: int
     routes_by_host: Mapping[str, tuple[Route, ...]]
     services_by_name: Mapping[str, Service]
     accounts_by_key: Mapping[str, ClientAccount]
     bounds: CallerBounds = field(default_factory=CallerBounds)
+    shortest_gap_by_service: Mapping[str, float] = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Work out what placement needs of all routes together."""
+        gaps: dict[str, float] = {}
+        for route in itertools.chain.from_iterable(self.routes_by_host.values()):
+            if route.gap_target > 0:
+                for share in route.shares:
+                    known = gaps.get(share.service, route.gap_target)
+                    gaps[share.service] = min(known, route.gap_target)
+        object.__setattr__(self, "shortest_gap_by_service", gaps)
 
 
 @dataclass(frozen=True, slots=True)
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -24,6 +24,7 @@
 from pondpin.relay.forecast import read_seconds
 from pondpin.relay.model import EngineProfile
 from pondpin.relay.ports import PartPlace
+from pondpin.relay.routing import shortest_gap
 from pondpin.relay.upstreams import (
     LONG_READ_SECONDS,
     CenterLoadSeen,
@@ -159,7 +160,7 @@
         if choice is None:
             return None
         helpers = tuple(self._table.by_id[name] for name in choice.helpers)
-        is_long = not is_light(profile, job.prompt_tokens, job.gap_target)
+        is_long = not is_light(profile, job.prompt_tokens, job.light_gap)
         return Plan(self._table.by_id[choice.lead], helpers, choice, len(states), is_long)
 
     def _look_further(
@@ -173,7 +174,7 @@
     ) -> EngineChoice | None:
         """Use other data centres' engines when the own ones would be late or are crowded."""
         late = near is None or near.first_event > job.target
-        light = is_light(profile, job.prompt_tokens, job.gap_target)
+        light = is_light(profile, job.prompt_tokens, job.light_gap)
         there = self._idle_center(service, profile, near, late, now) if light else None
         if there is not None:
             center, seen = there
@@ -249,7 +250,7 @@
         if choice.lease_tokens:
             lead_tokens = choice.lease_tokens + job.answer_tokens
         profile = call.configuration.services_by_name[call.service].engine
-        light = profile is not None and is_light(profile, job.prompt_tokens, job.gap_target)
+        light = profile is not None and is_light(profile, job.prompt_tokens, job.light_gap)
         group = self._rng.getrandbits(GROUP_BITS)
         work = Work(
             reading=choice.part_seconds,
@@ -341,4 +342,5 @@
         gap_target=call.route.gap_target or call.route.target,
         patience=min(call.patience, call.deadline - since),
         waited=now - since,
+        shortest_gap=shortest_gap(call.configuration, call.service),
     )
--- a/pondpin/relay/routing.py
+++ b/pondpin/relay/routing.py
@@ -1,5 +1,6 @@
 """Finds a request's route, account and service."""
 
+import math
 from collections.abc import Sequence
 
 from pondpin.relay.model import ClientAccount, RelayConfiguration, Route, ServiceShare
@@ -23,6 +24,11 @@
     return bool(configuration.accounts_by_key) and not route.public
 
 
+def shortest_gap(configuration: RelayConfiguration, service: str) -> float:
+    """The strictest target of pauses among the streams that share a service, in seconds."""
+    return configuration.shortest_gap_by_service.get(service, math.inf)
+
+
 def pick_service(shares: Sequence[ServiceShare], draw: float) -> str:
     """The service that a draw between 0 and 1 falls on."""
     total = sum(share.weight for share in shares)
--- a/pondpin/tests/test_relay_planner.py
+++ b/pondpin/tests/test_relay_planner.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 from typing import Any
 
 from pondpin.relay.call import Progress, RelayCall
@@ -70,6 +71,30 @@
         self.assertIsNone(planner.plan(call, Progress(), frozenset()))
 
 
+class LightPromptTest(unittest.TestCase):
+    def test_what_would_disturb_the_strictest_streams_is_not_light(self) -> None:
+        table = UpstreamTable("north")
+        listed = [
+            ListedUpstream(f"e{n}", "engines", "10.0.0.1", 80 + n, "north", 8, False)
+            for n in range(9)
+        ]
+        table.take_list(listed, [])
+        planner = Planner(table, lambda: NOW, random.Random(1), lambda: None)
+        alone = planner.plan(make_call(40_000, 1.5, 0.6), Progress(), frozenset())
+        assert alone is not None
+        self.assertFalse(alone.is_long)
+        beside = make_call(40_000, 1.5, 0.6)
+        strict = make_call(5000).route
+        configuration = replace(beside.configuration, routes_by_host={"h": (strict,)})
+        beside = replace(beside, configuration=configuration)
+        plan = planner.plan(beside, Progress(), frozenset())
+        assert plan is not None
+        self.assertTrue(plan.is_long)
+        assert plan.choice is not None
+        pool = table.of_service("engines")[: plan.choice.pool]
+        self.assertNotIn(plan.lead, pool)
+
+
 class NearEnginesTest(unittest.TestCase):
     def setUp(self) -> None:
         self.table = UpstreamTable("north")
--- a/pondpin/tests/test_relay_rules.py
+++ b/pondpin/tests/test_relay_rules.py
@@ -19,7 +19,7 @@
     ServiceShare,
 )
 from pondpin.relay.retry_window import FEWEST_SHARERS, RetryBounds, RetryWindow
-from pondpin.relay.routing import find_route, pick_service
+from pondpin.relay.routing import find_route, pick_service, shortest_gap
 
 NOW = 1000.0
 
@@ -69,6 +69,16 @@
         self.assertIsNone(find_route(configuration, "a.example", "/ab"))
         self.assertIsNone(find_route(configuration, "b.example", "/a/b/c"))
 
+    def test_the_strictest_pause_target_of_a_service_counts(self) -> None:
+        configuration = make_configuration(
+            make_route("/a/", gap_target=0.6),
+            make_route("/b/", gap_target=0.2, shares=(ServiceShare("two", 1),)),
+            make_route("/c/"),
+        )
+        self.assertEqual(shortest_gap(configuration, "one"), 0.6)
+        self.assertEqual(shortest_gap(configuration, "two"), 0.2)
+        self.assertEqual(shortest_gap(configuration, "three"), float("inf"))
+
     def test_a_split_follows_the_weights(self) -> None:
         shares = (ServiceShare("one", 90), ServiceShare("none", 0), ServiceShare("two", 10))
         chosen = [pick_service(shares, draw / 1000) for draw in range(1000)]
