--- a/pondpin/platform/requests.py
+++ b/pondpin/platform/requests.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
+from pondpin.network import Endpoint, parse_endpoint
 from pondpin.relay.model import AnswerHead, Load, RequestFacts
 from pondpin.relay.ports import Forwarded
 
@@ -15,6 +16,7 @@
 HELPERS = b"helpers"
 LOAD = b"x-instance-load"
 NOT_EXECUTED = b"x-not-executed"
+# Not a name: the address of the worker, of those that a request was given, that failed it.
 AT_FAULT = b"at-server"
 SIGNATURE = b"x-instance-signature"
 INSTANCE = b"x-instance-id"
@@ -115,12 +117,20 @@
             load=_read_load(_first(raw, LOAD)),
             events=content.lower().startswith(b"text/event-stream"),
             signed=bool(_first(raw, SIGNATURE)),
-            at_fault=_first(raw, AT_FAULT).decode("latin-1"),
+            at_fault=_read_endpoint(_first(raw, AT_FAULT)),
             instance=_first(raw, INSTANCE).decode("latin-1"),
             headers=passed,
         )
 
 
+def _read_endpoint(text: bytes) -> Endpoint | None:
+    """An address, None when there is none or it can't be read."""
+    try:
+        return parse_endpoint(text.decode("latin-1")) if text else None
+    except ValueError:
+        return None
+
+
 def _read_load(text: bytes) -> Load | None:
     numbers = _numbers(text)
     if len(numbers) < 3:
--- a/pondpin/relay/call.py
+++ b/pondpin/relay/call.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from pondpin.http_reply import Incoming, Reply
+from pondpin.network import Endpoint
 from pondpin.relay.model import RelayConfiguration, RequestFacts, Route
 
 # Callers give a stream up after the longest of these, also before its first event.
@@ -69,12 +70,12 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnd:
-    """The end of an attempt; at_fault names another upstream that made it fail."""
+    """The end of an attempt; at_fault is where the upstream is that made it fail."""
 
     kind: EndKind
     detail: str = ""
     answer: WholeReply | None = None
-    at_fault: str = ""
+    at_fault: Endpoint | None = None
 
     @property
     def may_have_run(self) -> bool:
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -10,6 +10,7 @@
 from pondpin.errors import PondpinError
 from pondpin.http_reply import Incoming, Reply
 from pondpin.metrics import Metrics
+from pondpin.network import Endpoint
 from pondpin.relay.admission import Admitted, Beliefs, admit, check_proof
 from pondpin.relay.attempt import Attempts, Patience
 from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall
@@ -23,7 +24,7 @@
 from pondpin.relay.request_notes import RequestNotes
 from pondpin.relay.retry_window import RetryBounds, RetryWindow
 from pondpin.relay.routing import pick_service
-from pondpin.relay.upstreams import UpstreamTable
+from pondpin.relay.upstreams import UpstreamState, UpstreamTable
 
 MISDIRECTED = 421
 FIRST_SERVER_ERROR = 500
@@ -186,6 +187,9 @@
                 keeper.cancel()
                 self.leases.release(group)
         self._judge(plan, end, began)
+        helper = _helper_at_fault(plan, end)
+        if helper is not None:
+            progress.tried |= {helper.id}
         return end
 
     def _check_still_allowed(self, call: RelayCall, beliefs: Beliefs) -> None:
@@ -307,8 +311,10 @@
         name = plan.lead.id
         result = end.kind.value
         self.metrics.attempts.inc({"upstream": plan.lead.listed.service, "result": result})
-        if end.at_fault and end.at_fault != name:
-            self._note_failure(end.at_fault, now, "named as at fault", True)
+        helper = _helper_at_fault(plan, end)
+        if helper is not None:
+            # It may only be leaving; then the list says so in a moment.
+            self._note_failure(helper.id, now, "named as at fault", True)
             return
         if end.kind is EndKind.NOT_EXECUTED:
             return
@@ -409,6 +415,14 @@
     task.cancel()
 
 
+def _helper_at_fault(plan: Plan, end: AttemptEnd) -> UpstreamState | None:
+    """The helper that the lead names as the reason why it did not run a request."""
+    for state in plan.helpers:
+        if end.at_fault == Endpoint(state.listed.host, state.listed.port):
+            return state
+    return None
+
+
 def _keep_true(error: PondpinError, progress: Progress) -> PondpinError:
     """An error that ends a later attempt must not say that the request has not run."""
     if not progress.may_have_run or error.ran is not Ran.NOT_RUN:
--- a/pondpin/relay/model.py
+++ b/pondpin/relay/model.py
@@ -8,6 +8,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from pondpin.network import Endpoint
+
 
 class RouteKind(enum.Enum):
     """What may be done with a request of a route."""
@@ -171,8 +173,8 @@
 class AnswerHead:
     """The head of an upstream's answer; not_executed is its word that nothing ran.
 
-    signed: the upstream vouches for the answer. at_fault names the upstream that made it fail,
-    when that is another one; instance is the answering upstream's id where it says it.
+    signed: the upstream vouches for the answer. at_fault is where the upstream is that made it
+    fail, when the answer says so; instance is the answering upstream's id where it says it.
     """
 
     status: int
@@ -181,6 +183,6 @@
     load: Load | None
     events: bool
     signed: bool
-    at_fault: str
+    at_fault: Endpoint | None
     instance: str
     headers: tuple[tuple[bytes, bytes], ...]
--- a/pondpin/standins/worker.py
+++ b/pondpin/standins/worker.py
@@ -22,6 +22,7 @@
     NONE = "none"
     SHED = "shed"
     MISDIRECTED = "misdirected"
+    HELPER_GONE = "a helper is gone"
     ERROR = "error"
     HANG = "hang"
     RESET = "reset"
@@ -135,6 +136,10 @@
         if expected != self.id or fault is WorkerFault.MISDIRECTED:
             reply.send(421, {"x-instance-id": self.id}, b"")
             return
+        if fault is WorkerFault.HELPER_GONE and "helpers" in incoming.headers:
+            gone = incoming.headers["helpers"].split(",")[0].split("/")[0]
+            reply.send(503, {"x-not-executed": "1", "at-server": gone}, b"")
+            return
         if fault is WorkerFault.SHED:
             reply.send(503, {"x-not-executed": "1"}, b"")
             return
--- a/pondpin/tests/support.py
+++ b/pondpin/tests/support.py
@@ -202,11 +202,17 @@
     """Base: starts a platform for each test."""
 
     instances = 1
+    engines = 2
     limits = RelayLimits()
 
     def play(self, work: Callable[[LocalPlatform], Awaitable[None]]) -> None:
         async def whole() -> None:
-            platform = LocalPlatform(the_loop()[1], instances=self.instances, limits=self.limits)
+            platform = LocalPlatform(
+                the_loop()[1],
+                engines=self.engines,
+                instances=self.instances,
+                limits=self.limits,
+            )
             async with asyncio.timeout(LONGEST_TEST_SECONDS):
                 await platform.start()
                 try:
--- a/pondpin/tests/test_relay_streams.py
+++ b/pondpin/tests/test_relay_streams.py
@@ -160,5 +160,30 @@
         self.play(work)
 
 
+class HelperTest(RelayTest):
+    engines = 4
+
+    def test_a_helper_that_is_named_at_fault_is_not_chosen_again(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            once = [WorkerFault.HELPER_GONE]
+            for worker in engines(platform):
+                worker.faults = once
+            answer = await ask(platform, "long", x_token_usage="300000,800", x_deadline_ms="20000")
+            self.assertEqual(numbers(answer), [1, 2, 3, 4, 5])
+            tried = [worker for worker in engines(platform) if worker.seen]
+            refused, served = sorted(tried, key=lambda worker: worker.runs_by_attempt["a1"])
+            first, second = refused.seen[0], served.seen[0]
+            gone = first.headers["helpers"].split(",")[0].split("/")[0]
+            self.assertNotIn(gone, second.headers.get("helpers", ""))
+            (state,) = (
+                state
+                for state in platform.entries[0].table.by_id.values()
+                if f"{state.listed.host}:{state.listed.port}" == gone
+            )
+            self.assertTrue(state.needs_probe)
+
+        self.play(work)
+
+
 if __name__ == "__main__":
     unittest.main()
