Peers hear at once that engines have read a long prompt

What an instance had sent was told at once, that it was read only with the next digest, up to 200 ms later; until then the engines counted as busy for whoever was first, and all behind it waited. The first event, or the end without one, of a long prompt is told like its beginning.

Tried first and taken back: engines whose reading should be over by the forecast count as free.

--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -51,6 +51,7 @@
 MOST_ATTEMPTS = 5
 # How long a waiting long prompt rests before it looks again, on average.
 WAIT_SECONDS = 0.03
+SHORTEST_WAIT_SECONDS = 0.008
 # A caller whose request found no place comes back after this, in seconds.
 RETRY_SECONDS = 0.4
 # A caller that kept its connection to a stopping instance finds another one at once.
@@ -228,7 +229,7 @@
                 if verdict is Verdict.REFUSE:
                     raise self._too_late(call, plan)
                 turn = self._take_turn(call, progress, plan, turn, verdict)
-                await asyncio.sleep(WAIT_SECONDS * (0.5 + self.rng.random()))
+                await asyncio.sleep(self._pause(plan, verdict))
         finally:
             if turn is not None:
                 self.planner.calendar.leave(turn)
@@ -248,6 +249,13 @@
             self.planner.calendar.leave(turn)
         return None
 
+    def _pause(self, plan: Plan, verdict: Verdict) -> float:
+        """Seconds until a waiting prompt looks again: when its engines are free, if not before."""
+        usual = WAIT_SECONDS * (0.5 + self.rng.random())
+        if verdict is not Verdict.QUEUE or plan.choice is None:
+            return usual
+        return min(usual, max(SHORTEST_WAIT_SECONDS, plan.choice.start))
+
     def _too_late(self, call: RelayCall, plan: Plan) -> PondpinError:
         """The refusal of a prompt that would be read when its caller has given up."""
         assert plan.choice is not None, "only prompts wait"
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -324,11 +324,19 @@
         now = self._clock()
         for state in (plan.lead, *plan.helpers):
             state.note_read(key, now)
+        self._tell_if_long(plan)
 
     def end(self, plan: Plan, key: int) -> None:
         """Take an attempt's work out of the ledger."""
         for state in (plan.lead, *plan.helpers):
-            state.work_by_key.pop(key, None)
+            done = state.work_by_key.pop(key, None)
+        if done is not None and not done.first_event:
+            self._tell_if_long(plan)
+
+    def _tell_if_long(self, plan: Plan) -> None:
+        """Peers' long prompts wait for the engines of this one."""
+        if plan.choice is not None and plan.choice.part_seconds >= LONG_READ_SECONDS:
+            self._tell_soon()
 
 
 def make_job(call: RelayCall, progress: Progress, now: float) -> Job:
