Light streams that peers place unseen widen the pool

What this instance placed within the last 200 ms, the period of digests, is taken to have been placed by each peer as well.

--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -127,6 +127,7 @@
             policy,
             self._sharers,
             self.gossip.calendar,
+            self.gossip.count_tellers,
         )
         prefix = f"{settings.instance}-{self.boot:x}"
         self.leases = Leases(PlatformLeases(self.http), prefix, self.log)
--- a/pondpin/relay/gossip.py
+++ b/pondpin/relay/gossip.py
@@ -99,6 +99,13 @@
         """Every host that is or may be a peer."""
         return (self.mentioned_at_by_host.keys() | set(self.seeds)) - {self.address.host}
 
+    def count_tellers(self) -> int:
+        """Peers whose digests tell of their work: in a large fleet those of the data centre."""
+        if not self.known.is_large:
+            return len(self.hosts)
+        alive = self.known.alive(self.clock())
+        return sum(1 for peer in alive if peer.data_center == self.table.data_center)
+
     def listen(self, reactor: Any) -> None:
         """Open the socket."""
         host, port = self.address.host, self.address.datagram_port
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -3,6 +3,7 @@
 import enum
 import itertools
 import random
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -52,6 +53,8 @@
 DUE_SHARE = 0.9
 # Long prompts get a third of the engines at least, in the calendar's reckoning.
 FEWEST_LONG_SHARE = 3
+# What a peer placed in this time is in none of its digests: their period.
+UNSEEN_SECONDS = 0.2
 # Groups of parts are told apart by random numbers of so many bits.
 GROUP_BITS = 31
 
@@ -109,6 +112,7 @@
         policy: RelayPolicy | None = None,
         sharers: Callable[[], int] = lambda: 1,
         calendar: Calendar | None = None,
+        peers: Callable[[], int] = lambda: 0,
     ) -> None:
         self._table = table
         self._clock = clock
@@ -117,6 +121,8 @@
         self._policy = policy or RelayPolicy()
         self._sharers = sharers
         self.calendar = calendar or Calendar()
+        self._peers = peers
+        self._light_times: deque[float] = deque()
         self._keys = itertools.count(1)
 
     def plan(self, call: RelayCall, progress: Progress, avoid: frozenset[str]) -> Plan | None:
@@ -220,10 +226,21 @@
         """Choose among some engines; light is what is told of their light streams."""
         views = [EngineView(state.id, state.load(now), self._is_local(state)) for state in states]
         light = max(light, sum(state.light_in_flight(now) for state in states))
+        light += self._unseen_light(now)
         most = MOST_PARTS if self._policy.parts else 1
         in_turn = self._policy.calendar
         return choose_engines(profile, job, views, light, self._rng, most, in_turn)
 
+    def _unseen_light(self, now: float) -> int:
+        """Light streams that peers probably placed and have not told yet.
+
+        Each is taken to have placed as many as this instance did: a surge reaches all at once,
+        above all when callers come back after a fault.
+        """
+        while self._light_times and now - self._light_times[0] > UNSEEN_SECONDS:
+            self._light_times.popleft()
+        return len(self._light_times) * self._peers()
+
     def _plan_baseline(
         self, call: RelayCall, profile: EngineProfile, states: list[UpstreamState], now: float
     ) -> Plan:
@@ -251,6 +268,8 @@
             lead_tokens = choice.lease_tokens + job.answer_tokens
         profile = call.configuration.services_by_name[call.service].engine
         light = profile is not None and is_light(profile, job.prompt_tokens, job.light_gap)
+        if light:
+            self._light_times.append(now)
         group = self._rng.getrandbits(GROUP_BITS)
         work = Work(
             reading=choice.part_seconds,
