Move the waiting of long prompts into turns.py; only the first in the calendar plans at each look

`turns.py` decides when a planned request is sent (send, queue, hold, refuse); what a digest told of waiting prompts and nobody read (last, age) is gone, and so is the old `should_wait` with its two constants.

A prompt that is not first plans four times a second instead of at each look, about thirty times.

--- a/pondpin/relay/calendar.py
+++ b/pondpin/relay/calendar.py
@@ -20,31 +20,26 @@
 
 
 class WaitingDigest(msgspec.Struct, frozen=True, array_like=True):
-    """A prompt that waits at its sender; reading, due and last are in ms from now.
+    """A prompt that waits at its sender; reading is in ms, due in ms from now.
 
-    key is a random number, age how long it has waited. See WaitingPrompt.
+    key is a random number. See WaitingPrompt.
     """
 
     key: int
     reading: int
     due: int
-    last: int
-    age: int
 
 
 @dataclass(frozen=True, slots=True)
 class WaitingPrompt:
     """A long prompt that waits for its turn.
 
-    reading: seconds of one engine; due: when its first event is due; last: when it is of no use
-    any more; since: when it began to wait. Times are by this process's clock.
+    reading: seconds of one engine; due: when its first event is due, by this process's clock.
     """
 
     key: int
     reading: float
     due: float
-    last: float
-    since: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,13 +93,7 @@
     ) -> None:
         """Take a peer's word on what waits there; it counts until until."""
         prompts = tuple(
-            WaitingPrompt(
-                item.key,
-                item.reading / MILLISECONDS,
-                now + item.due / MILLISECONDS,
-                now + item.last / MILLISECONDS,
-                now - item.age / MILLISECONDS,
-            )
+            WaitingPrompt(item.key, item.reading / MILLISECONDS, now + item.due / MILLISECONDS)
             for item in waiting
         )
         if prompts:
@@ -119,8 +108,6 @@
                 prompt.key,
                 round(prompt.reading * MILLISECONDS),
                 round((prompt.due - now) * MILLISECONDS),
-                round((prompt.last - now) * MILLISECONDS),
-                round((now - prompt.since) * MILLISECONDS),
             )
             for prompt in self.own_by_key.values()
         )
--- a/pondpin/relay/engine_choice.py
+++ b/pondpin/relay/engine_choice.py
@@ -41,8 +41,6 @@
 # when sending it would cost others more than this share of its own worth.
 WAIT_SHARE = 0.6
 WAIT_WORTH = 0.1
-# One that is late anyway waits up to this share of its caller's patience.
-LATE_WAIT_SHARE = 0.5
 # A late answer is worth about a quarter; the rest is lost too when the caller gives up first.
 # Parts of others come before one's own, so a late one tends to be later than forecast.
 LATE_LOSS = 0.75
@@ -133,20 +131,6 @@
     harm: float = 0.0
 
 
-def should_wait(choice: EngineChoice, job: Job, waited: float) -> bool:
-    """Whether a long prompt had better wait here until others are read.
-
-    Engines read the newest part first, so what is sent into a queue delays all that is in it;
-    waiting outside costs nobody while the request is still sure to be in time.
-    """
-    end = waited + choice.first_event
-    if choice.first_event > job.target:
-        # It is late already: it yields to those who aren't, while its caller has patience.
-        late_worth = (1.0 - LATE_LOSS) * job.worth
-        return end < LATE_WAIT_SHARE * job.patience and choice.delays > WAIT_WORTH * late_worth
-    return end < WAIT_SHARE * job.target and choice.delays > WAIT_WORTH * job.worth
-
-
 def is_useful(choice: EngineChoice, job: Job) -> bool:
     """Whether the caller probably still waits when its first event comes."""
     return job.waited + choice.first_event <= LATEST_SHARE * job.patience
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -47,6 +47,7 @@
 from pondpin.relay.reader import ReaderController
 from pondpin.relay.reports import Reports
 from pondpin.relay.retry_window import RetryBounds
+from pondpin.relay.turns import Turns
 from pondpin.relay.upstreams import UpstreamTable
 from pondpin.runtime import steady_now, wall_now
 from pondpin.settings import RelaySettings
@@ -126,9 +127,11 @@
             self.gossip.tell_soon,
             policy,
             self._sharers,
-            self.gossip.calendar,
             self.gossip.count_tellers,
         )
+        turns = Turns(
+            self.gossip.calendar, steady_now, self.rng, self.gossip.tell_soon, policy.calendar
+        )
         prefix = f"{settings.instance}-{self.boot:x}"
         self.leases = Leases(PlatformLeases(self.http), prefix, self.log)
         dialect = PlatformDialect()
@@ -136,6 +139,7 @@
             dialect=dialect,
             attempts=Attempts(self.http, dialect, steady_now),
             planner=planner,
+            turns=turns,
             table=self.table,
             leases=self.leases,
             reports=Reports(PlatformReports(self.http), self.log, steady_now),
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -18,12 +18,13 @@
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import UpstreamEjected, UpstreamLeaving
 from pondpin.relay.model import AnswerHead, RequestFacts, Route, RouteKind
-from pondpin.relay.planner import Plan, Planner, Verdict
+from pondpin.relay.planner import Plan, Planner
 from pondpin.relay.ports import Dialect
 from pondpin.relay.reports import Reports
 from pondpin.relay.request_notes import RequestNotes
 from pondpin.relay.retry_window import RetryBounds, RetryWindow
 from pondpin.relay.routing import pick_service
+from pondpin.relay.turns import Turn, Turns, Verdict
 from pondpin.relay.upstreams import UpstreamState, UpstreamTable
 
 MISDIRECTED = 421
@@ -49,9 +50,6 @@
 LEASE_TRIES = 3
 # Upstreams tried for a request, counting those that no byte reached.
 MOST_ATTEMPTS = 5
-# How long a waiting long prompt rests before it looks again, on average.
-WAIT_SECONDS = 0.03
-SHORTEST_WAIT_SECONDS = 0.008
 # A caller whose request found no place comes back after this, in seconds.
 RETRY_SECONDS = 0.4
 # A caller that kept its connection to a stopping instance finds another one at once.
@@ -69,6 +67,7 @@
     dialect: Dialect
     attempts: Attempts
     planner: Planner
+    turns: Turns
     table: UpstreamTable
     leases: Leases
     reports: Reports
@@ -217,44 +216,28 @@
         self, call: RelayCall, progress: Progress, avoid: frozenset[str]
     ) -> Plan | None:
         """Plan; a long prompt waits for its turn."""
-        turn: int | None = None
+        turn: Turn | None = None
         try:
             while True:
                 plan = self.planner.plan(call, progress, avoid)
                 if plan is None:
                     return None
-                verdict = self.planner.judge(call, progress, plan, turn)
+                verdict = self.turns.judge(call, progress, plan, turn)
                 if verdict is Verdict.SEND:
                     return plan
                 if verdict is Verdict.REFUSE:
                     raise self._too_late(call, plan)
-                turn = self._take_turn(call, progress, plan, turn, verdict)
-                await asyncio.sleep(self._pause(plan, verdict))
+                turn = self.turns.move(call, progress, plan, turn, verdict)
+                await self._rest(plan, turn, verdict)
         finally:
-            if turn is not None:
-                self.planner.calendar.leave(turn)
-
-    def _take_turn(
-        self,
-        call: RelayCall,
-        progress: Progress,
-        plan: Plan,
-        turn: int | None,
-        verdict: Verdict,
-    ) -> int | None:
-        """Enter or leave the calendar; returns the key there."""
-        if verdict is Verdict.QUEUE:
-            return self.planner.enter_calendar(call, progress, plan) if turn is None else turn
-        if turn is not None:
-            self.planner.calendar.leave(turn)
-        return None
-
-    def _pause(self, plan: Plan, verdict: Verdict) -> float:
-        """Seconds until a waiting prompt looks again: when its engines are free, if not before."""
-        usual = WAIT_SECONDS * (0.5 + self.rng.random())
-        if verdict is not Verdict.QUEUE or plan.choice is None:
-            return usual
-        return min(usual, max(SHORTEST_WAIT_SECONDS, plan.choice.start))
+            self.turns.leave(turn)
+
+    async def _rest(self, plan: Plan, turn: Turn | None, verdict: Verdict) -> None:
+        """Wait until a prompt that can't be sent yet is worth planning again."""
+        planned_at = self.clock()
+        await asyncio.sleep(self.turns.rest(plan, verdict))
+        while not self.turns.should_plan(turn, planned_at):
+            await asyncio.sleep(self.turns.rest(plan, verdict))
 
     def _too_late(self, call: RelayCall, plan: Plan) -> PondpinError:
         """The refusal of a prompt that would be read when its caller has given up."""
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -1,6 +1,5 @@
 """Plans an attempt: which upstream, which helpers; keeps the ledger of own work."""
 
-import enum
 import itertools
 import random
 from collections import deque
@@ -9,7 +8,6 @@
 
 from pondpin.clocks import Clock
 from pondpin.configuration import PlacementPolicy
-from pondpin.relay.calendar import Calendar, WaitingPrompt
 from pondpin.relay.call import Progress, RelayCall
 from pondpin.relay.engine_choice import (
     MOST_PARTS,
@@ -18,9 +16,6 @@
     Job,
     choose_engines,
     is_light,
-    is_useful,
-    should_hold,
-    should_wait,
 )
 from pondpin.relay.forecast import read_seconds
 from pondpin.relay.model import EngineProfile
@@ -46,13 +41,6 @@
 CONNECTIONS_SHARE = 0.9
 # However many instances there are: callers are spread unevenly, and few are busy at once.
 FEWEST_CONNECTIONS = 4
-# A prompt is sent when its engines are free within this time: about what a request takes to
-# reach them.
-START_SLACK_SECONDS = 0.02
-# A first event is counted on for this share of its target; forecasts err by a tenth or so.
-DUE_SHARE = 0.9
-# Long prompts get a third of the engines at least, in the calendar's reckoning.
-FEWEST_LONG_SHARE = 3
 # What a peer placed in this time is in none of its digests: their period.
 UNSEEN_SECONDS = 0.2
 # Groups of parts are told apart by random numbers of so many bits.
@@ -91,15 +79,6 @@
     return max(FEWEST_CONNECTIONS, int(connections * CONNECTIONS_SHARE / max(1, sharers)))
 
 
-class Verdict(enum.Enum):
-    """What becomes of a planned request now."""
-
-    SEND = "send"
-    QUEUE = "wait for its turn"
-    HOLD = "wait until others lose less by it"
-    REFUSE = "refuse"
-
-
 class Planner:
     """Chooses among the usable upstreams of a service."""
 
@@ -111,7 +90,6 @@
         tell_soon: Callable[[], None],
         policy: RelayPolicy | None = None,
         sharers: Callable[[], int] = lambda: 1,
-        calendar: Calendar | None = None,
         peers: Callable[[], int] = lambda: 0,
     ) -> None:
         self._table = table
@@ -120,7 +98,6 @@
         self._tell_soon = tell_soon
         self._policy = policy or RelayPolicy()
         self._sharers = sharers
-        self.calendar = calendar or Calendar()
         self._peers = peers
         self._light_times: deque[float] = deque()
         self._keys = itertools.count(1)
@@ -290,54 +267,6 @@
             self._tell_soon()
         return key
 
-    def judge(self, call: RelayCall, progress: Progress, plan: Plan, turn: int | None) -> Verdict:
-        """Whether a request is sent as planned.
-
-        turn is its key in the calendar, None while it is not there.
-        """
-        choice = plan.choice
-        if choice is None or not plan.is_long:
-            return Verdict.SEND
-        now = self._clock()
-        job = make_job(call, progress, now)
-        if not is_useful(choice, job):
-            return Verdict.REFUSE
-        if not self._policy.calendar:
-            return Verdict.HOLD if should_wait(choice, job, job.waited) else Verdict.SEND
-        if should_hold(choice, job):
-            return Verdict.HOLD
-        is_short = choice.part_seconds < LONG_READ_SECONDS
-        is_free = choice.start <= START_SLACK_SECONDS
-        if is_short or (is_free and self._is_next(plan, turn, now)):
-            return Verdict.SEND
-        return Verdict.QUEUE
-
-    def _is_next(self, plan: Plan, turn: int | None, now: float) -> bool:
-        if turn is None:
-            return not self.calendar.waiting(now)
-        assert plan.choice is not None, "only prompts take turns"
-        free = plan.candidates - plan.choice.pool
-        engines = max(1, free, plan.candidates // FEWEST_LONG_SHARE)
-        return self.calendar.is_first(turn, now, engines)
-
-    def enter_calendar(self, call: RelayCall, progress: Progress, plan: Plan) -> int:
-        """Let a prompt wait for its turn; returns its key."""
-        now = self._clock()
-        key = self._rng.getrandbits(GROUP_BITS)
-        job = make_job(call, progress, now)
-        profile = call.configuration.services_by_name[call.service].engine
-        assert profile is not None, "only engines' prompts wait"
-        prompt = WaitingPrompt(
-            key=key,
-            reading=read_seconds(profile, job.prompt_tokens),
-            due=now - job.waited + DUE_SHARE * job.target,
-            last=now - job.waited + job.patience,
-            since=now,
-        )
-        self.calendar.enter(prompt)
-        self._tell_soon()
-        return key
-
     def note_first(self, plan: Plan, key: int) -> None:
         """The first event came: all parts are read."""
         now = self._clock()
@@ -347,9 +276,10 @@
 
     def end(self, plan: Plan, key: int) -> None:
         """Take an attempt's work out of the ledger."""
+        was_read = plan.lead.work_by_key[key].first_event
         for state in (plan.lead, *plan.helpers):
-            done = state.work_by_key.pop(key, None)
-        if done is not None and not done.first_event:
+            state.work_by_key.pop(key, None)
+        if not was_read:
             self._tell_if_long(plan)
 
     def _tell_if_long(self, plan: Plan) -> None:
--- a/pondpin/tests/test_relay_calendar.py
+++ b/pondpin/tests/test_relay_calendar.py
@@ -11,8 +11,8 @@
 NOW = 1000.0
 
 
-def prompt(key: int, reading: float, due: float, since: float = 0.0) -> WaitingPrompt:
-    return WaitingPrompt(key, reading, NOW + due, NOW + 12.0, NOW + since)
+def prompt(key: int, reading: float, due: float) -> WaitingPrompt:
+    return WaitingPrompt(key, reading, NOW + due)
 
 
 def keys(*waiting: WaitingPrompt, engines: int = 10) -> list[int]:
