Callers that no proof lets through come back when one is likely

Where keys must be proved, an instance whose proof is too old told every caller to come back after 0.3 s. While peers are heard and none has a proof the store is away for all, outages last a second or two longer than proofs do, and the single return of most callers was refused again. They are told 0.7 to 2.1 s now, spread by the request's id; an instance that hears nobody still says 0.3 s, since another one may know more.

--- a/pondpin/relay/admission.py
+++ b/pondpin/relay/admission.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+import xxhash
+
 from pondpin.codes import Code
 from pondpin.errors import PondpinError
 from pondpin.relay.freshness import Proof
@@ -11,8 +13,13 @@
 # A route or key may be missing here because it is new: 'no' is only final while the version
 # was proved this lately.
 SURE_SECONDS = 1.9
-# A caller is told to come back once another instance or a new proof may have helped.
+# A caller comes back at once to an instance that may have heard what this one, alone, has not.
 RETRY_SECONDS = 0.3
+# While peers are heard and none has a proof, the source is away for all; outages of a few seconds
+# end, so callers come back after half to one and a half times this, spread out. Callers wait for a
+# third of their time at most.
+OUTAGE_RETRY_SECONDS = 1.4
+HASH_RANGE = 1 << 32
 # A caller that doesn't say how long it waits is served for this long at most.
 DEFAULT_DEADLINE_SECONDS = 60.0
 
@@ -22,12 +29,13 @@
     """What an instance goes by when it admits.
 
     key_bound: seconds after its last proof for which the configuration admits keys; None when
-    keys need no proof.
+    keys need no proof. hears_peers: whether any peer was heard lately.
     """
 
     configuration: RelayConfiguration | None
     proof: Proof | None
     key_bound: float | None
+    hears_peers: bool = False
 
     def proof_age(self, now: float) -> float:
         """Seconds since the version in force was proved."""
@@ -37,6 +45,13 @@
         """Whether keys of the configuration in force may be served."""
         return self.key_bound is None or self.proof_age(now) < self.key_bound
 
+    def retry_seconds(self, request: str) -> float:
+        """When a request that no proof lets through had better come back."""
+        if not self.hears_peers:
+            return RETRY_SECONDS
+        share = xxhash.xxh32_intdigest(request.encode()) / HASH_RANGE
+        return OUTAGE_RETRY_SECONDS * (0.5 + share)
+
 
 @dataclass(frozen=True, slots=True)
 class Admitted:
@@ -54,16 +69,15 @@
     configuration = beliefs.configuration
     if configuration is None:
         raise PondpinError(Code.NOT_READY, retry_after=RETRY_SECONDS)
-    age = beliefs.proof_age(now)
     route = find_route(configuration, facts.host, path)
     if route is None:
-        raise _missing(Code.UNKNOWN_PATH, age)
+        raise _missing(Code.UNKNOWN_PATH, beliefs, facts, now)
     account, rank = "", route.priority
     if needs_key(configuration, route):
         found = find_account(configuration, facts.key)
         if found is None:
-            raise _missing(Code.UNKNOWN_KEY, age)
-        check_proof(beliefs, now)
+            raise _missing(Code.UNKNOWN_KEY, beliefs, facts, now)
+        check_proof(beliefs, facts, now)
         account = found.name
         rank = route.priority if found.priority is None else found.priority
     seconds = DEFAULT_DEADLINE_SECONDS if facts.deadline is None else facts.deadline
@@ -74,15 +88,18 @@
     return Admitted(configuration, route, account, max(0, min(9, rank)), seconds)
 
 
-def check_proof(beliefs: Beliefs, now: float) -> None:
+def check_proof(beliefs: Beliefs, facts: RequestFacts, now: float) -> None:
     """Raise PondpinError when the last proof is too old to serve a key by."""
     if not beliefs.accepts_keys(now):
         detail = f"{beliefs.proof_age(now):.2f} s old"
-        raise PondpinError(Code.NOT_PROVED, detail, retry_after=RETRY_SECONDS)
+        retry_after = beliefs.retry_seconds(facts.attempt_id)
+        raise PondpinError(Code.NOT_PROVED, detail, retry_after=retry_after)
 
 
-def _missing(code: Code, age: float) -> PondpinError:
+def _missing(code: Code, beliefs: Beliefs, facts: RequestFacts, now: float) -> PondpinError:
+    age = beliefs.proof_age(now)
     if age < SURE_SECONDS:
         return PondpinError(code)
     detail = f"{code.name}, but the configuration is {age:.2f} s old"
-    return PondpinError(Code.NOT_PROVED, detail, retry_after=RETRY_SECONDS)
+    retry_after = beliefs.retry_seconds(facts.attempt_id)
+    return PondpinError(Code.NOT_PROVED, detail, retry_after=retry_after)
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -208,6 +208,7 @@
             self.publication.configuration,
             self.publication.proof,
             bound if limits.keys_need_proof else None,
+            self.gossip.hears_peers,
         )
 
     @property
--- a/pondpin/relay/gossip.py
+++ b/pondpin/relay/gossip.py
@@ -99,6 +99,11 @@
         """Every host that is or may be a peer."""
         return (self.mentioned_at_by_host.keys() | set(self.seeds)) - {self.address.host}
 
+    @property
+    def hears_peers(self) -> bool:
+        """Whether any peer was heard before the last digest went out."""
+        return bool(self._alive)
+
     def count_tellers(self) -> int:
         """Peers whose digests tell of their work: in a large fleet those of the data centre."""
         if not self.known.is_large:
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -196,7 +196,7 @@
         """The key must still hold at the moment of sending."""
         if call.account:
             admit(beliefs, call.facts, call.incoming.path, self.clock())
-            check_proof(beliefs, self.clock())
+            check_proof(beliefs, call.facts, self.clock())
 
     async def _plan(self, call: RelayCall, progress: Progress) -> tuple[Plan, LeaseGroup | None]:
         avoid: frozenset[str] = frozenset()
--- a/pondpin/tests/test_relay_rules.py
+++ b/pondpin/tests/test_relay_rules.py
@@ -7,7 +7,13 @@
 
 from pondpin.codes import Code
 from pondpin.errors import PondpinError
-from pondpin.relay.admission import SURE_SECONDS, Beliefs, admit
+from pondpin.relay.admission import (
+    OUTAGE_RETRY_SECONDS,
+    RETRY_SECONDS,
+    SURE_SECONDS,
+    Beliefs,
+    admit,
+)
 from pondpin.relay.events import EventSplitter
 from pondpin.relay.freshness import Proof, is_fresh, later, peer_proof
 from pondpin.relay.model import (
@@ -120,6 +126,19 @@
             self.admit(100.0, None, key="other")
         self.assertEqual(caught.exception.code, Code.NOT_PROVED)
 
+    def test_callers_come_back_when_a_proof_is_likely(self) -> None:
+        proof = Proof(1, NOW - 9.0)
+        alone = Beliefs(self.configuration, proof, 4.6)
+        together = Beliefs(self.configuration, proof, 4.6, hears_peers=True)
+        self.assertEqual(alone.retry_seconds("a"), RETRY_SECONDS)
+        seconds = {together.retry_seconds(str(number)) for number in range(99)}
+        self.assertEqual(len(seconds), 99)
+        self.assertGreater(min(seconds), 2 * RETRY_SECONDS)
+        self.assertLess(max(seconds), 1.5 * OUTAGE_RETRY_SECONDS)
+        with self.assertRaises(PondpinError) as caught:
+            admit(together, facts(), "/a/x", NOW)
+        self.assertIn(caught.exception.retry_after, {together.retry_seconds("1")})
+
     def test_an_unknown_key_is_final_only_when_the_version_is_sure(self) -> None:
         self.assertEqual(self.code(0.1, key="other"), Code.UNKNOWN_KEY)
         self.assertEqual(self.code(SURE_SECONDS + 0.01, key="other"), Code.NOT_PROVED)
