A new instance spreads short streams and holds long prompts until it knows its peers

For half a second after its start, two digests of each peer, an instance takes any engine for short streams, and long prompts wait.

The test of a resumed stream waits until the instance knows its peers: before, its pool was one engine.

--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -66,6 +66,8 @@
 STOP_MARGIN_SECONDS = 0.4
 SENDING_SECONDS = 10.0
 BODIES_SHARE = 0.25
+# An instance that has just started knows of no peer's work: two digests of each come in this time.
+SETTLE_SECONDS = 0.5
 MEBIBYTE = 1 << 20
 MILLISECONDS = 1000.0
 IDLE_MARGIN_SECONDS = 2.0
@@ -82,6 +84,7 @@
         self.rng = random.Random(self.boot)
         self._fresh: bool | None = None
         self._stopping_at: float | None = None
+        self._made_at = steady_now()
         self._make_beliefs()
         self._make_gossip()
         self._make_serving()
@@ -128,9 +131,15 @@
             policy,
             self._sharers,
             self.gossip.count_tellers,
+            self.knows_peers,
         )
         turns = Turns(
-            self.gossip.calendar, steady_now, self.rng, self.gossip.tell_soon, policy.calendar
+            self.gossip.calendar,
+            steady_now,
+            self.rng,
+            self.gossip.tell_soon,
+            self.knows_peers,
+            policy.calendar,
         )
         prefix = f"{settings.instance}-{self.boot:x}"
         self.leases = Leases(PlatformLeases(self.http), prefix, self.log)
@@ -183,6 +192,10 @@
         """Instances that share the bounds of the whole system; silent ones may be alive."""
         return 1 + len(self.gossip.hosts)
 
+    def knows_peers(self) -> bool:
+        """Whether peers had the time to tell what they have placed."""
+        return steady_now() - self._made_at >= SETTLE_SECONDS
+
     def _retry_bounds(self) -> RetryBounds:
         limits = self.settings.limits
         return RetryBounds(limits.retry_ratio, limits.retry_allowance, limits.retry_window_seconds)
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -91,6 +91,7 @@
         policy: RelayPolicy | None = None,
         sharers: Callable[[], int] = lambda: 1,
         peers: Callable[[], int] = lambda: 0,
+        knows_peers: Callable[[], bool] = lambda: True,
     ) -> None:
         self._table = table
         self._clock = clock
@@ -99,6 +100,7 @@
         self._policy = policy or RelayPolicy()
         self._sharers = sharers
         self._peers = peers
+        self._knows_peers = knows_peers
         self._light_times: deque[float] = deque()
         self._keys = itertools.count(1)
 
@@ -204,6 +206,9 @@
         views = [EngineView(state.id, state.load(now), self._is_local(state)) for state in states]
         light = max(light, sum(state.light_in_flight(now) for state in states))
         light += self._unseen_light(now)
+        if not self._knows_peers():
+            # Any engine may be full of what peers sent: light streams are spread over all.
+            light += profile.slots * len(states)
         most = MOST_PARTS if self._policy.parts else 1
         in_turn = self._policy.calendar
         return choose_engines(profile, job, views, light, self._rng, most, in_turn)
--- a/pondpin/relay/turns.py
+++ b/pondpin/relay/turns.py
@@ -56,12 +56,14 @@
         clock: Clock,
         rng: random.Random,
         tell_soon: Callable[[], None],
+        knows_peers: Callable[[], bool] = lambda: True,
         in_turn: bool = True,
     ) -> None:
         self._calendar = calendar
         self._clock = clock
         self._rng = rng
         self._tell_soon = tell_soon
+        self._knows_peers = knows_peers
         self._in_turn = in_turn
 
     def judge(self, call: RelayCall, progress: Progress, plan: Plan, turn: Turn | None) -> Verdict:
@@ -72,7 +74,7 @@
         job = make_job(call, progress, self._clock())
         if not is_useful(choice, job):
             return Verdict.REFUSE
-        if should_hold(choice, job):
+        if not self._knows_peers() or should_hold(choice, job):
             return Verdict.HOLD
         is_short = choice.part_seconds < LONG_READ_SECONDS
         is_free = choice.start <= START_SLACK_SECONDS
--- a/pondpin/tests/test_relay_streams.py
+++ b/pondpin/tests/test_relay_streams.py
@@ -24,6 +24,8 @@
 class StreamTest(RelayTest):
     def test_a_broken_stream_goes_on_elsewhere_within_one_answer(self) -> None:
         async def work(platform: LocalPlatform) -> None:
+            # Until then the pool is every engine.
+            await platform.until(platform.entries[0].knows_peers)
             for fault in (WorkerFault.CUT, WorkerFault.CUT_EVENT, WorkerFault.RESET):
                 # The pool of a single short stream is one engine: it is chosen again.
                 await ask(platform, "stream", f"{fault.name}0")
