A switch for each mechanism; only light streams go by what peers place unseen

`without` in the settings names mechanisms that are switched off, so that the ablation is one setting and not a patch; it takes the place of `use_parts`. What a choice may use is one type (`ChoiceRules`).

Long prompts go by what is known.

--- a/pondpin/relay/engine_choice.py
+++ b/pondpin/relay/engine_choice.py
@@ -99,6 +99,23 @@
         return self.prompt_tokens + self.answer_tokens
 
 
+@dataclass(frozen=True, slots=True)
+class ChoiceRules:
+    """What a choice may use; all but the defaults are there to measure what that is worth.
+
+    in_turn: a long prompt gets its engines once they have read others. pool: light streams have
+    engines of their own. leases: a prompt may lie on several engines.
+    """
+
+    most_parts: int = MOST_PARTS
+    in_turn: bool = True
+    pool: bool = True
+    leases: bool = True
+
+
+USUAL_RULES = ChoiceRules()
+
+
 @dataclass(frozen=True, slots=True)
 class EngineView:
     """An engine that may get work."""
@@ -172,21 +189,19 @@
     engines: Sequence[EngineView],
     light_in_flight: int,
     rng: random.Random,
-    most_parts: int = MOST_PARTS,
-    in_turn: bool = True,
+    rules: ChoiceRules = USUAL_RULES,
 ) -> EngineChoice | None:
     """The best way found to serve a job; engines come in the order common to all instances.
 
-    in_turn: a long prompt gets its engines once they have read others, which it waits for.
     None when no engine, or no group with leases, has the memory.
     """
     if not engines:
         return None
-    pool = pool_size(profile, light_in_flight, len(engines))
+    pool = pool_size(profile, light_in_flight, len(engines)) if rules.pool else len(engines)
     if is_light(profile, job.prompt_tokens, job.light_gap):
         return _choose_light(profile, job, engines, pool, rng)
-    pool_worth = POOL_WORTH_PER_SECOND * light_in_flight / pool
-    return _choose_heavy(profile, job, engines, pool, pool_worth, rng, most_parts, in_turn)
+    pool_worth = POOL_WORTH_PER_SECOND * light_in_flight / pool if rules.pool else 0.0
+    return _choose_heavy(profile, job, engines, pool, pool_worth, rng, rules)
 
 
 def _has_memory(profile: EngineProfile, load: EngineLoad, tokens: int) -> bool:
@@ -236,14 +251,13 @@
     pool: int,
     pool_worth: float,
     rng: random.Random,
-    most_parts: int,
-    in_turn: bool,
+    rules: ChoiceRules,
 ) -> EngineChoice | None:
     alone = read_seconds(profile, job.prompt_tokens)
     choices = [
-        _choose_parts(profile, job, engines, pool, pool_worth, count, alone / count, rng, in_turn)
+        _choose_parts(profile, job, engines, pool, pool_worth, count, alone / count, rng, rules)
         for count in PART_COUNTS
-        if count <= min(len(engines), most_parts)
+        if count <= min(len(engines), rules.most_parts)
     ]
     possible = [choice for choice in choices if choice is not None]
     # What comes after its caller gave up is work for nobody.
@@ -261,14 +275,14 @@
     count: int,
     part: float,
     rng: random.Random,
-    in_turn: bool,
+    rules: ChoiceRules,
 ) -> EngineChoice | None:
     """The cheapest count engines for parts of part seconds each."""
     costs = {
         view.id: _part_cost(profile, view, pool_worth if index < pool else 0.0, part)
         for index, view in enumerate(engines)
     }
-    waits = in_turn and part >= LONG_READ_SECONDS
+    waits = rules.in_turn and part >= LONG_READ_SECONDS
     second = job.worth / job.target
     ranked = sorted(
         engines,
@@ -280,7 +294,7 @@
     )
     chosen = ranked[:count]
     lease = _lease_tokens(profile, job, chosen, count)
-    if lease is None:
+    if lease is None or (lease and not rules.leases):
         return None
     lead = _choose_lead(profile, job, chosen, lease)
     if lead is None:
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -40,6 +40,7 @@
     Stopping,
     UpstreamLeaving,
 )
+from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.model import RelayConfiguration
 from pondpin.relay.planner import Planner, RelayPolicy
 from pondpin.relay.probe import ProbeController
@@ -95,7 +96,9 @@
         self.log = EventLog(settings.instance, steady_now, wall_now, self._log_fd)
         self.metrics = Metrics(settings.instance, settings.data_center)
         self.metrics.started.set({}, wall_now())
-        self.table = UpstreamTable(settings.data_center)
+        without = frozenset(settings.without)
+        self.policy = RelayPolicy(PlacementPolicy(settings.placement), without)
+        self.table = UpstreamTable(settings.data_center, without)
         self.publication = Publication(
             PlatformDecoder(), self._take_configuration, self._take_list, self._note_refused
         )
@@ -122,7 +125,7 @@
 
     def _make_serving(self) -> None:
         settings = self.settings
-        policy = RelayPolicy(PlacementPolicy(settings.placement), settings.use_parts)
+        policy = self.policy
         planner = Planner(
             self.table,
             steady_now,
@@ -139,7 +142,7 @@
             self.rng,
             self.gossip.tell_soon,
             self.knows_peers,
-            policy.calendar,
+            policy,
         )
         prefix = f"{settings.instance}-{self.boot:x}"
         self.leases = Leases(PlatformLeases(self.http), prefix, self.log)
@@ -151,6 +154,7 @@
             turns=turns,
             table=self.table,
             leases=self.leases,
+            policy=policy,
             reports=Reports(PlatformReports(self.http), self.log, steady_now),
             beliefs=self.beliefs,
             sharers=self._sharers,
@@ -194,7 +198,8 @@
 
     def knows_peers(self) -> bool:
         """Whether peers had the time to tell what they have placed."""
-        return steady_now() - self._made_at >= SETTLE_SECONDS
+        settled = steady_now() - self._made_at >= SETTLE_SECONDS
+        return settled or not self.policy.has(Mechanism.SETTLING)
 
     def _retry_bounds(self) -> RetryBounds:
         limits = self.settings.limits
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -17,8 +17,9 @@
 from pondpin.relay.leases import LeaseGroup, Leases
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import UpstreamEjected, UpstreamLeaving
+from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.model import AnswerHead, RequestFacts, Route, RouteKind
-from pondpin.relay.planner import Plan, Planner
+from pondpin.relay.planner import Plan, Planner, RelayPolicy
 from pondpin.relay.ports import Dialect
 from pondpin.relay.reports import Reports
 from pondpin.relay.request_notes import RequestNotes
@@ -71,6 +72,7 @@
     table: UpstreamTable
     leases: Leases
     reports: Reports
+    policy: RelayPolicy
     beliefs: Callable[[], Beliefs]
     sharers: Callable[[], int]
     retry_bounds: Callable[[], RetryBounds]
@@ -253,9 +255,13 @@
             return Patience(
                 max(SHORTEST_SAFE_PATIENCE, SAFE_PATIENCE_TARGETS * call.route.target), None
             )
+        if not self.policy.has(Mechanism.SECOND_TRIES):
+            return Patience(None, None)
         gap = GAP_PATIENCE_SHARE * call.patience
         forecast = plan.choice.first_event if plan.choice is not None else 0.0
-        ask = ASK_TIMES * forecast + ASK_SLACK_SECONDS
+        ask = None
+        if self.policy.has(Mechanism.REPORTS):
+            ask = ASK_TIMES * forecast + ASK_SLACK_SECONDS
         if plan.helpers:
             # Parts of others may come before its own; the engine itself tells of lost helpers.
             return Patience(HELPED_PATIENCE_SHARE * call.patience, gap, ask)
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -11,6 +11,7 @@
 from pondpin.relay.call import Progress, RelayCall
 from pondpin.relay.engine_choice import (
     MOST_PARTS,
+    ChoiceRules,
     EngineChoice,
     EngineView,
     Job,
@@ -18,6 +19,7 @@
     is_light,
 )
 from pondpin.relay.forecast import read_seconds
+from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.model import EngineProfile
 from pondpin.relay.ports import PartPlace
 from pondpin.relay.routing import shortest_gap
@@ -52,8 +54,11 @@
     """How engines are chosen; all but the defaults are baselines to measure against."""
 
     placement: PlacementPolicy = PlacementPolicy.PREDICTED
-    parts: bool = True
-    calendar: bool = True
+    without: frozenset[Mechanism] = frozenset()
+
+    def has(self, mechanism: Mechanism) -> bool:
+        """Whether a mechanism is in use."""
+        return mechanism not in self.without
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,7 +165,8 @@
         """Use other data centres' engines when the own ones would be late or are crowded."""
         late = near is None or near.first_event > job.target
         light = is_light(profile, job.prompt_tokens, job.light_gap)
-        there = self._idle_center(service, profile, near, late, now) if light else None
+        spills = light and self._policy.has(Mechanism.SPILL)
+        there = self._idle_center(service, profile, near, late, now) if spills else None
         if there is not None:
             center, seen = there
             engines = [state for state in states if state.listed.data_center == center]
@@ -205,20 +211,29 @@
         """Choose among some engines; light is what is told of their light streams."""
         views = [EngineView(state.id, state.load(now), self._is_local(state)) for state in states]
         light = max(light, sum(state.light_in_flight(now) for state in states))
-        light += self._unseen_light(now)
-        if not self._knows_peers():
-            # Any engine may be full of what peers sent: light streams are spread over all.
-            light += profile.slots * len(states)
-        most = MOST_PARTS if self._policy.parts else 1
-        in_turn = self._policy.calendar
-        return choose_engines(profile, job, views, light, self._rng, most, in_turn)
+        if is_light(profile, job.prompt_tokens, job.light_gap):
+            light += self._unseen_light(profile, len(states), now)
+        most = MOST_PARTS if self._policy.has(Mechanism.PARTS) else 1
+        rules = ChoiceRules(
+            most,
+            in_turn=self._policy.has(Mechanism.CALENDAR),
+            pool=self._policy.has(Mechanism.POOL),
+            leases=self._policy.has(Mechanism.LEASES),
+        )
+        return choose_engines(profile, job, views, light, self._rng, rules)
 
-    def _unseen_light(self, now: float) -> int:
+    def _unseen_light(self, profile: EngineProfile, engines: int, now: float) -> int:
         """Light streams that peers probably placed and have not told yet.
 
         Each is taken to have placed as many as this instance did: a surge reaches all at once,
-        above all when callers come back after a fault.
+        above all when callers come back after a fault. Only light streams go by this guess: for
+        long prompts, which take engines for long, it varies too much.
         """
+        if not self._knows_peers():
+            # Any engine may be full of what peers sent: light streams are spread over all.
+            return profile.slots * engines
+        if not self._policy.has(Mechanism.UNSEEN):
+            return 0
         while self._light_times and now - self._light_times[0] > UNSEEN_SECONDS:
             self._light_times.popleft()
         return len(self._light_times) * self._peers()
--- a/pondpin/relay/turns.py
+++ b/pondpin/relay/turns.py
@@ -10,7 +10,8 @@
 from pondpin.relay.call import Progress, RelayCall
 from pondpin.relay.engine_choice import is_useful, should_hold
 from pondpin.relay.forecast import read_seconds
-from pondpin.relay.planner import Plan, make_job
+from pondpin.relay.mechanisms import Mechanism
+from pondpin.relay.planner import Plan, RelayPolicy, make_job
 from pondpin.relay.upstreams import LONG_READ_SECONDS
 
 # A prompt is sent when its engines are free within this time: about what a request takes to
@@ -57,14 +58,14 @@
         rng: random.Random,
         tell_soon: Callable[[], None],
         knows_peers: Callable[[], bool] = lambda: True,
-        in_turn: bool = True,
+        policy: RelayPolicy | None = None,
     ) -> None:
         self._calendar = calendar
         self._clock = clock
         self._rng = rng
         self._tell_soon = tell_soon
         self._knows_peers = knows_peers
-        self._in_turn = in_turn
+        self._policy = policy or RelayPolicy()
 
     def judge(self, call: RelayCall, progress: Progress, plan: Plan, turn: Turn | None) -> Verdict:
         """Whether a request is sent as planned; turn is its place in the calendar if it has one."""
@@ -72,13 +73,15 @@
         if choice is None or not plan.is_long:
             return Verdict.SEND
         job = make_job(call, progress, self._clock())
-        if not is_useful(choice, job):
+        if not is_useful(choice, job) and self._policy.has(Mechanism.REFUSAL):
             return Verdict.REFUSE
-        if not self._knows_peers() or should_hold(choice, job):
+        holds = should_hold(choice, job) and self._policy.has(Mechanism.HOLDING)
+        if holds or not self._knows_peers():
             return Verdict.HOLD
         is_short = choice.part_seconds < LONG_READ_SECONDS
         is_free = choice.start <= START_SLACK_SECONDS
-        if is_short or not self._in_turn or (is_free and self._is_next(turn)):
+        in_turn = self._policy.has(Mechanism.CALENDAR)
+        if is_short or not in_turn or (is_free and self._is_next(turn)):
             return Verdict.SEND
         return Verdict.QUEUE
 
--- a/pondpin/relay/upstreams.py
+++ b/pondpin/relay/upstreams.py
@@ -8,6 +8,7 @@
 
 from pondpin.health import Health, note_failure, note_success
 from pondpin.relay.forecast import EngineLoad, Pending, Writers
+from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.model import EngineReport, ListedUpstream, Load
 
 # A peer's word on its work counts for so many seconds; digests come several times a second.
@@ -336,8 +337,9 @@
 class UpstreamTable:
     """All upstreams by their id. Leaving is sticky for an id; a lapsed entry may come back."""
 
-    def __init__(self, data_center: str) -> None:
+    def __init__(self, data_center: str, without: frozenset[Mechanism] = frozenset()) -> None:
         self.data_center = data_center
+        self._without = without
         self.by_id: dict[str, UpstreamState] = {}
         self._ids_by_service: dict[str, list[str]] = {}
         self._left: set[str] = set()
@@ -389,6 +391,8 @@
         fresh = [item for item in present if item.id not in tried]
         good = [item for item in fresh if item.usable(now)]
         near = [item for item in good if not self.is_cut(item, now)] or good
+        if Mechanism.FAILING_RATE in self._without:
+            return near or fresh
         sound = [item for item in near if item.failing.at(now) < FAILING_RATE]
         return sound or near or fresh
 
@@ -407,6 +411,8 @@
         self, instance: str, works: Iterable[WorkDigest], at: float, until: float
     ) -> None:
         """Take a peer's work, good until until; what it does not name is idle."""
+        if Mechanism.PEER_LOADS in self._without:
+            return
         for state in self.by_id.values():
             state.peer_work_by_instance.pop(instance, None)
         for work in works:
@@ -456,6 +462,8 @@
         if state is None:
             return False
         state.failing = state.failing.note(True, now)
+        if Mechanism.EJECTION in self._without:
+            return False
         before = state.health.ejections
         state.health = note_failure(state.health, now, certain)
         ejected = state.health.ejections > before
--- a/pondpin/settings.py
+++ b/pondpin/settings.py
@@ -7,6 +7,7 @@
 
 from pondpin.files import STRICT, decode_document
 from pondpin.network import EndpointText
+from pondpin.relay.mechanisms import Mechanism
 
 MEBIBYTE = 1 << 20
 MIN_KEY_LENGTH = 32
@@ -141,8 +142,8 @@
     """All settings of an instance that relays opaque requests on a platform.
 
     ready: where the balancer asks whether to send connections. metrics_port 0 serves none.
-    placement: predicted, or a baseline: least_outstanding, random. use_parts: whether long
-    prompts are read by several engines.
+    placement: predicted, or a baseline: least_outstanding, random. without: mechanisms that are
+    switched off, to measure what they are worth.
     """
 
     instance: str = Field(min_length=1, max_length=80)
@@ -154,7 +155,7 @@
     limits: RelayLimits = Field(default_factory=lambda: RelayLimits())
     metrics_port: int = Field(default=0, ge=0, le=65535)
     placement: str = Field(default="predicted", pattern="^(predicted|least_outstanding|random)$")
-    use_parts: bool = True
+    without: tuple[Mechanism, ...] = ()
 
 
 _RELAY_ADAPTER: TypeAdapter[RelaySettings] = TypeAdapter(RelaySettings)
--- a/pondpin/tests/test_relay_engines.py
+++ b/pondpin/tests/test_relay_engines.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from pondpin.relay.engine_choice import (
+    ChoiceRules,
     EngineView,
     Job,
     choose_engines,
@@ -102,10 +103,21 @@
         self.assertLess(choice.first_event, LONG.target)
 
     def test_without_parts_one_engine_reads_all(self) -> None:
-        choice = choose_engines(PROFILE, LONG, views(*[IDLE] * 8), 0, self.rng, most_parts=1)
+        rules = ChoiceRules(most_parts=1)
+        choice = choose_engines(PROFILE, LONG, views(*[IDLE] * 8), 0, self.rng, rules)
         assert choice is not None
         self.assertEqual(choice.helpers, ())
-        self.assertIsNone(choose_engines(PROFILE, HUGE, views(*[IDLE] * 8), 0, self.rng, 1))
+        self.assertIsNone(choose_engines(PROFILE, HUGE, views(*[IDLE] * 8), 0, self.rng, rules))
+
+    def test_without_leases_a_prompt_larger_than_an_engine_is_not_placed(self) -> None:
+        rules = ChoiceRules(leases=False)
+        self.assertIsNone(choose_engines(PROFILE, HUGE, views(*[IDLE] * 18), 0, self.rng, rules))
+
+    def test_without_a_pool_a_long_prompt_may_go_anywhere(self) -> None:
+        rules = ChoiceRules(pool=False)
+        choice = choose_engines(PROFILE, LONG, views(*[IDLE] * 8), 30, self.rng, rules)
+        assert choice is not None
+        self.assertEqual(choice.pool, 8)
 
     def test_a_prompt_larger_than_an_engine_gets_leases(self) -> None:
         choice = choose_engines(PROFILE, HUGE, views(*[IDLE] * 18), 0, self.rng)
--- a/pondpin/tools/units.py
+++ b/pondpin/tools/units.py
@@ -141,5 +141,5 @@
     "limits.memory_mebibytes": "MiB; a quarter of it may hold bodies",
     "metrics_port": "port of `/metrics`; 0 serves none",
     "placement": "`predicted`, or a baseline: `least_outstanding`, `random`",
-    "use_parts": "whether long prompts are read by several engines",
+    "without": "mechanisms to switch off, to measure them: docs/DECISIONS.md names them",
 }
