New hosts are greeted with the next digests

A host that was not known is greeted with the next digests. A fleet of nine in simulated time: six of nine knew three peers after 0.7 s, now all know eight (`test_relay_gossip`).

--- a/pondpin/relay/gossip.py
+++ b/pondpin/relay/gossip.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -136,8 +136,7 @@
         """Believe what a digest says, dated by this process's clock."""
         if not self.known.take(digest, now):
             return
-        for host in (digest.host, *digest.hosts):
-            self.mentioned_at_by_host[host] = now
+        self._note_hosts((digest.host, *digest.hosts), now)
         self._take_proofs(digest, now)
         for name in digest.leaving:
             if self.table.mark_leaving(name):
@@ -152,6 +151,14 @@
         if digest.asks:
             self._answer(digest, now)
 
+    def _note_hosts(self, hosts: Iterable[str], now: float) -> None:
+        """Note hosts that a peer mentions; a new one is greeted with the next digests."""
+        known = self.hosts | {self.address.host}
+        for host in hosts:
+            self.mentioned_at_by_host[host] = now
+        if not self.hosts <= known:
+            self._hello_at = float("-inf")
+
     def _answer(self, asking: Digest, now: float) -> None:
         """Tell a peer of another data centre at once, so that it can date what it hears."""
         base = msgspec.structs.replace(
--- a/pondpin/tests/test_relay_gossip.py
+++ b/pondpin/tests/test_relay_gossip.py
@@ -179,6 +179,12 @@
             assert proof is not None
             self.assertLess(proof.age(fleet.now), 2.0)
 
+    def test_instances_that_all_start_hear_one_another_within_a_second(self) -> None:
+        fleet = GossipFleet(centers=3, instances=9, seed=4)
+        fleet.play(0.7)
+        alive = [len(item.known.alive(fleet.now)) for item in fleet.members]
+        self.assertEqual(alive, [8] * 9)
+
     def test_a_centre_that_is_cut_off_is_noticed_and_heard_again(self) -> None:
         fleet = GossipFleet(centers=3, instances=60, seed=2)
         fleet.play(8.0)
