--- a/pondpin/relay/attempt.py
+++ b/pondpin/relay/attempt.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
 from pondpin.clocks import Clock
@@ -11,6 +10,7 @@
 from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall, WholeReply
 from pondpin.relay.events import EventSplitter
 from pondpin.relay.model import AnswerHead
+from pondpin.relay.patience import Patience
 from pondpin.relay.planner import Plan
 from pondpin.relay.ports import Dialect, Forwarded, PartPlace
 
@@ -23,17 +23,6 @@
 FIRST_FAILURE = 300
 
 
-@dataclass(frozen=True, slots=True)
-class Patience:
-    """Seconds of silence after which an attempt counts as stalled, before and after the first
-    event; None waits until the deadline. ask: seconds after which a silent upstream is asked
-    whether it lives, None when it can't be asked."""
-
-    first: float | None
-    gap: float | None
-    ask: float | None = None
-
-
 class Watcher(Protocol):
     """Is told what an attempt hears of its upstream."""
 
--- a/pondpin/relay/digests.py
+++ b/pondpin/relay/digests.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from pondpin.relay.calendar import WaitingDigest
-from pondpin.relay.upstreams import CenterLoad, WorkDigest
+from pondpin.relay.upstreams import CenterLoad
+from pondpin.relay.work import WorkDigest
 
 DIGEST_FORMAT = 3
 MILLISECONDS = 1000.0
--- a/pondpin/relay/engine_choice.py
+++ b/pondpin/relay/engine_choice.py
@@ -17,7 +17,7 @@
     read_seconds,
 )
 from pondpin.relay.model import EngineProfile
-from pondpin.relay.upstreams import LONG_READ_SECONDS
+from pondpin.relay.work import LONG_READ_SECONDS
 
 # Numbers of engines that are compared for one prompt; an engine lets 16 others help.
 PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -12,13 +12,13 @@
 from pondpin.metrics import Metrics
 from pondpin.network import Endpoint
 from pondpin.relay.admission import Admitted, Beliefs, admit, check_proof
-from pondpin.relay.attempt import Attempts, Patience
+from pondpin.relay.attempt import Attempts
 from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall
 from pondpin.relay.leases import LeaseGroup, Leases
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import UpstreamEjected, UpstreamLeaving
-from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.model import AnswerHead, RequestFacts, Route, RouteKind
+from pondpin.relay.patience import patience_for
 from pondpin.relay.planner import Plan, Planner, RelayPolicy
 from pondpin.relay.ports import Dialect
 from pondpin.relay.reports import Reports
@@ -30,23 +30,6 @@
 
 MISDIRECTED = 421
 FIRST_SERVER_ERROR = 500
-# A second try at another upstream begins after this multiple of the forecast, but not before
-# the shortest, and while the caller still has time for it.
-FORECAST_PATIENCE = 2.0
-FORECAST_SLACK_SECONDS = 0.4
-SHORTEST_PATIENCE = 0.8
-# An engine that is silent for this multiple of the forecast and some more is asked whether it
-# lives: nine in ten first events come earlier (`pondpinctl losses`).
-ASK_TIMES = 1.5
-ASK_SLACK_SECONDS = 0.3
-# Shares of the time after which a caller gives a silent stream up: before the first event,
-# between events, and for prompts read in parts, before whose parts others may go.
-PATIENCE_SHARE = 0.6
-GAP_PATIENCE_SHARE = 0.6
-HELPED_PATIENCE_SHARE = 0.85
-# A repeatable plain call is tried elsewhere after this multiple of its target.
-SAFE_PATIENCE_TARGETS = 2.5
-SHORTEST_SAFE_PATIENCE = 0.5
 # Groups of leases asked for before a request is refused for want of memory.
 LEASE_TRIES = 3
 # Upstreams tried for a request, counting those that no byte reached.
@@ -180,7 +163,7 @@
                 plan,
                 group.places if group is not None else plan.places,
                 progress,
-                self._patience(call, plan),
+                patience_for(call, plan, self.policy),
                 _Watcher(self, plan, key),
             )
         finally:
@@ -248,30 +231,6 @@
         detail = f"first event after {first:.2f} s"
         return PondpinError(Code.CANNOT_FINISH, detail, retry_after=RETRY_SECONDS)
 
-    def _patience(self, call: RelayCall, plan: Plan) -> Patience:
-        if not call.route.idempotent:
-            return Patience(None, None)
-        if call.route.kind is RouteKind.SAFE:
-            return Patience(
-                max(SHORTEST_SAFE_PATIENCE, SAFE_PATIENCE_TARGETS * call.route.target), None
-            )
-        if not self.policy.has(Mechanism.SECOND_TRIES):
-            return Patience(None, None)
-        gap = GAP_PATIENCE_SHARE * call.patience
-        forecast = plan.choice.first_event if plan.choice is not None else 0.0
-        ask = None
-        if self.policy.has(Mechanism.REPORTS):
-            ask = ASK_TIMES * forecast + ASK_SLACK_SECONDS
-        if plan.helpers:
-            # Parts of others may come before its own; the engine itself tells of lost helpers.
-            return Patience(HELPED_PATIENCE_SHARE * call.patience, gap, ask)
-        first = max(
-            SHORTEST_PATIENCE,
-            FORECAST_PATIENCE * forecast + FORECAST_SLACK_SECONDS,
-            PATIENCE_SHARE * call.patience,
-        )
-        return Patience(first, gap, ask)
-
     def _may_try_again(self, call: RelayCall, progress: Progress, end: AttemptEnd) -> bool:
         """Whether another upstream may get the request now; spends the budget."""
         if end.kind is EndKind.ANSWERED and not _is_retryable_answer(call, end):
--- /dev/null
+++ b/pondpin/relay/patience.py
@@ -0,0 +1,62 @@
+"""How long an attempt may be silent before its upstream is asked, or another one is tried."""
+
+from dataclasses import dataclass
+
+from pondpin.relay.call import RelayCall
+from pondpin.relay.mechanisms import Mechanism
+from pondpin.relay.model import RouteKind
+from pondpin.relay.planner import Plan, RelayPolicy
+
+# A second try at another upstream begins after this multiple of the forecast, but not before
+# the shortest, and while the caller still has time for it.
+FORECAST_PATIENCE = 2.0
+FORECAST_SLACK_SECONDS = 0.4
+SHORTEST_PATIENCE = 0.8
+# An engine that is silent for this multiple of the forecast and some more is asked whether it
+# lives: nine in ten first events come earlier (`pondpinctl losses`).
+ASK_TIMES = 1.5
+ASK_SLACK_SECONDS = 0.3
+# Shares of the time after which a caller gives a silent stream up: before the first event,
+# between events, and for prompts read in parts, before whose parts others may go.
+PATIENCE_SHARE = 0.6
+GAP_PATIENCE_SHARE = 0.6
+HELPED_PATIENCE_SHARE = 0.85
+# A repeatable plain call is tried elsewhere after this multiple of its target.
+SAFE_PATIENCE_TARGETS = 2.5
+SHORTEST_SAFE_PATIENCE = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Patience:
+    """Seconds of silence after which an attempt counts as stalled, before and after the first
+    event; None waits until the deadline. ask: seconds after which a silent upstream is asked
+    whether it lives, None when it can't be asked."""
+
+    first: float | None
+    gap: float | None
+    ask: float | None = None
+
+
+def patience_for(call: RelayCall, plan: Plan, policy: RelayPolicy) -> Patience:
+    """The patience with an attempt at a planned upstream."""
+    if not call.route.idempotent:
+        return Patience(None, None)
+    if call.route.kind is RouteKind.SAFE:
+        first = max(SHORTEST_SAFE_PATIENCE, SAFE_PATIENCE_TARGETS * call.route.target)
+        return Patience(first, None)
+    if not policy.has(Mechanism.SECOND_TRIES):
+        return Patience(None, None)
+    gap = GAP_PATIENCE_SHARE * call.patience
+    forecast = plan.choice.first_event if plan.choice is not None else 0.0
+    ask = None
+    if policy.has(Mechanism.REPORTS):
+        ask = ASK_TIMES * forecast + ASK_SLACK_SECONDS
+    if plan.helpers:
+        # The engine itself tells of lost helpers.
+        return Patience(HELPED_PATIENCE_SHARE * call.patience, gap, ask)
+    first = max(
+        SHORTEST_PATIENCE,
+        FORECAST_PATIENCE * forecast + FORECAST_SLACK_SECONDS,
+        PATIENCE_SHARE * call.patience,
+    )
+    return Patience(first, gap, ask)
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -23,13 +23,8 @@
 from pondpin.relay.model import EngineProfile
 from pondpin.relay.ports import PartPlace
 from pondpin.relay.routing import shortest_gap
-from pondpin.relay.upstreams import (
-    LONG_READ_SECONDS,
-    CenterLoadSeen,
-    UpstreamState,
-    UpstreamTable,
-    Work,
-)
+from pondpin.relay.upstreams import CenterLoadSeen, UpstreamState, UpstreamTable
+from pondpin.relay.work import LONG_READ_SECONDS, Work
 from pondpin.service_choice import ServiceView, choose_service
 
 # A choice that puts this much reading on an engine is told to peers at once, in seconds.
--- a/pondpin/relay/turns.py
+++ b/pondpin/relay/turns.py
@@ -12,7 +12,7 @@
 from pondpin.relay.forecast import read_seconds
 from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.planner import Plan, RelayPolicy, make_job
-from pondpin.relay.upstreams import LONG_READ_SECONDS
+from pondpin.relay.work import LONG_READ_SECONDS
 
 # A prompt is sent when its engines are free within this time: about what a request takes to
 # reach them.
--- a/pondpin/relay/upstreams.py
+++ b/pondpin/relay/upstreams.py
@@ -10,19 +10,24 @@
 from pondpin.relay.forecast import EngineLoad, Pending, Writers
 from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.model import EngineReport, ListedUpstream, Load
+from pondpin.relay.work import (
+    HUNDREDTHS,
+    MILLISECONDS,
+    PeerWork,
+    Read,
+    ReadDigest,
+    Work,
+    WorkDigest,
+    WritersDigest,
+    add_writers,
+    long_reads_end,
+    reads_end,
+)
 
 # A peer's word on its work counts for so many seconds; digests come several times a second.
 PEER_LOAD_SECONDS = 1.5
 # A word on a whole data centre changes slowly; it is told twice a second.
 CENTER_LOAD_SECONDS = 2.0
-# A reading of this length keeps other long ones from its engine: shorter ones cost less than
-# waiting for them would.
-LONG_READ_SECONDS = 0.08
-# One that should be over and is not may end at any time, up to this multiple of its length and
-# some more; after that its request is probably gone.
-OVERDUE_SECONDS = 0.05
-OVERDUE_TIMES = 2.0
-OVERDUE_SLACK_SECONDS = 0.5
 # What an upstream told of its load in an answer counts for so many seconds.
 TOLD_LOAD_SECONDS = 0.5
 # An upstream that was heard this lately proves that its data centre can be reached; the
@@ -33,42 +38,6 @@
 FAILURE_WEIGHT = 0.15
 FAILING_RATE = 0.4
 FAILURE_HALF_LIFE_SECONDS = 4.0
-MILLISECONDS = 1000.0
-HUNDREDTHS = 100.0
-
-
-class WritersDigest(msgspec.Struct, frozen=True, array_like=True):
-    """Writers with the same pause target (ms); worth is in hundredths."""
-
-    gap_target: int
-    count: int
-    worth: int
-
-
-class ReadDigest(msgspec.Struct, frozen=True, array_like=True):
-    """A prompt, or a part of one, that is being read: its age and its whole length in ms.
-
-    target is that of its first event in ms, worth is in hundredths. All parts of a prompt have
-    the same group, and parts is how many there are.
-    """
-
-    age: int
-    length: int
-    target: int
-    worth: int
-    group: int
-    parts: int
-
-
-class WorkDigest(msgspec.Struct, frozen=True, array_like=True):
-    """One instance's work on one upstream."""
-
-    upstream: str
-    in_flight: int
-    light: int
-    tokens: int
-    reads: tuple[ReadDigest, ...]
-    writers: tuple[WritersDigest, ...]
 
 
 class CenterLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -93,73 +62,6 @@
         return self.load.in_flight / max(1, self.load.upstreams)
 
 
-@dataclass(slots=True)
-class Work:
-    """A request, or a part of a prompt, of this instance on an upstream.
-
-    reading: seconds of reading at its start; writes is False for a part read for another engine.
-    """
-
-    reading: float
-    since: float
-    tokens: int
-    target: float
-    gap_target: float
-    worth: float
-    light: bool
-    writes: bool
-    group: int = 0
-    parts: int = 1
-    first_event: bool = False
-
-    @property
-    def read(self) -> "Read":
-        """Its reading."""
-        return Read(self.since, self.reading, self.target, self.worth, self.group, self.parts)
-
-
-@dataclass(frozen=True, slots=True)
-class Read:
-    """Reading of length seconds that could begin at since, by this process's clock.
-
-    target and worth are those of the request whose prompt it is.
-    """
-
-    since: float
-    length: float
-    target: float
-    worth: float
-    group: int
-    parts: int
-
-
-def reads_end(reads: Iterable[Read]) -> float:
-    """When an engine that reads one after the other is through."""
-    end = 0.0
-    for read in sorted(reads, key=lambda item: item.since):
-        end = max(end, read.since) + read.length
-    return end
-
-
-def long_reads_end(reads: Iterable[Read], end: float, now: float) -> float:
-    """When no long reading is left on an engine that is through at end; now when there is none."""
-    limit = now
-    for read in reads:
-        if read.length >= LONG_READ_SECONDS:
-            latest = read.since + OVERDUE_TIMES * read.length + OVERDUE_SLACK_SECONDS
-            limit = max(limit, min(latest, max(end, now + OVERDUE_SECONDS)))
-    return limit
-
-
-@dataclass(frozen=True, slots=True)
-class PeerWork:
-    """A peer's digest of its work on an upstream; made at at, it counts until until."""
-
-    work: WorkDigest
-    at: float
-    until: float
-
-
 @dataclass(frozen=True, slots=True)
 class FailureRate:
     """The share of requests that failed lately; without requests it is forgotten."""
@@ -240,11 +142,11 @@
         for work in self.work_by_key.values():
             tokens += work.tokens
             if work.writes and work.first_event:
-                _add_writers(sums, round(work.gap_target * MILLISECONDS), 1, work.worth)
+                add_writers(sums, round(work.gap_target * MILLISECONDS), 1, work.worth)
         for item in self._peer_work(now):
             tokens += item.work.tokens
             for told in item.work.writers:
-                _add_writers(sums, told.gap_target, told.count, told.worth / HUNDREDTHS)
+                add_writers(sums, told.gap_target, told.count, told.worth / HUNDREDTHS)
         writers = tuple(
             Writers(gap / MILLISECONDS, count, worth) for gap, (count, worth) in sums.items()
         )
@@ -299,7 +201,7 @@
         sums: dict[int, tuple[int, float]] = {}
         for work in self.work_by_key.values():
             if work.writes and work.first_event:
-                _add_writers(sums, round(work.gap_target * MILLISECONDS), 1, work.worth)
+                add_writers(sums, round(work.gap_target * MILLISECONDS), 1, work.worth)
         works = self.work_by_key.values()
         return WorkDigest(
             upstream=self.id,
@@ -329,11 +231,6 @@
         return [item for item in items if now < item.until]
 
 
-def _add_writers(sums: dict[int, tuple[int, float]], gap: int, count: int, worth: float) -> None:
-    known_count, known_worth = sums.get(gap, (0, 0.0))
-    sums[gap] = (known_count + count, known_worth + worth)
-
-
 class UpstreamTable:
     """All upstreams by their id. Leaving is sticky for an id; a lapsed entry may come back."""
 
--- a/pondpin/tests/test_relay_engines.py
+++ b/pondpin/tests/test_relay_engines.py
@@ -26,13 +26,8 @@
     read_seconds,
 )
 from pondpin.relay.model import EngineProfile, ListedUpstream
-from pondpin.relay.upstreams import (
-    PEER_LOAD_SECONDS,
-    Read,
-    UpstreamTable,
-    Work,
-    reads_end,
-)
+from pondpin.relay.upstreams import PEER_LOAD_SECONDS, UpstreamTable
+from pondpin.relay.work import Read, Work, reads_end
 
 NOW = 1000.0
 PROFILE = EngineProfile(
--- a/pondpin/tests/test_relay_planner.py
+++ b/pondpin/tests/test_relay_planner.py
@@ -23,7 +23,8 @@
     Planner,
     connection_share,
 )
-from pondpin.relay.upstreams import CenterLoad, UpstreamTable, Work
+from pondpin.relay.upstreams import CenterLoad, UpstreamTable
+from pondpin.relay.work import Work
 
 NOW = 1000.0
 PROFILE = EngineProfile(8, 450_000, 46, 0.000925, 5e-6, 2.5e-6, 256_000.0, 9.17e-11, 2048, 0.0001)
