Tests for reports, the address at fault and the losses command

A report is shared by all who wait for it and kept for a moment, counts as a sign of life, and a spoiled one as none; an address at fault that can't be read is as if missing; pondpinctl losses as tables, as a document, and with bad input.

--- a/pondpin/standins/worker.py
+++ b/pondpin/standins/worker.py
@@ -74,6 +74,7 @@
     probes: int = 0
     reports: int = 0
     dark: bool = False
+    spoils_reports: bool = False
     working: int = 0
 
     def __post_init__(self) -> None:
@@ -99,6 +100,9 @@
         self.reports += 1
         if self.dark:
             await asyncio.sleep(HANG_SECONDS)
+        if self.spoils_reports:
+            reply.send_json({"stage": "bidirectional"})
+            return
         reply.send_json({"stage": "bidirectional", "queued": 0, "active": self.working})
 
     async def _order(self, incoming: Incoming, reply: Reply) -> None:
--- a/pondpin/tests/test_ctl.py
+++ b/pondpin/tests/test_ctl.py
@@ -3,6 +3,7 @@
 import contextlib
 import io
 import json
+import tempfile
 import unittest
 from pathlib import Path
 
@@ -51,6 +52,27 @@
         self.assertEqual(run_quietly(ctl.match(FILE, "kind=none"))[0], 4)
         self.assertEqual(run_quietly(ctl.match(FILE, "kind="))[0], 1)
 
+    def test_losses_of_a_log_as_tables_and_as_a_document(self) -> None:
+        log = Path(self.enterContext(tempfile.TemporaryDirectory())) / "a.log"
+        line = {
+            "time": 5.0,
+            "instance": "a",
+            "event": "ended",
+            "request": "r1",
+            "first_ms": 400,
+            "total_ms": 900,
+            "target_ms": 300,
+            "prompt_tokens": 10,
+        }
+        log.write_text(json.dumps(line) + "\n")
+        status, output = run_quietly(ctl.losses(str(log)))
+        self.assertEqual(status, 0)
+        self.assertIn("late: not placed", output)
+        status, output = run_quietly(ctl.losses(str(log), json=True))
+        self.assertEqual(json.loads(output)["losses"]["kind"][0]["lost"], 0.75)
+        self.assertEqual(run_quietly(ctl.losses(str(log), worth="300"))[0], ctl.FAULT_STATUS)
+        self.assertEqual(run_quietly(ctl.losses("missing.log"))[0], ctl.FAULT_STATUS)
+
     def test_differences_are_told_in_words(self) -> None:
         document = json.loads(Path(FILE).read_text())
         old = decode_configuration(json.dumps(document).encode(), "old")
--- a/pondpin/tests/test_platform.py
+++ b/pondpin/tests/test_platform.py
@@ -8,10 +8,13 @@
 
 import msgspec
 
+from pondpin.http_streams import CallFailedError
+from pondpin.network import Endpoint
 from pondpin.platform.documents import PlatformDecoder
+from pondpin.platform.reports import PlatformReports
 from pondpin.platform.requests import OWNED_HEADERS, PlatformDialect
 from pondpin.platform.store import PlatformStore
-from pondpin.relay.model import RouteKind
+from pondpin.relay.model import EngineReport, RouteKind
 from pondpin.relay.ports import Forwarded, PartPlace
 from pondpin.settings import read_relay_settings
 from pondpin.standins.local_platform import KEY, LocalPlatform, sample_configuration, sample_route
@@ -149,6 +152,35 @@
         assert head.load is not None
         self.assertEqual((head.load.running, head.load.waiting, head.events), (3, 1, True))
 
+    def test_where_the_upstream_at_fault_is(self) -> None:
+        def at_fault(text: bytes) -> Endpoint | None:
+            return self.dialect.read_head(503, [(b"At-Server", text)]).at_fault
+
+        self.assertEqual(at_fault(b"10.2.64.46:8564"), Endpoint("10.2.64.46", 8564))
+        for spoiled in (b"", b"i-7f3a91c2", b"host:1", b"10.2.64.46:x", b"\xff"):
+            self.assertIsNone(at_fault(spoiled))
+
+
+class ReportTest(unittest.TestCase):
+    def test_a_report_is_read_or_the_call_failed(self) -> None:
+        async def work() -> None:
+            platform = LocalPlatform(the_loop()[1], engines=1, instances=0)
+            await platform.start()
+            try:
+                worker = platform.workers_by_id["engine-0"]
+                assert worker.server.port is not None
+                port = worker.server.port.getHost().port
+                reports = PlatformReports(platform.http)
+                report = await reports.read_report("127.0.0.1", port, 2.0)
+                self.assertEqual(report, EngineReport(running=0, waiting=0))
+                worker.spoils_reports = True
+                with self.assertRaises(CallFailedError):
+                    await reports.read_report("127.0.0.1", port, 2.0)
+            finally:
+                await platform.stop()
+
+        run_async(work())
+
 
 class StoreTest(unittest.TestCase):
     def test_pages_are_joined(self) -> None:
--- /dev/null
+++ b/pondpin/tests/test_relay_reports.py
@@ -0,0 +1,86 @@
+"""Reports of silent engines: asked for once by all who wait, kept for a moment."""
+
+import asyncio
+import os
+import unittest
+
+from pondpin.http_streams import CallFailedError
+from pondpin.relay.log import EventLog
+from pondpin.relay.model import EngineReport, ListedUpstream
+from pondpin.relay.reports import KEPT_SECONDS, Reports
+from pondpin.relay.upstreams import UpstreamState
+from pondpin.relay.work import Work
+from pondpin.tests.support import FakeClock, run_async
+
+
+class Port:
+    """Answers when it is told to; counts how often it was asked."""
+
+    def __init__(self) -> None:
+        self.asked = 0
+        self.answer = EngineReport(running=3, waiting=0)
+        self.lost = False
+
+    async def read_report(self, host: str, port: int, timeout: float) -> EngineReport:
+        self.asked += 1
+        await asyncio.sleep(0)
+        if self.lost:
+            raise CallFailedError("timeout", sent=True)
+        return self.answer
+
+
+class ReportsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.port = Port()
+        log = EventLog("a", self.clock, self.clock, os.open(os.devnull, os.O_WRONLY))
+        self.reports = Reports(self.port, log, self.clock)
+        listed = ListedUpstream("e0", "engines", "10.0.0.1", 80, "north", 8, False)
+        self.state = UpstreamState(listed)
+
+    def ask(self, times: int = 1) -> list[bool]:
+        answers: list[bool] = []
+
+        async def work() -> None:
+            asking = (self.reports.ask(self.state) for _ in range(times))
+            answers.extend(await asyncio.gather(*asking))
+
+        run_async(work())
+        return answers
+
+    def test_requests_share_a_report_for_a_while(self) -> None:
+        self.assertEqual(self.ask(3), [True, True, True])
+        self.assertEqual(self.port.asked, 1)
+        self.assertEqual(self.ask(), [True])
+        self.assertEqual(self.port.asked, 1)
+        self.clock.advance(2 * KEPT_SECONDS)
+        self.assertEqual(self.ask(), [True])
+        self.assertEqual(self.port.asked, 2)
+
+    def test_an_engine_that_does_not_answer_is_told_to_all_and_asked_anew(self) -> None:
+        self.port.lost = True
+        self.assertEqual(self.ask(2), [False, False])
+        self.port.lost = False
+        self.assertEqual(self.ask(), [True])
+        self.assertEqual(self.port.asked, 2)
+
+    def test_a_report_counts_as_a_sign_of_life_and_of_a_queue(self) -> None:
+        self.clock.advance(5.0)
+        self.ask()
+        self.assertEqual(self.state.heard_at, self.clock())
+        self.assertFalse(self.state.is_busy(self.clock()))
+        self.port.answer = EngineReport(running=8, waiting=2)
+        self.clock.advance(2 * KEPT_SECONDS)
+        self.ask()
+        self.assertTrue(self.state.is_busy(self.clock()))
+
+    def test_a_long_reading_makes_an_engine_busy(self) -> None:
+        now = self.clock()
+        self.state.work_by_key[1] = Work(1.0, now, 9000, 3.0, 0.8, 2.0, False, True)
+        self.assertTrue(self.state.is_busy(now))
+        self.state.note_read(1, now)
+        self.assertFalse(self.state.is_busy(now))
+
+
+if __name__ == "__main__":
+    unittest.main()
