--- a/pondpin/tests/test_ctl.py
+++ b/pondpin/tests/test_ctl.py
@@ -19,6 +19,7 @@
 from pondpin.tests.support import FleetCase, question, the_loop
 from pondpin.tools import ctl
 from pondpin.tools.differences import tell_differences
+from pondpin.tools.log_commands import FAULT_STATUS, losses
 from pondpin.tools.operator_client import OperatorClient, OperatorError
 from pondpin.tools.traffic import SAMPLES
 
@@ -65,13 +66,13 @@
             "prompt_tokens": 10,
         }
         log.write_text(json.dumps(line) + "\n")
-        status, output = run_quietly(ctl.losses(str(log)))
+        status, output = run_quietly(losses(str(log)))
         self.assertEqual(status, 0)
         self.assertIn("late: not placed", output)
-        status, output = run_quietly(ctl.losses(str(log), json=True))
+        status, output = run_quietly(losses(str(log), json=True))
         self.assertEqual(json.loads(output)["losses"]["kind"][0]["lost"], 0.75)
-        self.assertEqual(run_quietly(ctl.losses(str(log), worth="300"))[0], ctl.FAULT_STATUS)
-        self.assertEqual(run_quietly(ctl.losses("missing.log"))[0], ctl.FAULT_STATUS)
+        self.assertEqual(run_quietly(losses(str(log), worth="300"))[0], FAULT_STATUS)
+        self.assertEqual(run_quietly(losses("missing.log"))[0], FAULT_STATUS)
 
     def test_differences_are_told_in_words(self) -> None:
         document = json.loads(Path(FILE).read_text())
