--- a/pondpin/relay/turns.py
+++ b/pondpin/relay/turns.py
@@ -70,7 +70,8 @@
     def judge(self, call: RelayCall, progress: Progress, plan: Plan, turn: Turn | None) -> Verdict:
         """Whether a request is sent as planned; turn is its place in the calendar if it has one."""
         choice = plan.choice
-        if choice is None or not plan.is_long:
+        if choice is None or not plan.is_long or progress.events:
+            # A stream that has begun goes on at once: its caller gives up within seconds.
             return Verdict.SEND
         job = make_job(call, progress, self._clock())
         if not is_useful(choice, job) and self._policy.has(Mechanism.REFUSAL):
--- a/pondpin/tests/test_relay_turns.py
+++ b/pondpin/tests/test_relay_turns.py
@@ -78,6 +78,13 @@
         verdict = self.turns.judge(self.call, progress, self.plan(FREE), None)
         self.assertIs(verdict, Verdict.SEND)
 
+    def test_a_stream_that_has_begun_goes_on_at_once(self) -> None:
+        # Its caller gives up within seconds, and half an answer is worth nothing.
+        progress = Progress(events=13, last_at=self.now - 1.4)
+        busy = replace(FREE, start=0.9, harm=80.0, first_event=9.9)
+        verdict = self.turns.judge(self.call, progress, self.plan(busy), None)
+        self.assertIs(verdict, Verdict.SEND)
+
     def test_before_peers_are_known_long_prompts_wait(self) -> None:
         self.settled = False
         self.assertIs(self.judge(FREE), Verdict.HOLD)
