Silence does not end the last attempt

Patience is for going elsewhere: where the route allows no further attempt, or the share of retries is used up, an attempt waits until its caller's time is over or the caller leaves.

The same for the last attempt at a plain service.

--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -163,7 +163,7 @@
                 plan,
                 group.places if group is not None else plan.places,
                 progress,
-                patience_for(call, plan, self.policy),
+                patience_for(call, plan, self.policy, self._may_go_elsewhere(call, progress)),
                 _Watcher(self, plan, key),
             )
         finally:
@@ -231,6 +231,12 @@
         detail = f"first event after {first:.2f} s"
         return PondpinError(Code.CANNOT_FINISH, detail, retry_after=RETRY_SECONDS)
 
+    def _may_go_elsewhere(self, call: RelayCall, progress: Progress) -> bool:
+        """Whether another attempt could follow the one that is about to be sent."""
+        if progress.sends + 1 >= call.route.attempts or progress.attempts >= MOST_ATTEMPTS:
+            return False
+        return self._window(call.service).has_left(self.clock(), self.sharers())
+
     def _may_try_again(self, call: RelayCall, progress: Progress, end: AttemptEnd) -> bool:
         """Whether another upstream may get the request now; spends the budget."""
         if end.kind is EndKind.ANSWERED and not _is_retryable_answer(call, end):
--- a/pondpin/relay/patience.py
+++ b/pondpin/relay/patience.py
@@ -37,9 +37,14 @@
     ask: float | None = None
 
 
-def patience_for(call: RelayCall, plan: Plan, policy: RelayPolicy) -> Patience:
-    """The patience with an attempt at a planned upstream."""
-    if not call.route.idempotent:
+def patience_for(
+    call: RelayCall, plan: Plan, policy: RelayPolicy, may_go_elsewhere: bool
+) -> Patience:
+    """The patience with an attempt at a planned upstream.
+
+    Without another attempt silence is no reason to end an answer: the caller may wait on.
+    """
+    if not call.route.idempotent or not may_go_elsewhere:
         return Patience(None, None)
     if call.route.kind is RouteKind.SAFE:
         first = max(SHORTEST_SAFE_PATIENCE, SAFE_PATIENCE_TARGETS * call.route.target)
--- a/pondpin/relay/retry_window.py
+++ b/pondpin/relay/retry_window.py
@@ -41,12 +41,16 @@
 
         sharers counts peers that fell silent too: they may be cut off from here and alive.
         """
-        self._trim(now)
-        if len(self.retries) + 1 > self.limit(sharers):
+        if not self.has_left(now, sharers):
             return False
         self.retries.append(now)
         return True
 
+    def has_left(self, now: float, sharers: int) -> bool:
+        """Whether the share has a retry left now."""
+        self._trim(now)
+        return len(self.retries) + 1 <= self.limit(sharers)
+
     def limit(self, sharers: int) -> float:
         """Retries that this instance may make within a window."""
         allowance = self.bounds.allowance * ALLOWANCE_SHARE / max(FEWEST_SHARERS, sharers)
