Soaks of two test runs side by side use addresses of their own

The place is taken from the process's number now. Ruled out: a process left behind by an earlier soak (the other run's soak held the port at that moment).

--- a/pondpin/tests/test_soak.py
+++ b/pondpin/tests/test_soak.py
@@ -1,5 +1,6 @@
 """The soak's own parts, and a short run of real processes with a fixed seed."""
 
+import os
 import tempfile
 import unittest
 from pathlib import Path
@@ -11,6 +12,9 @@
 
 SECONDS = 6.0
 SEED = 7
+# Places 0 to 9 are for soaks by hand.
+FIRST_PLACE = 10
+PLACES = 200
 EVENTS = 3
 
 
@@ -44,6 +48,11 @@
         self.assertEqual(check(Seen("a", "once", 0, b"", False), a=1), [])
 
 
+def own_place() -> Place:
+    """Addresses of this process, so that two runs of the tests can go on side by side."""
+    return Place(FIRST_PLACE + os.getpid() % PLACES)
+
+
 class ShortSoakTest(unittest.TestCase):
     def test_the_fixed_seed_and_those_that_failed_once_hold(self) -> None:
         for seed in (SEED, *known_seeds()):
@@ -56,7 +65,7 @@
             nonlocal held
             folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
             size = Size(instances=2, engines=2, plain=2)
-            held = await play_seed(the_loop()[1], seed, SECONDS, size, Place(9), folder)
+            held = await play_seed(the_loop()[1], seed, SECONDS, size, own_place(), folder)
 
         run_async(work())
         return held
