--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -331,9 +331,15 @@
                 revision=self.publication.revision,
                 routes=sum(len(found) for found in configuration.routes_by_host.values()),
                 accounts=len(set(configuration.accounts_by_key.values())),
+                behind_ms=self._behind_ms(),
             )
         )
 
+    def _behind_ms(self) -> int:
+        """How long the configuration just taken was known to be missing."""
+        heard_at = self.publication.newer_heard_at
+        return 0 if heard_at is None else int((steady_now() - heard_at) * MILLISECONDS)
+
     def _take_list(self, change: ListChange) -> None:
         for name in self.table.take_list(change.listed, change.missing):
             self.log.write(UpstreamLeaving(upstream=name, source="list"))
--- a/pondpin/relay/gossip.py
+++ b/pondpin/relay/gossip.py
@@ -28,7 +28,14 @@
 from pondpin.relay.fan_out import PERIOD_SECONDS, FanOut, Round
 from pondpin.relay.freshness import peer_proof
 from pondpin.relay.log import EventLog
-from pondpin.relay.log_events import DataCenterChanged, FetchFailed, PeerChanged, UpstreamLeaving
+from pondpin.relay.log_events import (
+    Behind,
+    DataCenterChanged,
+    Fetched,
+    FetchFailed,
+    PeerChanged,
+    UpstreamLeaving,
+)
 from pondpin.relay.publication import Publication, unpack_bundle
 from pondpin.relay.upstreams import PEER_LOAD_SECONDS, UpstreamTable
 from pondpin.wire.peer_pb2 import FetchConfigurationRequest
@@ -137,6 +144,7 @@
         if not self.known.take(digest, now):
             return
         self._note_hosts((digest.host, *digest.hosts), now)
+        self._note_newer(digest, now)
         self._take_proofs(digest, now)
         for name in digest.leaving:
             if self.table.mark_leaving(name):
@@ -170,6 +178,13 @@
         )
         self._post(base, asking.host, self.known.by_host.get(asking.host))
 
+    def _note_newer(self, digest: Digest, now: float) -> None:
+        if self.publication.note_newer(digest.revision, now):
+            in_force = self.publication.revision
+            self.log.write(
+                Behind(peer=digest.instance, revision=digest.revision, in_force=in_force)
+            )
+
     def _take_proofs(self, digest: Digest, now: float) -> None:
         asked = asked_at(digest, self.boot)
         newer = digest.revision > self.publication.seen_revision
@@ -206,9 +221,15 @@
             request = FetchConfigurationRequest(above_revision=self.publication.seen_revision)
             reply = await self.peers.fetch(address, request, FETCH_SECONDS)
             bundle = unpack_bundle(reply.document)
+            after_ms = int((self.clock() - sent_at) * MILLISECONDS)
+            size = len(reply.document)
+            self.log.write(
+                Fetched(peer=host, revision=reply.revision, bytes=size, after_ms=after_ms)
+            )
             self.publication.take_bundle(bundle, sent_at, self.clock())
         except (PeerUnreachableError, ValueError) as error:
-            self.log.write(FetchFailed(peer=host, reason=str(error)))
+            after_ms = int((self.clock() - sent_at) * MILLISECONDS)
+            self.log.write(FetchFailed(peer=host, reason=str(error), after_ms=after_ms))
         finally:
             self._fetching = False
 
--- a/pondpin/relay/log_events.py
+++ b/pondpin/relay/log_events.py
@@ -67,15 +67,42 @@
 
     peer: str
     reason: str
+    after_ms: int = 0
+
+
+class Fetched(LogEvent, frozen=True, kw_only=True, tag="fetched"):
+    """A document came from a peer; bytes as they crossed the network."""
+
+    peer: str
+    revision: int
+    bytes: int
+    after_ms: int
+
+
+class Behind(LogEvent, frozen=True, kw_only=True, tag="behind"):
+    """A peer told of a newer configuration than the one in force here."""
+
+    peer: str
+    revision: int
+    in_force: int
+
+
+class SourceRead(LogEvent, frozen=True, kw_only=True, tag="source_read"):
+    """A read of the published values brought something new, or was slow; bytes of the values."""
+
+    revision: int
+    bytes: int
+    after_ms: int
 
 
 class ConfigurationTaken(LogEvent, frozen=True, kw_only=True, tag="configuration"):
-    """A version is in force."""
+    """A version is in force; behind_ms: since when a peer had told of a newer one, if one had."""
 
     version: int
     revision: int
     routes: int
     accounts: int
+    behind_ms: int = 0
 
 
 class PublishedRefused(LogEvent, frozen=True, kw_only=True, tag="published_refused"):
--- a/pondpin/relay/publication.py
+++ b/pondpin/relay/publication.py
@@ -107,6 +107,9 @@
         self.item: PublishedItem | None = None
         self.proof: Proof | None = None
         self.refused_revision = 0
+        self._heard_at_by_revision: dict[int, float] = {}
+        # When the first word of a newer one came, at the moment the one in force was taken.
+        self.newer_heard_at: float | None = None
         self.list_items: tuple[PublishedItem, ...] = ()
         self.list_tag = 0
         self.list_at: float | None = None
@@ -125,6 +128,13 @@
         """The highest revision looked at, in force or refused."""
         return max(self.revision, self.refused_revision)
 
+    def note_newer(self, revision: int, now: float) -> bool:
+        """A peer has a newer revision; True when this is the first word of it."""
+        if revision <= self.seen_revision or revision in self._heard_at_by_revision:
+            return False
+        self._heard_at_by_revision[revision] = now
+        return True
+
     def bundle(self, now: float, above_revision: int = 0) -> Bundle:
         """What is published, for a peer; the configuration only above a revision."""
         proof_age = self.proof.age(now) if self.proof is not None else -1.0
@@ -165,6 +175,12 @@
         if self.configuration is not None and configuration.version < self.configuration.version:
             self._on_refused(item.key, f"version {configuration.version} is not newer")
             return
+        self.newer_heard_at = min(self._heard_at_by_revision.values(), default=None)
+        self._heard_at_by_revision = {
+            revision: at
+            for revision, at in self._heard_at_by_revision.items()
+            if revision > item.revision
+        }
         self.item = item
         self.configuration = configuration
         self._on_configuration(configuration)
--- a/pondpin/relay/reader.py
+++ b/pondpin/relay/reader.py
@@ -6,16 +6,16 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from pondpin.clocks import Clock
 from pondpin.controllers.base import Controller
 from pondpin.http_streams import CallFailedError
 from pondpin.relay.freshness import Proof
 from pondpin.relay.log import EventLog
-from pondpin.relay.log_events import SourceChanged
+from pondpin.relay.log_events import SourceChanged, SourceRead
 from pondpin.relay.ports import PublishedSource
-from pondpin.relay.publication import Publication
+from pondpin.relay.publication import Publication, PublishedItem
 
 CHECK_SECONDS = 0.05
 # The first in rank reads when the proof is this old: a change is then in force everywhere
@@ -28,6 +28,9 @@
 # A read that takes longer is given up and its connection dropped; slow days of the source
 # need a third of a second.
 READ_SECONDS = 1.0
+# A read that took longer than this is logged although it brought nothing new.
+SLOW_READ_SECONDS = 0.5
+MILLISECONDS = 1000.0
 FIRST_BACKOFF_SECONDS = 0.25
 LONGEST_BACKOFF_SECONDS = 2.0
 
@@ -98,6 +101,7 @@
     async def _read(self) -> None:
         before = self._publication.seen_revision, self._publication.list_tag
         self.reads += 1
+        began = self._clock()
         # The list goes first: a configuration without upstreams would refuse everything.
         sent_at = self._clock()
         items = await self._source.read_upstreams(READ_SECONDS)
@@ -107,9 +111,27 @@
         if item is not None:
             proof = Proof(item.revision, sent_at)
             self._publication.offer_configuration(item, proof)
-        if before != (self._publication.seen_revision, self._publication.list_tag):
+        news = before != (self._publication.seen_revision, self._publication.list_tag)
+        self._note_read(items, item, began, news)
+        if news:
             self._on_news()
 
+    def _note_read(
+        self,
+        items: Sequence[PublishedItem],
+        item: PublishedItem | None,
+        began: float,
+        news: bool,
+    ) -> None:
+        seconds = self._clock() - began
+        if not news and seconds < SLOW_READ_SECONDS:
+            return
+        size = sum(len(found.value) for found in items)
+        size += len(item.value) if item is not None else 0
+        revision = item.revision if item is not None else 0
+        after_ms = int(seconds * MILLISECONDS)
+        self._log.write(SourceRead(revision=revision, bytes=size, after_ms=after_ms))
+
     def _note_failure(self, reason: str) -> None:
         if not self._failures:
             self._log.write(SourceChanged(answers=False, reason=reason, failures=1))
--- a/pondpin/tools/log_story.py
+++ b/pondpin/tools/log_story.py
@@ -123,7 +123,14 @@
     "source": "the published source answers: {answers} ({reason})",
     "peer": "peer {peer} heard: {alive}; {alive_peers} peers alive",
     "data_center": "data centre {data_center} silent: {silent}",
-    "configuration": "version {version} (revision {revision}) is in force",
+    "configuration": (
+        "version {version} (revision {revision}) is in force; a newer one was known of for "
+        "{behind_ms} ms"
+    ),
+    "behind": "peer {peer} has revision {revision}, {in_force} is in force here",
+    "fetched": "revision {revision} came from {peer}: {bytes} bytes in {after_ms} ms",
+    "fetch_failed": "{peer} gave nothing within {after_ms} ms: {reason}",
+    "source_read": "read revision {revision} of the source: {bytes} bytes in {after_ms} ms",
     "freshness": "keys accepted: {fresh}; the version in force was proved {age} s ago",
     "stopping": "a planned stop begins with {open_requests} open requests",
 }
