--- /dev/null
+++ b/pondpin/tools/document_fleet.py
@@ -0,0 +1,370 @@
+"""Plays how documents travel in a fleet, in virtual time: store, links, readers, digests, fetches.
+
+Instances run their own code for reading, telling and fetching. A link carries one piece at a
+time; transfers that share it take turns. Used by tests and by `measure_documents`.
+"""
+
+import asyncio
+import base64
+import os
+import random
+import string
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone
+
+from pondpin.controllers.base import Controller
+from pondpin.controllers.peers import GrpcPeers, PeerUnreachableError
+from pondpin.http_client import HttpClient
+from pondpin.http_streams import StreamStart
+from pondpin.metrics import Metrics
+from pondpin.platform.documents import PlatformDecoder
+from pondpin.platform.store import PlatformStore
+from pondpin.relay.document_server import DocumentServer
+from pondpin.relay.fan_out import PACKET_BYTES
+from pondpin.relay.gossip import Gossip, GossipAddress, GossipController
+from pondpin.relay.log import EventLog
+from pondpin.relay.log_events import FetchFailed, LogEvent
+from pondpin.relay.publication import Publication
+from pondpin.relay.reader import ReaderController
+from pondpin.relay.upstreams import UpstreamTable
+from pondpin.standins.local_platform import ENGINES, PLAIN, sample_configuration, sample_route
+from pondpin.wire.peer_pb2 import FetchConfigurationReply, FetchConfigurationRequest
+
+# One way, as between data centres of one region.
+DELAY_SECONDS = 0.0015
+# A transfer gives way to the others of its link after so many bytes.
+TURN_BYTES = 8192
+TEN_MEGABIT = 1.25e6
+CONFIGURATION_KEY = "op/config"
+LONGEST_SECONDS = 60.0
+
+
+class Link:
+    """One direction of a machine's link; rate in bytes a second."""
+
+    def __init__(self, rate: float) -> None:
+        self._rate = rate
+        self._free = asyncio.Lock()
+        self.carried = 0
+
+    async def carry(self, size: int) -> None:
+        """Take the time that so many bytes need, beside other transfers."""
+        left = size
+        while left > 0:
+            part = min(TURN_BYTES, left)
+            async with self._free:
+                await asyncio.sleep(part / self._rate)
+            self.carried += part
+            left -= part
+
+
+def random_routes(count: int, seed: int) -> list[dict[str, Any]]:
+    """Routes with names like those of a deployment."""
+    rng = random.Random(seed)
+
+    def word(length: int) -> str:
+        return "".join(rng.choices(string.ascii_lowercase + string.digits, k=length))
+
+    return [
+        sample_route(
+            f"r-{word(7)}",
+            "streaming" if rng.random() < 0.5 else "safe",
+            rng.choice((ENGINES, PLAIN)),
+            host=f"{word(6)}.example",
+            pathPrefix=f"/{word(8)}/",
+            sessionAffinity=True,
+            streamResume=True,
+            gap_aim_ms=200,
+        )
+        for _ in range(count)
+    ]
+
+
+@dataclass
+class SimulatedStore:
+    """The published values; every change raises the revision."""
+
+    revision: int = 0
+    value_by_key: dict[str, tuple[int, bytes]] = field(default_factory=dict)
+
+    def put(self, key: str, value: object) -> int:
+        """Write an item."""
+        self.revision += 1
+        self.value_by_key[key] = (self.revision, msgspec.json.encode(value))
+        return self.revision
+
+    def answer(self, url: str) -> tuple[int, bytes]:
+        """Status and body of a call."""
+        parts = urlsplit(url)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        if parts.path.endswith("/kv-key"):
+            return self._item(query["tlsKey"])
+        if parts.path.endswith("/kv-range"):
+            found = self._under(query["pathPrefix"], 0)
+            return 200, msgspec.json.encode({"items": found, "more": False, "at": self.revision})
+        if parts.path.endswith("/kv-watch"):
+            found = self._under(query["pathPrefix"], int(query["sinceRevision"]))
+            return 200, msgspec.json.encode({"events": found, "at": self.revision})
+        return 404, b""
+
+    def _item(self, key: str) -> tuple[int, bytes]:
+        if key not in self.value_by_key:
+            return 404, b"{}"
+        return 200, msgspec.json.encode(self._describe(key) | {"at": self.revision})
+
+    def _under(self, prefix: str, above: int) -> list[dict[str, object]]:
+        return [
+            self._describe(key)
+            for key, (revision, _) in sorted(self.value_by_key.items())
+            if key.startswith(prefix) and revision > above
+        ]
+
+    def _describe(self, key: str) -> dict[str, object]:
+        revision, value = self.value_by_key[key]
+        text = base64.b64encode(value).decode()
+        return {"tlsKey": key, "value": text, "revision": revision}
+
+
+class _SlowResponse:
+    """A body that comes over a link."""
+
+    def __init__(self, body: bytes, link: Link) -> None:
+        self._body = body
+        self._link = link
+        self._task: asyncio.Task[None] | None = None
+
+    def deliverBody(self, protocol: Any) -> None:
+        """Send the body to a twisted protocol."""
+        protocol.transport = _SlowTransport(self)
+        self._task = asyncio.get_running_loop().create_task(self._send(protocol))
+
+    async def _send(self, protocol: Any) -> None:
+        for start in range(0, len(self._body), TURN_BYTES):
+            piece = self._body[start : start + TURN_BYTES]
+            await self._link.carry(len(piece))
+            protocol.dataReceived(piece)
+        protocol.connectionLost(Failure(ResponseDone()))
+
+    def cut(self) -> None:
+        """End the transfer: what has not come is not carried."""
+        if self._task is not None:
+            self._task.cancel()
+
+
+class _SlowTransport:
+    """What a reader of a slow response may do to its connection."""
+
+    def __init__(self, response: _SlowResponse) -> None:
+        self._response = response
+        self._producer = self
+
+    def abortConnection(self) -> None:
+        """Reset it."""
+        self._response.cut()
+
+    def loseConnection(self) -> None:
+        """Close it."""
+        self._response.cut()
+
+
+class SimulatedHttp(HttpClient):
+    """Calls to the simulated store over an instance's link."""
+
+    def __init__(self, store: SimulatedStore, link: Link) -> None:
+        self._store = store
+        self._link = link
+        self.silent = False
+
+    async def open(
+        self,
+        method: str,
+        url: str,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        fresh: bool = False,
+    ) -> StreamStart:
+        """Answer a call after the way there and back."""
+        await asyncio.sleep(2 * DELAY_SECONDS)
+        if self.silent:
+            await asyncio.sleep(LONGEST_SECONDS)
+        status, content = self._store.answer(url)
+        return StreamStart(status, {}, _SlowResponse(content, self._link))
+
+
+class _Call:
+    """The server's side of one unary call."""
+
+    def __init__(self, request: Any) -> None:
+        self._request = request
+        self.reply: Any = None
+
+    async def recv_message(self) -> Any:
+        """The request."""
+        return self._request
+
+    async def send_message(self, reply: Any) -> None:
+        """Keep the reply."""
+        self.reply = reply
+
+
+class _CountingLog(EventLog):
+    """Counts failed fetches; writes nothing."""
+
+    def __init__(self, name: str, clock: Callable[[], float]) -> None:
+        super().__init__(name, clock, clock, os.open(os.devnull, os.O_WRONLY))
+        self.failed_fetches = 0
+
+    def write(self, event: LogEvent) -> None:
+        """Look at a line."""
+        self.failed_fetches += isinstance(event, FetchFailed)
+
+
+class _Datagrams:
+    """Hands datagrams to the fleet."""
+
+    def __init__(self, fleet: "DocumentFleet") -> None:
+        self._fleet = fleet
+
+    def write(self, data: bytes, place: tuple[str, int]) -> None:
+        """Send a datagram."""
+        self._fleet.carry_datagram(data, place[0])
+
+
+class _SimulatedPeers(GrpcPeers):
+    """Calls to peers over the links of those that answer."""
+
+    def __init__(self, fleet: "DocumentFleet", metrics: Metrics) -> None:
+        super().__init__(metrics, lambda: None)
+        self._fleet = fleet
+
+    async def fetch(
+        self, address: str, request: FetchConfigurationRequest, timeout: float
+    ) -> FetchConfigurationReply:
+        """See PeerPort."""
+        there = self._fleet.by_host[address.rpartition(":")[0]]
+        call: Any = _Call(request)
+        try:
+            async with asyncio.timeout(timeout):
+                await asyncio.sleep(DELAY_SECONDS)
+                await there.server.FetchConfiguration(call)
+                await there.uplink.carry(call.reply.ByteSize())
+                await asyncio.sleep(DELAY_SECONDS)
+        except TimeoutError:
+            raise PeerUnreachableError("TimeoutError") from None
+        reply: FetchConfigurationReply = call.reply
+        return reply
+
+
+class SimulatedInstance:
+    """One instance: what it believes, how it reads and how it hears its peers."""
+
+    def __init__(self, fleet: "DocumentFleet", number: int, center: str, rate: float) -> None:
+        clock = asyncio.get_running_loop().time
+        name = f"i{number:04}"
+        self.in_force_at: dict[int, float] = {}
+        self.uplink, self.downlink = Link(rate), Link(rate)
+        self.log = _CountingLog(name, clock)
+        self.publication = Publication(
+            PlatformDecoder(), self._note_version, lambda _: None, lambda *_: None
+        )
+        self.http = SimulatedHttp(fleet.store, self.downlink)
+        address = GossipAddress(f"10.0.{number // 250}.{number % 250}", 1, 2)
+        self.gossip = Gossip(
+            instance=name,
+            boot=number + 1,
+            address=address,
+            seeds=tuple(f"10.0.0.{seed}" for seed in range(fleet.centers)),
+            publication=self.publication,
+            table=UpstreamTable(center),
+            peers=_SimulatedPeers(fleet, Metrics(name, center)),
+            log=self.log,
+            clock=clock,
+            rng=random.Random(number),
+            reads_source=lambda: self.reader.answers,
+        )
+        self.gossip.transport = _Datagrams(fleet)
+        self.server = DocumentServer(self.publication, clock)
+        self.reader = ReaderController(
+            PlatformStore(self.http, "store:1"),
+            self.publication,
+            lambda now: self.gossip.known.rank(name, center, now),
+            self.gossip.tell_news,
+            self.log,
+            clock,
+            random.Random(number),
+        )
+        self.controllers: tuple[Controller, ...] = (
+            self.reader,
+            GossipController(self.gossip, self.publication, clock),
+        )
+
+    def _note_version(self, configuration: Any) -> None:
+        now = asyncio.get_running_loop().time()
+        self.in_force_at[configuration.version] = now
+
+
+class DocumentFleet:
+    """Instances over some data centres, on links of one rate; all begin with version 1."""
+
+    def __init__(self, centers: int, instances: int, routes: int, rate: float, seed: int) -> None:
+        self.centers = centers
+        self._rng = random.Random(seed)
+        self._routes = random_routes(routes, seed)
+        self.store = SimulatedStore()
+        self.publish(1)
+        self.members = [
+            SimulatedInstance(self, number, f"c{number % centers}", rate)
+            for number in range(instances)
+        ]
+        self.by_host = {member.gossip.address.host: member for member in self.members}
+
+    def publish(self, version: int, more_routes: int = 0) -> None:
+        """Publish a version with some routes more."""
+        self._routes = [*self._routes, *random_routes(more_routes, version)]
+        document = sample_configuration(version)
+        self.store.put(CONFIGURATION_KEY, document | {"routes": self._routes})
+
+    async def start(self, settle: float) -> None:
+        """Start all within a moment, and let them find each other."""
+        for member in self.members:
+            for controller in member.controllers:
+                delay = self._rng.random() * controller.period
+                asyncio.get_running_loop().call_later(delay, controller.start)
+        await asyncio.sleep(settle)
+
+    async def stop(self) -> None:
+        """Stop all."""
+        for member in self.members:
+            for controller in member.controllers:
+                await controller.stop()
+            member.gossip.close()
+
+    def carry_datagram(self, data: bytes, host: str) -> None:
+        """Send a datagram; links carry it beside the documents."""
+        member = self.by_host.get(host)
+        if member is None:
+            return
+        member.downlink.carried += len(data) + PACKET_BYTES
+        loop = asyncio.get_running_loop()
+        loop.call_later(DELAY_SECONDS, member.gossip.datagramReceived, data, None)
+
+    async def seconds_until_in_force(self, version: int) -> float:
+        """Wait until a version that was published now is in force everywhere; seconds it took."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while not all(version in member.in_force_at for member in self.members):
+            if loop.time() - began > LONGEST_SECONDS:
+                return LONGEST_SECONDS
+            await asyncio.sleep(0.05)
+        return max(member.in_force_at[version] for member in self.members) - began
+
+    @property
+    def failed_fetches(self) -> int:
+        """Fetches between instances that brought nothing."""
+        return sum(member.log.failed_fetches for member in self.members)
