A proof no longer costs a configuration, and a read goes on while bytes come

At 3,050 routes that is 1.0 MB a read as the store sends it, on links of 1.22 MB/s, and past 3,600 routes no read ended within its second. Now the list of upstreams is read each time, and the store's revision in that answer proves the configuration: either nothing has changed since, or a watch that doesn't wait tells of no change of the configuration up to that revision. A watch may lag; its answer counts only when it reaches the revision of the linearizable read. Only news is fetched. A read is given up after a second without a byte, no longer after a second in all.

--- a/pondpin/http_streams.py
+++ b/pondpin/http_streams.py
@@ -143,6 +143,22 @@
             collector.stream.abort()
             raise
 
+    async def read_while_moving(self, stall: float, limit: int = ANSWER_LIMIT) -> bytes:
+        """As read, for as long as bytes come: stall seconds without any end it."""
+        collector = _Collector(limit)
+        collector.stream = self.deliver(collector)
+        try:
+            while True:
+                before = collector.size
+                done, _ = await asyncio.wait((collector.done,), timeout=stall)
+                if done:
+                    return collector.done.result()
+                if collector.size == before:
+                    raise CallFailedError(f"stopped after {before} bytes", sent=True)
+        finally:
+            if not collector.done.done():
+                collector.stream.abort()
+
 
 class _Nothing:
     """A sink that drops everything."""
@@ -162,11 +178,11 @@
         self.stream: OpenStream | None = None
         self._limit = limit
         self._parts: list[bytes] = []
-        self._size = 0
+        self.size = 0
 
     def on_data(self, data: bytes) -> None:
-        self._size += len(data)
-        if self._size <= self._limit:
+        self.size += len(data)
+        if self.size <= self._limit:
             self._parts.append(data)
             return
         if self.stream is not None:
--- a/pondpin/platform/store.py
+++ b/pondpin/platform/store.py
@@ -4,12 +4,15 @@
 
 import msgspec
 
-from pondpin.http_client import HttpClient
+from pondpin.http_client import Answer, HttpClient
 from pondpin.http_streams import CallFailedError
+from pondpin.relay.ports import ConfigurationChange, ListRead
 from pondpin.relay.publication import PublishedItem
 
 CONFIGURATION_KEY = "op/config"
 UPSTREAMS_PREFIX = "servers/"
+NOT_FOUND = 404
+HISTORY_GONE = 410
 
 
 class WireItem(msgspec.Struct, frozen=True):
@@ -18,17 +21,28 @@
     key: str = msgspec.field(name="tlsKey")
     value: str = ""
     revision: int = 0
+    # Told by a watch of an item that was taken away.
+    gone: bool = False
 
 
 class WireRange(msgspec.Struct, frozen=True):
-    """A page of items; more says that another page follows."""
+    """A page of items; more says that another page follows; at is the store's revision."""
 
     items: tuple[WireItem, ...]
     more: bool = False
+    at: int = 0
+
+
+class WireEvents(msgspec.Struct, frozen=True):
+    """What changed under a prefix, in order, up to the store's revision at."""
+
+    events: tuple[WireItem, ...] = ()
+    at: int = 0
 
 
 _ITEM = msgspec.json.Decoder(WireItem)
 _RANGE = msgspec.json.Decoder(WireRange)
+_EVENTS = msgspec.json.Decoder(WireEvents)
 
 
 def _decode_item(wire: WireItem) -> PublishedItem:
@@ -36,17 +50,19 @@
 
 
 class PlatformStore:
-    """The product's PublishedSource over the platform's store."""
+    """The product's PublishedSource over the platform's store.
+
+    stall is how many seconds may pass without a byte; a large value may take longer as a whole.
+    """
 
     def __init__(self, http: HttpClient, address: str) -> None:
         self._http = http
         self._base = f"http://{address}/v1"
 
-    async def read_configuration(self, timeout: float) -> PublishedItem | None:
+    async def read_configuration(self, stall: float) -> PublishedItem | None:
         """The newest configuration, None before the first; raises CallFailedError."""
-        url = f"{self._base}/kv-key?tlsKey={CONFIGURATION_KEY}"
-        answer = await self._http.call("GET", url, timeout=timeout)
-        if answer.status == 404:
+        answer = await self._get(f"kv-key?tlsKey={CONFIGURATION_KEY}", stall)
+        if answer.status == NOT_FOUND:
             return None
         _check_status(answer.status)
         try:
@@ -54,24 +70,49 @@
         except ValueError as error:
             raise CallFailedError(f"no item: {error}", sent=True) from None
 
-    async def read_upstreams(self, timeout: float) -> tuple[PublishedItem, ...]:
+    async def read_change(self, since: int, stall: float) -> ConfigurationChange | None:
+        """What became of the configuration after a revision; raises CallFailedError.
+
+        None when the store can't say: its history doesn't reach back so far.
+        """
+        query = f"pathPrefix={CONFIGURATION_KEY}&sinceRevision={since}&waitMs=0"
+        answer = await self._get(f"kv-watch?{query}", stall)
+        if answer.status == HISTORY_GONE:
+            return None
+        _check_status(answer.status)
+        try:
+            found = _EVENTS.decode(answer.body)
+            written = [item for item in found.events if item.key == CONFIGURATION_KEY]
+            if any(item.gone for item in written):
+                return None
+            newest = _decode_item(written[-1]) if written else None
+        except ValueError as error:
+            raise CallFailedError(f"no events: {error}", sent=True) from None
+        return ConfigurationChange(newest, found.at)
+
+    async def read_upstreams(self, stall: float) -> ListRead:
         """All entries of workers, in the order of their keys; raises CallFailedError."""
         items: list[PublishedItem] = []
+        at: int | None = None
         start = ""
         while True:
-            url = f"{self._base}/kv-range?pathPrefix={UPSTREAMS_PREFIX}{start}"
-            answer = await self._http.call("GET", url, timeout=timeout)
+            answer = await self._get(f"kv-range?pathPrefix={UPSTREAMS_PREFIX}{start}", stall)
             _check_status(answer.status)
             try:
                 page = _RANGE.decode(answer.body)
                 items += [_decode_item(item) for item in page.items]
             except ValueError as error:
                 raise CallFailedError(f"no range: {error}", sent=True) from None
+            # Pages are no snapshot: what the first one says holds for all.
+            at = page.at if at is None else at
             if not page.more or not page.items:
-                return tuple(items)
+                return ListRead(tuple(items), at)
             # The next page starts after the last key; the name of the field is the store's.
             start = f"&sinceRevision={page.items[-1].key}"
 
+    async def _get(self, call: str, stall: float) -> Answer:
+        return await self._http.call_while_moving("GET", f"{self._base}/{call}", stall)
+
 
 def _check_status(status: int) -> None:
     if status != 200:
--- a/pondpin/relay/ports.py
+++ b/pondpin/relay/ports.py
@@ -49,15 +49,41 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class ListRead:
+    """The list of upstreams, and the source's revision when it was read (or later)."""
+
+    items: tuple[PublishedItem, ...]
+    at: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationChange:
+    """What became of the configuration up to a revision of the source; None when nothing did."""
+
+    item: PublishedItem | None
+    until: int
+
+
 class PublishedSource(Protocol):
-    """Linearizable reads of what the operators publish; they raise CallFailedError."""
+    """Reads of what the operators publish; they raise CallFailedError.
+
+    stall is how many seconds may pass without a byte. A revision counts all changes of the source.
+    """
+
+    async def read_configuration(self, stall: float) -> PublishedItem | None:
+        """The newest configuration; linearizable."""
+        ...
+
+    async def read_change(self, since: int, stall: float) -> ConfigurationChange | None:
+        """The last change of the configuration after a revision; None when it can't be told.
 
-    async def read_configuration(self, timeout: float) -> PublishedItem | None:
-        """The newest configuration."""
+        The answer may be old, but it leaves out nothing up to the revision that it names.
+        """
         ...
 
-    async def read_upstreams(self, timeout: float) -> tuple[PublishedItem, ...]:
-        """The list of upstreams."""
+    async def read_upstreams(self, stall: float) -> ListRead:
+        """The list of upstreams; linearizable."""
         ...
 
 
--- a/pondpin/relay/reader.py
+++ b/pondpin/relay/reader.py
@@ -1,5 +1,10 @@
 """Reads the published values: a few instances read, the others take their proofs over.
 
+A configuration may be a megabyte, and most reads find nothing new. So the list of upstreams is
+read each time, and what the source says of its revision there proves the configuration as well:
+either nothing at all has changed, or the changes up to that revision don't touch it. Only a
+configuration that is new is fetched whole.
+
 Nobody is elected. Each instance reads when the freshest proof it knows of is older than a
 bound that grows with its rank among the live peers, so that the first usually reads alone and
 the next takes over when proofs stop coming.
@@ -7,6 +12,7 @@
 
 import random
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 from pondpin.clocks import Clock
 from pondpin.controllers.base import Controller
@@ -14,7 +20,7 @@
 from pondpin.relay.freshness import Proof
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import SourceChanged, SourceRead
-from pondpin.relay.ports import PublishedSource
+from pondpin.relay.ports import ConfigurationChange, PublishedSource
 from pondpin.relay.publication import Publication, PublishedItem
 
 CHECK_SECONDS = 0.05
@@ -25,8 +31,8 @@
 # data centres and several peers are one and a half seconds old.
 RANK_SECONDS = 0.3
 LAST_RANK = 4
-# A read that takes longer is given up and its connection dropped; slow days of the source
-# need a third of a second.
+# A read is given up and its connection dropped when nothing comes for so long; slow days of the
+# source need a third of a second. A configuration of a megabyte takes 1.2 s over 10 Mbit/s.
 READ_SECONDS = 1.0
 # A read that took longer than this is logged although it brought nothing new.
 SLOW_READ_SECONDS = 0.5
@@ -46,6 +52,14 @@
     return longest * (0.5 + draw / 2)
 
 
+@dataclass(frozen=True, slots=True)
+class Unchanged:
+    """The configuration of revision was still the newest at the source's revision until."""
+
+    revision: int
+    until: int
+
+
 class ReaderController(Controller):
     """Keeps the proofs young."""
 
@@ -71,6 +85,7 @@
         self._rng = rng
         self._failures = 0
         self._not_before = 0.0
+        self._unchanged = Unchanged(0, 0)
         self.reads = 0
 
     @property
@@ -104,18 +119,47 @@
         began = self._clock()
         # The list goes first: a configuration without upstreams would refuse everything.
         sent_at = self._clock()
-        items = await self._source.read_upstreams(READ_SECONDS)
-        self._publication.offer_list(items, sent_at, self._clock())
-        sent_at = self._clock()
-        item = await self._source.read_configuration(READ_SECONDS)
-        if item is not None:
-            proof = Proof(item.revision, sent_at)
-            self._publication.offer_configuration(item, proof)
+        listed = await self._source.read_upstreams(READ_SECONDS)
+        self._publication.offer_list(listed.items, sent_at, self._clock())
+        item = await self._prove(listed.at, sent_at)
         news = before != (self._publication.seen_revision, self._publication.list_tag)
-        self._note_read(items, item, began, news)
+        self._note_read(listed.items, item, began, news)
         if news:
             self._on_news()
 
+    async def _prove(self, source_revision: int, sent_at: float) -> PublishedItem | None:
+        """Learn which configuration was in force when a read that was sent at sent_at found the
+        source at a revision; returns the configuration when it had to be fetched.
+        """
+        known = self._publication.seen_revision
+        change = await self._change_since(known, source_revision) if known else None
+        if change is None:
+            sent_at = self._clock()
+            item = await self._source.read_configuration(READ_SECONDS)
+        else:
+            item = change.item
+        if item is not None:
+            self._publication.offer_configuration(item, Proof(item.revision, sent_at))
+        elif change is not None:
+            self._publication.note_proof(Proof(known, sent_at))
+        return item
+
+    async def _change_since(self, known: int, source_revision: int) -> ConfigurationChange | None:
+        """What became of the known configuration up to a revision of the source; None when only
+        a read of the whole one tells.
+        """
+        unchanged = (
+            self._unchanged if self._unchanged.revision == known else Unchanged(known, known)
+        )
+        if unchanged.until >= source_revision:
+            return ConfigurationChange(None, unchanged.until)
+        change = await self._source.read_change(unchanged.until, READ_SECONDS)
+        if change is None or change.until < source_revision:
+            return None
+        newest = known if change.item is None else change.item.revision
+        self._unchanged = Unchanged(newest, change.until)
+        return change
+
     def _note_read(
         self,
         items: Sequence[PublishedItem],
--- a/pondpin/standins/published_store.py
+++ b/pondpin/standins/published_store.py
@@ -45,6 +45,10 @@
     page_items: int = PAGE_ITEMS
     revision: int = 0
     item_by_key: dict[str, StoredItem] = field(default_factory=dict)
+    # Changes in order; None where an item was taken away.
+    history: list[tuple[int, str, StoredItem | None]] = field(default_factory=list)
+    # Watches are told of changes up to here; None means up to the last one.
+    watched_until: int | None = None
     fault_by_host: dict[str, StoreFault] = field(default_factory=dict)
     reads: int = 0
 
@@ -53,6 +57,7 @@
         self.server = WebServer(self.reactor)
         self.server.route("/v1/kv-key", self._key)
         self.server.route("/v1/kv-range", self._range)
+        self.server.route("/v1/kv-watch", self._watch)
 
     def listen(self, endpoint: Endpoint) -> Endpoint:
         """Listen; returns the endpoint with its port."""
@@ -61,13 +66,20 @@
     def put(self, key: str, value: object) -> int:
         """Write an item; returns its revision."""
         self.revision += 1
-        self.item_by_key[key] = StoredItem(msgspec.json.encode(value), self.revision)
+        item = StoredItem(msgspec.json.encode(value), self.revision)
+        self.item_by_key[key] = item
+        self.history.append((self.revision, key, item))
         return self.revision
 
     def delete(self, key: str) -> None:
         """Take an item away."""
         self.revision += 1
         self.item_by_key.pop(key, None)
+        self.history.append((self.revision, key, None))
+
+    def forget_history(self) -> None:
+        """Lose what was before now."""
+        self.history.clear()
 
     def fail(self, fault: StoreFault, host: str = "") -> None:
         """Fail for the callers of an address, or for all."""
@@ -94,6 +106,24 @@
         more = len(keys) > len(page)
         reply.send_json({"items": items, "more": more, "at": self.revision})
 
+    async def _watch(self, incoming: Incoming, reply: Reply) -> None:
+        """Tell what changed; a watch never waits here, whatever it asks for."""
+        if await self._misbehave(reply):
+            return
+        prefix = incoming.query.get("pathPrefix", "")
+        since = int(incoming.query.get("sinceRevision", "0"))
+        until = self.revision if self.watched_until is None else self.watched_until
+        first = self.history[0][0] if self.history else self.revision + 1
+        if since + 1 < first:
+            reply.send_json({"error": "history is gone"}, 410)
+            return
+        events = [
+            self._describe(key, item) if item else {"tlsKey": key, "revision": at, "gone": True}
+            for at, key, item in self.history
+            if since < at <= until and key.startswith(prefix)
+        ]
+        reply.send_json({"events": events, "at": max(since, until)})
+
     def _describe(self, key: str, item: StoredItem) -> dict[str, object]:
         value = base64.b64encode(item.value).decode()
         return {"tlsKey": key, "value": value, "revision": item.revision, "lease": 0}
--- a/pondpin/tests/test_platform.py
+++ b/pondpin/tests/test_platform.py
@@ -15,7 +15,7 @@
 from pondpin.platform.requests import OWNED_HEADERS, PlatformDialect
 from pondpin.platform.store import PlatformStore
 from pondpin.relay.model import EngineReport, RouteKind
-from pondpin.relay.ports import Forwarded, PartPlace
+from pondpin.relay.ports import ConfigurationChange, Forwarded, PartPlace
 from pondpin.settings import read_relay_settings
 from pondpin.standins.local_platform import KEY, LocalPlatform, sample_configuration, sample_route
 from pondpin.tests.support import run_async, the_loop
@@ -190,7 +190,9 @@
             try:
                 platform.store.page_items = 2
                 store = PlatformStore(platform.http, str(platform.source))
-                items = await store.read_upstreams(2.0)
+                listed = await store.read_upstreams(2.0)
+                items = listed.items
+                self.assertEqual(listed.at, platform.store.revision)
                 self.assertEqual(len(items), 7)
                 self.assertEqual(len({item.key for item in items}), 7)
                 item = await store.read_configuration(2.0)
@@ -201,6 +203,31 @@
 
         run_async(work())
 
+    def test_a_watch_tells_the_last_change_or_that_it_cannot(self) -> None:
+        async def work() -> None:
+            platform = LocalPlatform(the_loop()[1], engines=1, plain=0, instances=0)
+            await platform.start()
+            try:
+                store = PlatformStore(platform.http, str(platform.source))
+                first = platform.store.item_by_key["op/config"].revision
+                now = platform.store.revision
+                change = await store.read_change(first, 2.0)
+                self.assertEqual(change, ConfigurationChange(None, now))
+                platform.publish(2)
+                newest = platform.publish(3)
+                change = await store.read_change(first, 2.0)
+                assert change is not None and change.item is not None
+                self.assertEqual((change.item.revision, change.until), (newest, newest))
+                self.assertEqual(PlatformDecoder().configuration(change.item.value).version, 3)
+                platform.store.delete("op/config")
+                self.assertIsNone(await store.read_change(newest, 2.0))
+                platform.store.forget_history()
+                self.assertIsNone(await store.read_change(first, 2.0))
+            finally:
+                await platform.stop()
+
+        run_async(work())
+
 
 class TemplateTest(unittest.TestCase):
     def test_the_template_makes_sound_settings(self) -> None:
--- a/pondpin/tests/test_relay_publication.py
+++ b/pondpin/tests/test_relay_publication.py
@@ -13,6 +13,7 @@
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import LogEvent, SourceChanged
 from pondpin.relay.model import RelayConfiguration
+from pondpin.relay.ports import ConfigurationChange, ListRead
 from pondpin.relay.publication import (
     ABSENCE_SECONDS,
     RELIST_SECONDS,
@@ -182,16 +183,26 @@
         self.failing = False
         self.slow = 0.0
         self.reads = 0
+        self.whole_reads = 0
+        self.at = 11
+        self.configuration = configuration_item(1, 10)
+        self.change: ConfigurationChange | None = None
 
-    async def read_configuration(self, timeout: float) -> PublishedItem | None:
+    async def read_configuration(self, stall: float) -> PublishedItem | None:
+        self.whole_reads += 1
+        self.clock.advance(self.slow)
+        return self.configuration
+
+    async def read_change(self, since: int, stall: float) -> ConfigurationChange | None:
+        self.since = since
+        self.clock.advance(self.slow)
+        return self.change
+
+    async def read_upstreams(self, stall: float) -> ListRead:
         self.reads += 1
         if self.failing:
             raise CallFailedError("busy", sent=True)
-        self.clock.advance(self.slow)
-        return configuration_item(1, 10)
-
-    async def read_upstreams(self, timeout: float) -> tuple[PublishedItem, ...]:
-        return (server_item("a", 11),)
+        return ListRead((server_item("a", 11),), self.at)
 
 
 class ListLog(EventLog):
@@ -242,6 +253,54 @@
         self.step()
         self.assertEqual(self.recorder.publication.proof, Proof(10, sent))
 
+    def read_again(self) -> Proof | None:
+        self.clock.advance(FIRST_AGE_SECONDS)
+        self.step()
+        return self.recorder.publication.proof
+
+    def test_a_source_without_any_change_proves_the_configuration(self) -> None:
+        self.step()
+        self.source.change = ConfigurationChange(None, 11)
+        self.read_again()
+        sent = self.clock.now + FIRST_AGE_SECONDS
+        self.source.change = None
+        self.assertEqual(self.read_again(), Proof(10, sent))
+        self.assertEqual(self.source.whole_reads, 1)
+
+    def test_changes_elsewhere_prove_the_configuration_as_of_the_list(self) -> None:
+        self.step()
+        self.source.at, self.source.change = 40, ConfigurationChange(None, 41)
+        self.source.slow = 0.3
+        sent = self.clock.now + FIRST_AGE_SECONDS
+        self.assertEqual(self.read_again(), Proof(10, sent))
+        self.assertEqual((self.source.whole_reads, self.source.since), (1, 10))
+        self.read_again()
+        self.assertEqual(self.source.since, 10)
+        self.source.at = 50
+        self.source.change = ConfigurationChange(None, 50)
+        self.read_again()
+        self.assertEqual(self.source.since, 41)
+
+    def test_a_change_brings_the_configuration_with_it(self) -> None:
+        self.step()
+        self.source.at = 50
+        self.source.change = ConfigurationChange(configuration_item(2, 45), 50)
+        sent = self.clock.now + FIRST_AGE_SECONDS
+        self.assertEqual(self.read_again(), Proof(45, sent))
+        self.assertEqual(self.recorder.versions, [1, 2])
+        self.assertEqual(self.source.whole_reads, 1)
+
+    def test_a_watch_that_lags_or_lost_history_proves_nothing(self) -> None:
+        for change in (ConfigurationChange(None, 49), None):
+            with self.subTest(change=change):
+                self.setUp()
+                self.step()
+                self.source.at, self.source.change = 50, change
+                self.source.configuration = configuration_item(2, 45)
+                sent = self.clock.now + FIRST_AGE_SECONDS
+                self.assertEqual(self.read_again(), Proof(45, sent))
+                self.assertEqual(self.source.whole_reads, 2)
+
     def test_failures_back_off_and_are_told_once(self) -> None:
         self.source.failing = True
         for _ in range(200):
