Documents travel in pieces, to a few at a time, as differences

Twelve times 100 KB do not pass 10 Mbit/s in a second. Now a document is packed once and sent in pieces of 16 KiB; a server has three transfers at a time and tells the others at once that it is busy; a receiver keeps what it has and goes on at any peer with the same document; who has a version tells its neighbours at once. A configuration is sent as the difference from the one that the receiver has (differences.py: pieces after closing braces, nothing is parsed), whole when that is too old. A transfer that began ends though a newer version is out. Lists of upstreams travel by themselves and wait for nobody. A set's order went into a digest; it is sorted now, so that plays in virtual time repeat. Digest format 4: instances of the old one are not heard and read for themselves.

--- a/pondpin/controllers/peers.py
+++ b/pondpin/controllers/peers.py
@@ -34,6 +34,8 @@
     ExplainRequest,
     FetchConfigurationReply,
     FetchConfigurationRequest,
+    FetchPieceReply,
+    FetchPieceRequest,
     ForwardReply,
     ForwardRequest,
     HeartbeatReply,
@@ -66,6 +68,12 @@
         """Read the peer's configuration."""
         ...
 
+    async def fetch_piece(
+        self, address: str, request: FetchPieceRequest, timeout: float
+    ) -> FetchPieceReply:
+        """Read a piece of a document that the peer passes on."""
+        ...
+
     async def forward(self, address: str, request: ForwardRequest, timeout: float) -> ForwardReply:
         """Have the peer run a call that carries its token."""
         ...
@@ -118,12 +126,26 @@
         try:
             reply = await self._stub(address).FetchConfiguration(request, timeout=timeout)
         except FAILURES as error:
-            if isinstance(error, TimeoutError):
-                self._drop(address)
-            raise PeerUnreachableError(type(error).__name__) from None
+            raise self._unreachable(address, error) from None
+        self._count(request.ByteSize(), reply.ByteSize())
+        return reply
+
+    async def fetch_piece(
+        self, address: str, request: FetchPieceRequest, timeout: float
+    ) -> FetchPieceReply:
+        """See PeerPort."""
+        try:
+            reply = await self._stub(address).FetchPiece(request, timeout=timeout)
+        except FAILURES as error:
+            raise self._unreachable(address, error) from None
         self._count(request.ByteSize(), reply.ByteSize())
         return reply
 
+    def _unreachable(self, address: str, error: BaseException) -> PeerUnreachableError:
+        if isinstance(error, TimeoutError):
+            self._drop(address)
+        return PeerUnreachableError(type(error).__name__)
+
     async def forward(self, address: str, request: ForwardRequest, timeout: float) -> ForwardReply:
         """See PeerPort."""
         try:
--- a/pondpin/relay/digests.py
+++ b/pondpin/relay/digests.py
@@ -12,7 +12,8 @@
 from pondpin.relay.upstreams import CenterLoad
 from pondpin.relay.work import WorkDigest
 
-DIGEST_FORMAT = 3
+# 4: documents travel in pieces; instances of an older format are not heard.
+DIGEST_FORMAT = 4
 MILLISECONDS = 1000.0
 # A peer that was silent for so long is not counted among the live ones: several digests.
 ALIVE_SECONDS = 1.2
--- a/pondpin/relay/document_server.py
+++ b/pondpin/relay/document_server.py
@@ -1,42 +1,129 @@
-"""Serves the published documents to peers."""
+"""Serves the published documents to peers, piece by piece and to a few at a time."""
 
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
 
 from pondpin.clocks import Clock
-from pondpin.relay.publication import Publication, pack_bundle
+from pondpin.relay.documents import PIECE_BYTES, DocumentKind, DocumentShelf, PackedDocument
+from pondpin.relay.publication import Publication
 from pondpin.wire.peer_grpc import PeerBase
 from pondpin.wire.peer_pb2 import (
     ExplainReply,
     ExplainRequest,
     FetchConfigurationReply,
     FetchConfigurationRequest,
+    FetchPieceReply,
+    FetchPieceRequest,
     ForwardReply,
     ForwardRequest,
     HeartbeatReply,
     HeartbeatRequest,
 )
 
+# So many transfers share a link: each ends soon and its receiver serves others. With all at once
+# none of them would end for long, and callers' streams would wait behind all their pieces.
+MOST_TRANSFERS = 3
+# A receiver that asks for no further piece for so long has given up or gone elsewhere.
+TRANSFER_IDLE_SECONDS = 0.4
+MILLISECONDS = 1000.0
+UNKNOWN_AGE = -1
+
+
+class TransferSlots:
+    """Lets a few hosts transfer at a time; times in seconds."""
+
+    def __init__(self) -> None:
+        self._asked_at_by_host: dict[str, float] = {}
+
+    def admit(self, host: str, now: float) -> bool:
+        """Whether a host may have its next piece."""
+        self._asked_at_by_host = {
+            name: at
+            for name, at in self._asked_at_by_host.items()
+            if now - at < TRANSFER_IDLE_SECONDS
+        }
+        if host not in self._asked_at_by_host and len(self._asked_at_by_host) >= MOST_TRANSFERS:
+            return False
+        self._asked_at_by_host[host] = now
+        return True
+
+    def end(self, host: str) -> None:
+        """A host has its last piece."""
+        self._asked_at_by_host.pop(host, None)
+
 
 class DocumentServer(PeerBase):
-    """Answers FetchConfiguration; what relays do not speak is refused as unimplemented."""
+    """Answers FetchPiece; what relays do not speak is refused as unimplemented."""
 
     def __init__(self, publication: Publication, clock: Clock) -> None:
         self._publication = publication
         self._clock = clock
+        self._shelf = DocumentShelf()
+        self._slots = TransferSlots()
+
+    async def FetchPiece(self, stream: Stream[FetchPieceRequest, FetchPieceReply]) -> None:
+        """Send the next piece of a document."""
+        request = await stream.recv_message()
+        assert request is not None, "a unary call has a message"
+        await stream.send_message(self.answer(request, self._clock()))
+
+    def answer(self, request: FetchPieceRequest, now: float) -> FetchPieceReply:
+        """The next piece; nothing of it when others are being served or there is no document."""
+        document = self._find(request)
+        if document is None:
+            return FetchPieceReply(age_ms=UNKNOWN_AGE)
+        offset = request.offset if request.document == document.id else 0
+        piece = document.piece(offset)
+        is_small = len(document.data) <= PIECE_BYTES
+        if not is_small and not self._slots.admit(request.host, now):
+            return FetchPieceReply(version=document.version, busy=True, age_ms=UNKNOWN_AGE)
+        if offset + len(piece) >= len(document.data):
+            self._slots.end(request.host)
+        return FetchPieceReply(
+            version=document.version,
+            document=document.id,
+            size=len(document.data),
+            piece=piece,
+            age_ms=self._age_ms(request.kind, document, now),
+        )
+
+    def _find(self, request: FetchPieceRequest) -> PackedDocument | None:
+        """The document that a request asks for."""
+        publication = self._publication
+        if request.kind == DocumentKind.UPSTREAMS:
+            if publication.list_at is None:
+                return None
+            return self._shelf.upstreams(publication.list_items, publication.list_tag)
+        if request.kind != DocumentKind.CONFIGURATION:
+            return None
+        # A transfer that has begun ends, though a newer one is in force by now: in a series of
+        # changes a slow receiver would begin again and again.
+        begun = self._shelf.by_id(request.document) if request.document else None
+        if begun is not None:
+            return begun
+        if publication.item is None or publication.revision <= request.have:
+            return None
+        return self._shelf.configuration(publication.item, publication.base(request.have))
+
+    def _age_ms(self, kind: int, document: PackedDocument, now: float) -> int:
+        """How long ago the document was proved to be the newest, rounded up."""
+        publication = self._publication
+        if kind == DocumentKind.UPSTREAMS:
+            proved_at = publication.list_at
+        else:
+            proof = publication.proof
+            is_proved = proof is not None and proof.revision == document.version
+            proved_at = proof.at if proof is not None and is_proved else None
+        if proved_at is None:
+            return UNKNOWN_AGE
+        return int((now - proved_at) * MILLISECONDS) + 1
 
     async def FetchConfiguration(
         self, stream: Stream[FetchConfigurationRequest, FetchConfigurationReply]
     ) -> None:
-        """Send the list, and the configuration to those that have an older one."""
-        request = await stream.recv_message()
-        above = request.above_revision if request is not None else 0
-        bundle = self._publication.bundle(self._clock(), above)
-        reply = FetchConfigurationReply(
-            revision=self._publication.revision, document=pack_bundle(bundle)
-        )
-        await stream.send_message(reply)
+        """Relays pass documents on by pieces."""
+        raise GRPCError(Status.UNIMPLEMENTED)
 
     async def Heartbeat(self, stream: Stream[HeartbeatRequest, HeartbeatReply]) -> None:
         """Relays hear of each other by digests."""
--- a/pondpin/relay/gossip.py
+++ b/pondpin/relay/gossip.py
@@ -11,7 +11,7 @@
 
 from pondpin.clocks import Clock
 from pondpin.controllers.base import Controller
-from pondpin.controllers.peers import PeerPort, PeerUnreachableError
+from pondpin.controllers.peers import PeerPort
 from pondpin.relay.calendar import Calendar
 from pondpin.relay.digests import (
     DIGEST_FORMAT,
@@ -25,20 +25,20 @@
     decode_digest,
     encode_digest,
 )
+from pondpin.relay.document_fetch import DocumentFetcher
+from pondpin.relay.documents import DocumentKind
 from pondpin.relay.fan_out import PERIOD_SECONDS, FanOut, Round
 from pondpin.relay.freshness import peer_proof
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import (
     Behind,
     DataCenterChanged,
-    Fetched,
     FetchFailed,
     PeerChanged,
     UpstreamLeaving,
 )
-from pondpin.relay.publication import Publication, unpack_bundle
+from pondpin.relay.publication import Publication
 from pondpin.relay.upstreams import PEER_LOAD_SECONDS, UpstreamTable
-from pondpin.wire.peer_pb2 import FetchConfigurationRequest
 
 # Out of turn digests are at least so far apart.
 URGENT_SECONDS = 0.03
@@ -49,10 +49,6 @@
 HOSTS_TOLD = 6
 # A host that nobody has mentioned for so long is no longer tried; seeds always are.
 HOST_SECONDS = 120.0
-FETCH_SECONDS = 1.0
-# Neighbours hear the same news from another data centre: one of them fetches it first, and the
-# others then have it from near.
-FAR_FETCH_SECONDS = 0.3
 # Leaving upstreams are told for a while; the list then says it too.
 LEAVING_TOLD = 32
 
@@ -94,12 +90,21 @@
         self._told: tuple[object, ...] = ()
         self._hello_at = 0.0
         self._sent_at = 0.0
-        self._fetching = False
         self._telling = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._alive: set[str] = set()
         self._port: Any = None
         self.transport: Any = None
+        self._fetcher = DocumentFetcher(
+            host=self.address.host,
+            document_port=self.address.document_port,
+            publication=self.publication,
+            peers=self.peers,
+            on_news=self.tell_soon,
+            log=self.log,
+            clock=self.clock,
+            rng=self.rng,
+        )
 
     @property
     def hosts(self) -> set[str]:
@@ -129,6 +134,7 @@
             self._port.stopListening()
             self._port = None
             self.transport = None
+        self._fetcher.close()
         for task in self._tasks:
             task.cancel()
 
@@ -186,52 +192,29 @@
             )
 
     def _take_proofs(self, digest: Digest, now: float) -> None:
+        """Take the proofs of a digest, and have fetched what its sender has newer."""
         asked = asked_at(digest, self.boot)
-        newer = digest.revision > self.publication.seen_revision
-        if asked is not None:
-            if digest.proof_age >= 0:
-                age = digest.proof_age / MILLISECONDS
-                self.publication.note_proof(peer_proof(digest.revision, asked, age))
-            newer = newer or self._is_list_newer(digest, asked)
-        if newer and not self._fetching:
-            self._fetching = True
-            is_far = digest.data_center != self.table.data_center
-            wait = self.rng.random() * FAR_FETCH_SECONDS if is_far and self.known.is_large else 0.0
-            self._spawn(self._fetch(digest.host, wait))
-
-    def _is_list_newer(self, digest: Digest, asked: float) -> bool:
-        if digest.list_age < 0:
-            return False
-        at = asked - digest.list_age / MILLISECONDS
-        if digest.list_tag == self.publication.list_tag:
-            self.publication.note_list_current(at)
-            return False
-        return self.publication.list_at is None or at > self.publication.list_at
-
-    async def _fetch(self, host: str, wait: float) -> None:
-        before = self.publication.seen_revision, self.publication.list_tag
-        await asyncio.sleep(wait)
-        if before != (self.publication.seen_revision, self.publication.list_tag):
-            # Read meanwhile; what is still newer is told again in a moment.
-            self._fetching = False
-            return
-        sent_at = self.clock()
-        address = f"{host}:{self.address.document_port}"
-        try:
-            request = FetchConfigurationRequest(above_revision=self.publication.seen_revision)
-            reply = await self.peers.fetch(address, request, FETCH_SECONDS)
-            bundle = unpack_bundle(reply.document)
-            after_ms = int((self.clock() - sent_at) * MILLISECONDS)
-            size = len(reply.document)
-            self.log.write(
-                Fetched(peer=host, revision=reply.revision, bytes=size, after_ms=after_ms)
-            )
-            self.publication.take_bundle(bundle, sent_at, self.clock())
-        except (PeerUnreachableError, ValueError) as error:
-            after_ms = int((self.clock() - sent_at) * MILLISECONDS)
-            self.log.write(FetchFailed(peer=host, reason=str(error), after_ms=after_ms))
-        finally:
-            self._fetching = False
+        if asked is not None and digest.proof_age >= 0:
+            age = digest.proof_age / MILLISECONDS
+            self.publication.note_proof(peer_proof(digest.revision, asked, age))
+        if asked is not None and digest.list_age >= 0:
+            self._take_list_age(digest, asked - digest.list_age / MILLISECONDS, now)
+        if digest.revision > self.publication.seen_revision:
+            self._offer(DocumentKind.CONFIGURATION, digest, digest.revision, now, now)
+
+    def _take_list_age(self, digest: Digest, read_at: float, now: float) -> None:
+        """The sender's list was read at read_at of this process's clock."""
+        publication = self.publication
+        if digest.list_tag == publication.list_tag:
+            publication.note_list_current(read_at)
+        elif publication.list_at is None or read_at > publication.list_at:
+            self._offer(DocumentKind.UPSTREAMS, digest, digest.list_tag, read_at, now)
+
+    def _offer(
+        self, kind: DocumentKind, digest: Digest, version: int, read_at: float, now: float
+    ) -> None:
+        is_far = self.known.is_large and digest.data_center != self.table.data_center
+        self._fetcher.offer(kind, digest.host, version, read_at, is_far, now)
 
     def tell_soon(self) -> None:
         """Send a digest out of turn, so that peers learn of a big choice."""
@@ -321,7 +304,7 @@
         proof_age = proof.age(now) if proof is not None else -0.001
         list_at = publication.list_at
         works = (state.digest(now) for state in self.table.by_id.values())
-        others = [host for host in self.hosts if host in self.known.by_host]
+        others = [host for host in sorted(self.hosts) if host in self.known.by_host]
         return Digest(
             format=DIGEST_FORMAT,
             instance=self.instance,
--- a/pondpin/relay/log_events.py
+++ b/pondpin/relay/log_events.py
@@ -74,6 +74,7 @@
     """A document came from a peer; bytes as they crossed the network."""
 
     peer: str
+    document: str
     revision: int
     bytes: int
     after_ms: int
--- a/pondpin/relay/publication.py
+++ b/pondpin/relay/publication.py
@@ -1,14 +1,14 @@
 """The published configuration and list of upstreams in force, with proofs of freshness."""
 
-import zlib
+from collections import OrderedDict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
-import msgspec
 import xxhash
 
-from pondpin.relay.freshness import Proof, later, peer_proof
+from pondpin.relay.documents import PublishedItem
+from pondpin.relay.freshness import Proof, later
 from pondpin.relay.model import ListedUpstream, RelayConfiguration
 
 # An upstream's entry may lapse while the list's source is away and is written again within
@@ -16,51 +16,9 @@
 RELIST_SECONDS = 2.4
 # A gap between reads that is longer than this counts as an absence of the source.
 ABSENCE_SECONDS = 3.0
-
-
-class PublishedItem(msgspec.Struct, frozen=True, array_like=True):
-    """One published item as it was read; value is opaque here."""
-
-    key: str
-    revision: int
-    value: bytes
-
-
-class Bundle(msgspec.Struct, frozen=True, array_like=True):
-    """What is published, as instances pass it on; ages in seconds, -1 when unknown.
-
-    The configuration is left out when its receiver has it.
-    """
-
-    configuration: PublishedItem | None
-    configuration_age: float
-    upstreams: tuple[PublishedItem, ...]
-    list_age: float
-
-
-_BUNDLE = msgspec.msgpack.Decoder(Bundle)
-# Many instances fetch from the one that read first, over links of 10 Mbit/s: a configuration
-# of 150 KB shrinks to a tenth, in a few ms.
-BUNDLE_LEVEL = 1
-# A bundle that unpacks to more is refused: a published value has a megabyte at most.
-MOST_BUNDLE_BYTES = 8 << 20
-
-
-def pack_bundle(bundle: Bundle) -> bytes:
-    """A bundle as one message."""
-    return zlib.compress(msgspec.msgpack.encode(bundle), BUNDLE_LEVEL)
-
-
-def unpack_bundle(data: bytes) -> Bundle:
-    """A bundle from a message; raises ValueError for anything else."""
-    unpacking = zlib.decompressobj()
-    try:
-        document = unpacking.decompress(data, MOST_BUNDLE_BYTES)
-    except zlib.error as error:
-        raise ValueError(f"not a bundle: {error}") from None
-    if not unpacking.eof:
-        raise ValueError("a bundle that is cut or too large")
-    return _BUNDLE.decode(document)
+# Configurations that differences for peers are made from: those that were in force last. Changes
+# come seconds apart at the most busy times, and a peer is a few seconds behind.
+KEPT_CONFIGURATIONS = 4
 
 
 class Decoder(Protocol):
@@ -105,6 +63,7 @@
         self._on_refused = on_refused
         self.configuration: RelayConfiguration | None = None
         self.item: PublishedItem | None = None
+        self._kept_by_revision: OrderedDict[int, PublishedItem] = OrderedDict()
         self.proof: Proof | None = None
         self.refused_revision = 0
         self._heard_at_by_revision: dict[int, float] = {}
@@ -135,23 +94,9 @@
         self._heard_at_by_revision[revision] = now
         return True
 
-    def bundle(self, now: float, above_revision: int = 0) -> Bundle:
-        """What is published, for a peer; the configuration only above a revision."""
-        proof_age = self.proof.age(now) if self.proof is not None else -1.0
-        list_age = now - self.list_at if self.list_at is not None else -1.0
-        item = self.item if self.revision > above_revision else None
-        return Bundle(item, proof_age, self.list_items, list_age)
-
-    def take_bundle(self, bundle: Bundle, asked_at: float, now: float) -> None:
-        """Take what a peer had when it was asked, at asked_at of this process's clock."""
-        if bundle.list_age >= 0:
-            self.offer_list(bundle.upstreams, asked_at - bundle.list_age, now)
-        item = bundle.configuration
-        if item is not None:
-            proof = None
-            if bundle.configuration_age >= 0:
-                proof = peer_proof(item.revision, asked_at, bundle.configuration_age)
-            self.offer_configuration(item, proof)
+    def base(self, revision: int) -> PublishedItem | None:
+        """A configuration that is or was in force, None when it isn't kept."""
+        return self._kept_by_revision.get(revision)
 
     def offer_configuration(self, item: PublishedItem, proof: Proof | None) -> None:
         """Take a configuration if it is newer and sound; note the proof of its revision."""
@@ -181,10 +126,16 @@
             for revision, at in self._heard_at_by_revision.items()
             if revision > item.revision
         }
+        self._keep(item)
         self.item = item
         self.configuration = configuration
         self._on_configuration(configuration)
 
+    def _keep(self, item: PublishedItem) -> None:
+        self._kept_by_revision[item.revision] = item
+        while len(self._kept_by_revision) > KEPT_CONFIGURATIONS:
+            self._kept_by_revision.popitem(last=False)
+
     def offer_list(self, items: Sequence[PublishedItem], at: float, now: float) -> None:
         """Take the list as it was at a moment of this process's clock."""
         if self.list_at is not None and at < self.list_at:
--- a/pondpin/relay/reader.py
+++ b/pondpin/relay/reader.py
@@ -17,11 +17,12 @@
 from pondpin.clocks import Clock
 from pondpin.controllers.base import Controller
 from pondpin.http_streams import CallFailedError
+from pondpin.relay.documents import PublishedItem
 from pondpin.relay.freshness import Proof
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import SourceChanged, SourceRead
 from pondpin.relay.ports import ConfigurationChange, PublishedSource
-from pondpin.relay.publication import Publication, PublishedItem
+from pondpin.relay.publication import Publication
 
 CHECK_SECONDS = 0.05
 # The first in rank reads when the proof is this old: a change is then in force everywhere
--- a/pondpin/tests/test_relay_documents.py
+++ b/pondpin/tests/test_relay_documents.py
@@ -1,11 +1,43 @@
 """How published documents travel: to all instances in time, at a cost that fits their links."""
 
 import asyncio
+import math
+import random
 import unittest
+import zlib
 
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pondpin.controllers.peers import GrpcPeers, PeerUnreachableError
 from pondpin.http_streams import CallFailedError
+from pondpin.metrics import Metrics
+from pondpin.platform.documents import PlatformDecoder
 from pondpin.platform.store import PlatformStore
+from pondpin.relay.differences import Kept, cut, difference, patch
+from pondpin.relay.document_fetch import BUSY_SECONDS, DocumentFetcher
+from pondpin.relay.document_server import (
+    MOST_TRANSFERS,
+    TRANSFER_IDLE_SECONDS,
+    DocumentServer,
+)
+from pondpin.relay.documents import (
+    KEPT_DOCUMENTS,
+    PIECE_BYTES,
+    DocumentKind,
+    DocumentShelf,
+    PublishedItem,
+    pack_configuration,
+    pack_upstreams,
+    unpack_configuration,
+    unpack_upstreams,
+)
+from pondpin.relay.freshness import Proof
+from pondpin.relay.log import EventLog
+from pondpin.relay.publication import Publication
 from pondpin.relay.reader import READ_SECONDS
+from pondpin.standins.local_platform import sample_configuration
 from pondpin.tools.document_fleet import (
     CONFIGURATION_KEY,
     TEN_MEGABIT,
@@ -16,6 +48,9 @@
     random_routes,
 )
 from pondpin.tools.virtual_time import run_virtual
+from pondpin.wire.peer_pb2 import FetchPieceReply, FetchPieceRequest
+
+NOW = 1000.0
 
 # Instances know each other and their first configuration by then.
 SETTLE_SECONDS = 12.0
@@ -79,5 +114,225 @@
         run_virtual(work())
 
 
+def item(revision: int, *pieces: bytes) -> PublishedItem:
+    return PublishedItem("op/config", revision, b"".join(pieces))
+
+
+ROUTES = tuple(b'{"name":"r%d","service":"s"},' % number for number in range(500))
+
+
+class DifferenceTest(unittest.TestCase):
+    @given(
+        st.lists(st.sampled_from([b"a}", b"b}", b"{c}", b"d", b"}"]), max_size=30),
+        st.lists(st.sampled_from([b"a}", b"b}", b"{c}", b"e}", b"f"]), max_size=30),
+    )
+    def test_the_new_value_is_made_exactly(self, old: list[bytes], new: list[bytes]) -> None:
+        before, after = b"".join(old), b"".join(new)
+        self.assertEqual(patch(before, difference(before, after)), after)
+        self.assertEqual(b"".join(cut(after)), after)
+
+    def test_steps_grow_with_the_change_and_not_with_the_value(self) -> None:
+        changed = (*ROUTES[:200], b'{"name":"new"},', *ROUTES[200:300], *ROUTES[301:])
+        steps = difference(b"".join(ROUTES), b"".join(changed))
+        self.assertLessEqual(len(steps), 4)
+        self.assertEqual(patch(b"".join(ROUTES), steps), b"".join(changed))
+
+    def test_steps_for_another_value_are_refused(self) -> None:
+        with self.assertRaises(ValueError):
+            patch(b"a}", (Kept(0, 2),))
+
+
+class PackingTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.old = item(5, *ROUTES)
+        self.new = item(6, *ROUTES, b'{"name":"new"}')
+        self.found = {5: self.old}
+
+    def test_a_configuration_is_unpacked_alike_whole_or_from_a_base(self) -> None:
+        whole = pack_configuration(self.new, None)
+        packed = pack_configuration(self.new, self.old)
+        self.assertEqual(unpack_configuration(whole.data, lambda _: None), self.new)
+        self.assertEqual(unpack_configuration(packed.data, self.found.get), self.new)
+        self.assertLess(len(packed.data) * 10, len(whole.data))
+
+    def test_spoiled_documents_and_wrong_bases_are_refused(self) -> None:
+        packed = pack_configuration(self.new, self.old).data
+        for spoiled in (b"", packed[:-3], b"x" + packed, zlib.compress(b"x")):
+            with self.assertRaises(ValueError):
+                unpack_configuration(spoiled, self.found.get)
+        with self.assertRaises(ValueError):
+            unpack_configuration(packed, lambda _: None)
+        with self.assertRaises(ValueError):
+            unpack_configuration(packed, lambda _: item(5, *ROUTES[1:], ROUTES[0]))
+
+    def test_a_list_is_unpacked_as_it_was(self) -> None:
+        items = (PublishedItem("servers/a", 1, b"{}"), PublishedItem("servers/b", 2, b"{}"))
+        packed = pack_upstreams(items, 77)
+        self.assertEqual((unpack_upstreams(packed.data), packed.version), (items, 77))
+
+    def test_the_shelf_packs_once_and_keeps_a_few(self) -> None:
+        shelf = DocumentShelf()
+        first = shelf.configuration(self.new, self.old)
+        self.assertIs(shelf.configuration(self.new, self.old), first)
+        self.assertIs(shelf.by_id(first.id), first)
+        for tag in range(KEPT_DOCUMENTS):
+            shelf.upstreams((), tag)
+        self.assertIsNone(shelf.by_id(first.id))
+
+
+def published(*revisions: int) -> Publication:
+    """A publication that had these revisions in force, one after the other."""
+    publication = Publication(PlatformDecoder(), lambda _: None, lambda _: None, lambda *_: None)
+    for revision in revisions:
+        publication.offer_configuration(configuration(revision), Proof(revision, NOW - 1.0))
+    return publication
+
+
+def configuration(revision: int) -> PublishedItem:
+    """A configuration whose packed form needs some pieces."""
+    routes = sample_configuration()["routes"] + random_routes(1000 + revision, revision)
+    document = sample_configuration(revision) | {"routes": routes}
+    return PublishedItem("op/config", revision, msgspec.json.encode(document))
+
+
+class ServerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = NOW
+        self.publication = published(1)
+        self.server = DocumentServer(self.publication, lambda: self.now)
+
+    def ask(self, host: str, reply: FetchPieceReply | None = None, got: int = 0) -> FetchPieceReply:
+        document = reply.document if reply is not None else 0
+        request = FetchPieceRequest(
+            kind=DocumentKind.CONFIGURATION, document=document, offset=got, host=host
+        )
+        return self.server.answer(request, self.now)
+
+    def test_a_few_are_served_and_the_others_told_at_once(self) -> None:
+        first = [self.ask(f"host{number}") for number in range(MOST_TRANSFERS + 1)]
+        self.assertEqual([reply.busy for reply in first], [False] * MOST_TRANSFERS + [True])
+        self.assertEqual(len(first[0].piece), PIECE_BYTES)
+        self.assertEqual(first[-1].piece, b"")
+
+    def test_a_place_is_free_again_after_the_last_piece_or_silence(self) -> None:
+        first = [self.ask(f"host{number}") for number in range(MOST_TRANSFERS)]
+        self.ask("host0", first[0], first[0].size - 1)
+        self.assertFalse(self.ask("late").busy)
+        self.assertTrue(self.ask("later").busy)
+        self.now += TRANSFER_IDLE_SECONDS + 0.01
+        self.assertFalse(self.ask("later").busy)
+
+    def test_a_transfer_that_began_ends_though_there_is_a_newer_one(self) -> None:
+        first = self.ask("host")
+        self.publication.offer_configuration(configuration(2), Proof(2, self.now))
+        second = self.ask("host", first, PIECE_BYTES)
+        self.assertEqual((second.document, second.version), (first.document, 1))
+        self.assertEqual(second.age_ms, -1)
+        self.assertEqual(self.ask("other").version, 2)
+
+    def test_an_age_is_told_for_the_newest_and_never_too_small(self) -> None:
+        self.now += 0.2504
+        self.assertEqual(self.ask("host").age_ms, 1251)
+
+    def test_who_has_the_newest_gets_nothing(self) -> None:
+        request = FetchPieceRequest(kind=DocumentKind.CONFIGURATION, have=1, host="host")
+        self.assertEqual(self.server.answer(request, self.now).document, 0)
+        strange = FetchPieceRequest(kind=9, host="host")
+        self.assertEqual(self.server.answer(strange, self.now).document, 0)
+
+
+class ScriptedPeers(GrpcPeers):
+    """Peers that answer from servers, after what a script says of each host."""
+
+    def __init__(self, servers: dict[str, DocumentServer]) -> None:
+        super().__init__(Metrics("a", "north"), lambda: None)
+        self.servers = servers
+        self.asked: list[str] = []
+        self.deaf: dict[str, int] = {}
+
+    async def fetch_piece(
+        self, address: str, request: FetchPieceRequest, timeout: float
+    ) -> FetchPieceReply:
+        """Answer; a host is deaf once it has answered so many times."""
+        host = address.rpartition(":")[0]
+        self.asked.append(host)
+        await asyncio.sleep(0.01)
+        left = self.deaf.get(host, 1000)
+        self.deaf[host] = left - 1
+        if left <= 0:
+            raise PeerUnreachableError("TimeoutError")
+        return self.servers[host].answer(request, asyncio.get_running_loop().time())
+
+
+class FetcherTest(unittest.TestCase):
+    def play(
+        self,
+        own: Publication,
+        deaf: dict[str, int],
+        offers: dict[str, bool],
+        busy: frozenset[str] = frozenset(),
+    ) -> ScriptedPeers:
+        """Fetch from hosts that have revision 3; offers: by host, whether it is far."""
+
+        async def work() -> ScriptedPeers:
+            loop = asyncio.get_running_loop()
+            servers = {host: DocumentServer(published(2, 3), loop.time) for host in offers}
+            for host in busy:
+                for number in range(MOST_TRANSFERS):
+                    request = FetchPieceRequest(kind=DocumentKind.CONFIGURATION, host=f"x{number}")
+                    servers[host].answer(request, loop.time())
+            peers = ScriptedPeers(servers)
+            peers.deaf = dict(deaf)
+            log = EventLog("i", loop.time, loop.time, -1)
+            fetcher = DocumentFetcher(
+                "me", 1, own, peers, lambda: None, log, loop.time, random.Random(1)
+            )
+            for host, is_far in offers.items():
+                fetcher.offer(DocumentKind.CONFIGURATION, host, 3, NOW, is_far, loop.time())
+            await asyncio.sleep(5.0)
+            fetcher.close()
+            return peers
+
+        found: ScriptedPeers = run_virtual(work())
+        return found
+
+    def test_a_transfer_goes_on_at_another_peer(self) -> None:
+        own = published()
+        peers = self.play(own, {"a": 1, "b": 1, "c": 1000}, {"a": False, "b": False, "c": False})
+        self.assertEqual(own.revision, 3)
+        pieces = len(pack_configuration(configuration(3), None).data) / PIECE_BYTES
+        # Each deaf peer costs one question more; no piece is fetched twice.
+        self.assertLessEqual(len(peers.asked), math.ceil(pieces) + 2)
+
+    def test_a_busy_peer_is_left_for_another(self) -> None:
+        own = published(2)
+        whole = published()
+        for publication in (own, whole):
+            self.play(publication, {}, {"a": False, "b": False}, frozenset(("a",)))
+            self.assertEqual(publication.revision, 3)
+
+    def test_a_busy_peer_is_asked_again(self) -> None:
+        own = published()
+        peers = self.play(own, {}, {"a": False}, frozenset(("a",)))
+        self.assertEqual(own.revision, 3)
+        most = TRANSFER_IDLE_SECONDS / BUSY_SECONDS + 10
+        self.assertLess(len(peers.asked), most)
+
+    def test_a_near_peer_goes_before_a_far_one(self) -> None:
+        self.assertEqual(set(self.play(published(), {}, {"f": True, "n": False}).asked), {"n"})
+
+    def test_a_peer_whose_base_is_gone_sends_the_whole(self) -> None:
+        own = published(1)
+        self.play(own, {}, {"a": False})
+        self.assertEqual(own.revision, 3)
+
+    def test_proofs_count_from_the_asking(self) -> None:
+        own = published()
+        self.play(own, {}, {"a": False})
+        assert own.proof is not None
+        # The server's proof was a second old when the first piece was asked for.
+        self.assertLessEqual(own.proof.at, NOW - 1.0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/pondpin/tests/test_relay_publication.py
+++ b/pondpin/tests/test_relay_publication.py
@@ -3,12 +3,12 @@
 import asyncio
 import random
 import unittest
-import zlib
 
 import msgspec
 
 from pondpin.http_streams import CallFailedError
 from pondpin.platform.documents import PlatformDecoder
+from pondpin.relay.documents import PublishedItem
 from pondpin.relay.freshness import Proof
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import LogEvent, SourceChanged
@@ -16,12 +16,10 @@
 from pondpin.relay.ports import ConfigurationChange, ListRead
 from pondpin.relay.publication import (
     ABSENCE_SECONDS,
+    KEPT_CONFIGURATIONS,
     RELIST_SECONDS,
     ListChange,
     Publication,
-    PublishedItem,
-    pack_bundle,
-    unpack_bundle,
 )
 from pondpin.relay.reader import (
     FIRST_AGE_SECONDS,
@@ -104,6 +102,13 @@
         self.publication.offer_configuration(configuration_item(4, 60), None)
         self.assertEqual(self.recorder.versions, [5])
 
+    def test_the_last_configurations_are_kept_for_differences(self) -> None:
+        for number in range(1, KEPT_CONFIGURATIONS + 3):
+            self.publication.offer_configuration(configuration_item(number, number * 10), None)
+        kept = [number for number in range(9) if self.publication.base(number * 10) is not None]
+        self.assertEqual(len(kept), KEPT_CONFIGURATIONS)
+        self.assertEqual(kept[-1] * 10, self.publication.revision)
+
     def test_a_peers_proof_counts_only_for_the_revision_in_force(self) -> None:
         self.publication.offer_configuration(configuration_item(5, 50), Proof(50, NOW))
         self.publication.note_proof(Proof(49, NOW + 5))
@@ -112,36 +117,6 @@
         self.publication.note_proof(Proof(50, NOW + 1))
         self.assertEqual(self.publication.proof, Proof(50, NOW + 1))
 
-    def test_a_bundle_carries_age_not_time(self) -> None:
-        self.publication.offer_configuration(configuration_item(5, 50), Proof(50, NOW - 2))
-        self.publication.offer_list([server_item("a", 1)], NOW - 1, NOW)
-        other = Recorder().publication
-        other.take_bundle(self.publication.bundle(NOW), asked_at=77.0, now=78.0)
-        self.assertEqual(other.proof, Proof(50, 75.0))
-        self.assertEqual(other.list_at, 76.0)
-
-    def test_a_peer_that_has_the_configuration_gets_the_list_alone(self) -> None:
-        self.publication.offer_configuration(configuration_item(5, 50), Proof(50, NOW))
-        self.publication.offer_list([server_item("a", 1)], NOW, NOW)
-        other = Recorder().publication
-        other.offer_configuration(configuration_item(5, 50), Proof(50, NOW - 9))
-        bundle = self.publication.bundle(NOW, other.seen_revision)
-        self.assertIsNone(bundle.configuration)
-        other.take_bundle(unpack_bundle(pack_bundle(bundle)), NOW, NOW)
-        self.assertEqual(other.list_tag, self.publication.list_tag)
-        self.assertEqual(other.revision, 50)
-        self.assertIsNotNone(self.publication.bundle(NOW, 49).configuration)
-
-    def test_a_bundle_is_packed_small_and_a_spoiled_one_is_refused(self) -> None:
-        item = configuration_item(5, 50)
-        self.publication.offer_configuration(item, Proof(50, NOW))
-        data = pack_bundle(self.publication.bundle(NOW))
-        self.assertLess(len(data), len(item.value))
-        self.assertEqual(unpack_bundle(data), self.publication.bundle(NOW))
-        for spoiled in (b"", data[:-3], b"x" + data, zlib.compress(b"x")):
-            with self.assertRaises(ValueError):
-                unpack_bundle(spoiled)
-
 
 class ListTest(unittest.TestCase):
     def setUp(self) -> None:
--- a/pondpin/tools/document_fleet.py
+++ b/pondpin/tools/document_fleet.py
@@ -34,7 +34,7 @@
 from pondpin.relay.reader import ReaderController
 from pondpin.relay.upstreams import UpstreamTable
 from pondpin.standins.local_platform import ENGINES, PLAIN, sample_configuration, sample_route
-from pondpin.wire.peer_pb2 import FetchConfigurationReply, FetchConfigurationRequest
+from pondpin.wire.peer_pb2 import FetchPieceReply, FetchPieceRequest
 
 # One way, as between data centres of one region.
 DELAY_SECONDS = 0.0015
@@ -243,21 +243,21 @@
         super().__init__(metrics, lambda: None)
         self._fleet = fleet
 
-    async def fetch(
-        self, address: str, request: FetchConfigurationRequest, timeout: float
-    ) -> FetchConfigurationReply:
+    async def fetch_piece(
+        self, address: str, request: FetchPieceRequest, timeout: float
+    ) -> FetchPieceReply:
         """See PeerPort."""
         there = self._fleet.by_host[address.rpartition(":")[0]]
         call: Any = _Call(request)
         try:
             async with asyncio.timeout(timeout):
                 await asyncio.sleep(DELAY_SECONDS)
-                await there.server.FetchConfiguration(call)
+                await there.server.FetchPiece(call)
                 await there.uplink.carry(call.reply.ByteSize())
                 await asyncio.sleep(DELAY_SECONDS)
         except TimeoutError:
             raise PeerUnreachableError("TimeoutError") from None
-        reply: FetchConfigurationReply = call.reply
+        reply: FetchPieceReply = call.reply
         return reply
 
 
--- a/pondpin/tools/gossip_fleet.py
+++ b/pondpin/tools/gossip_fleet.py
@@ -14,11 +14,12 @@
 from pondpin.controllers.peers import GrpcPeers
 from pondpin.metrics import Metrics
 from pondpin.platform.documents import PlatformDecoder
+from pondpin.relay.documents import PublishedItem
 from pondpin.relay.fan_out import PACKET_BYTES, PERIOD_SECONDS
 from pondpin.relay.freshness import Proof
 from pondpin.relay.gossip import Gossip, GossipAddress
 from pondpin.relay.log import EventLog
-from pondpin.relay.publication import Publication, PublishedItem
+from pondpin.relay.publication import Publication
 from pondpin.relay.reader import is_due
 from pondpin.relay.upstreams import UpstreamTable
 from pondpin.standins.local_platform import sample_configuration
--- a/pondpin/tools/log_story.py
+++ b/pondpin/tools/log_story.py
@@ -128,7 +128,7 @@
         "{behind_ms} ms"
     ),
     "behind": "peer {peer} has revision {revision}, {in_force} is in force here",
-    "fetched": "revision {revision} came from {peer}: {bytes} bytes in {after_ms} ms",
+    "fetched": "{document} (revision {revision}) came from {peer}: {bytes} bytes in {after_ms} ms",
     "fetch_failed": "{peer} gave nothing within {after_ms} ms: {reason}",
     "source_read": "read revision {revision} of the source: {bytes} bytes in {after_ms} ms",
     "freshness": "keys accepted: {fresh}; the version in force was proved {age} s ago",
