An instance that stays behind a newer configuration refuses

Now an instance that has heard peers tell of a newer one for configApplyMs less 0.7 s refuses with 503, come back in 0.3 s, and is not ready; a peer that has it serves. It counts only while a peer still tells of it (2.5 s), so an outage of the store with the only reader dead stops nobody. What was admitted before goes on. Ruled out: refusing by the age of the proof: with the store away for all, nobody knows of a newer one and all go on. Setting limits.configuration_ms. Tests: admission, publication, two instances (an instance behind refuses and isn't ready, the other serves, the first serves again once nobody tells).

--- a/pondpin/relay/admission.py
+++ b/pondpin/relay/admission.py
@@ -1,5 +1,6 @@
 """Decides whether a request may go on: route, key, freshness and time."""
 
+import math
 from dataclasses import dataclass
 
 import xxhash
@@ -29,13 +30,16 @@
     """What an instance goes by when it admits.
 
     key_bound: seconds after its last proof for which the configuration admits keys; None when
-    keys need no proof. hears_peers: whether any peer was heard lately.
+    keys need no proof. hears_peers: whether any peer was heard lately. behind: for how many seconds
+    a peer has had a newer configuration; behind_bound: for how many this may be.
     """
 
     configuration: RelayConfiguration | None
     proof: Proof | None
     key_bound: float | None
     hears_peers: bool = False
+    behind: float = 0.0
+    behind_bound: float = math.inf
 
     def proof_age(self, now: float) -> float:
         """Seconds since the version in force was proved."""
@@ -96,6 +100,17 @@
         raise PondpinError(Code.NOT_PROVED, detail, retry_after=retry_after)
 
 
+def check_not_behind(beliefs: Beliefs) -> None:
+    """Raise PondpinError when peers have had a newer configuration for too long.
+
+    The operators count on it by then, and a peer that has it can serve the request. What was
+    admitted before goes on.
+    """
+    if beliefs.behind >= beliefs.behind_bound:
+        detail = f"behind a newer configuration for {beliefs.behind:.2f} s"
+        raise PondpinError(Code.NOT_PROVED, detail, retry_after=RETRY_SECONDS)
+
+
 def _missing(code: Code, beliefs: Beliefs, facts: RequestFacts, now: float) -> PondpinError:
     age = beliefs.proof_age(now)
     if age < SURE_SECONDS:
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -59,6 +59,8 @@
 IDLE_SECONDS = 4.0
 # The bound of a key leaves this much for the way to the upstream and the clocks' rates.
 KEY_MARGIN_SECONDS = 0.4
+# A change of the configuration is read by some instance within this, and told to the others.
+NOTICE_SECONDS = 0.7
 LOG_FLUSH_SECONDS = 0.1
 DRAIN_POLL_SECONDS = 0.1
 # The balancer takes an instance out after two questions a second apart.
@@ -227,6 +229,8 @@
             self.publication.proof,
             bound if limits.keys_need_proof else None,
             self.gossip.hears_peers,
+            self.publication.behind_seconds(steady_now()),
+            limits.configuration_ms / MILLISECONDS - NOTICE_SECONDS,
         )
 
     @property
@@ -235,7 +239,10 @@
         if self.caller_server.stopping or not self.table.by_id:
             return False
         publication = self.publication
-        bound = self.beliefs().key_bound
+        beliefs = self.beliefs()
+        if beliefs.behind >= beliefs.behind_bound:
+            return False
+        bound = beliefs.key_bound
         if bound is None:
             return publication.configuration is not None
         return is_fresh(publication.proof, publication.revision, steady_now(), bound)
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -11,7 +11,7 @@
 from pondpin.http_reply import Incoming, Reply
 from pondpin.metrics import Metrics
 from pondpin.network import Endpoint
-from pondpin.relay.admission import Admitted, Beliefs, admit, check_proof
+from pondpin.relay.admission import Admitted, Beliefs, admit, check_not_behind, check_proof
 from pondpin.relay.attempt import Attempts
 from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall
 from pondpin.relay.leases import LeaseGroup, Leases
@@ -80,7 +80,9 @@
         try:
             if self.refuses_new(arrived):
                 raise PondpinError(Code.DRAINING, retry_after=STOPPING_RETRY_SECONDS)
-            admitted = admit(self.beliefs(), facts, incoming.path, arrived)
+            beliefs = self.beliefs()
+            check_not_behind(beliefs)
+            admitted = admit(beliefs, facts, incoming.path, arrived)
             route = admitted.route
             call = self._make_call(incoming, reply, facts, admitted, arrived)
             self._window(call.service).note_request(arrived)
--- a/pondpin/relay/publication.py
+++ b/pondpin/relay/publication.py
@@ -19,6 +19,9 @@
 # Configurations that differences for peers are made from: those that were in force last. Changes
 # come seconds apart at the most busy times, and a peer is a few seconds behind.
 KEPT_CONFIGURATIONS = 4
+# A newer configuration can be had while a peer tells of it; in a large fleet a neighbour is
+# heard every two seconds.
+NEWER_COUNTS_SECONDS = 2.5
 
 
 class Decoder(Protocol):
@@ -47,6 +50,14 @@
     return xxhash.xxh64_intdigest(text.encode())
 
 
+@dataclass(frozen=True, slots=True)
+class Newer:
+    """When peers first and last told of a newer configuration."""
+
+    first_at: float
+    last_at: float
+
+
 class Publication:
     """Takes published values; a version in force is only ever replaced by a higher one."""
 
@@ -66,7 +77,7 @@
         self._kept_by_revision: OrderedDict[int, PublishedItem] = OrderedDict()
         self.proof: Proof | None = None
         self.refused_revision = 0
-        self._heard_at_by_revision: dict[int, float] = {}
+        self._newer_by_revision: dict[int, Newer] = {}
         # When the first word of a newer one came, at the moment the one in force was taken.
         self.newer_heard_at: float | None = None
         self.list_items: tuple[PublishedItem, ...] = ()
@@ -89,10 +100,21 @@
 
     def note_newer(self, revision: int, now: float) -> bool:
         """A peer has a newer revision; True when this is the first word of it."""
-        if revision <= self.seen_revision or revision in self._heard_at_by_revision:
+        if revision <= self.seen_revision:
             return False
-        self._heard_at_by_revision[revision] = now
-        return True
+        known = self._newer_by_revision.get(revision)
+        first_at = now if known is None else known.first_at
+        self._newer_by_revision[revision] = Newer(first_at, now)
+        return known is None
+
+    def behind_seconds(self, now: float) -> float:
+        """For how long a newer configuration is known of that a peer still has; 0 without one."""
+        firsts = [
+            newer.first_at
+            for revision, newer in self._newer_by_revision.items()
+            if revision > self.seen_revision and now - newer.last_at < NEWER_COUNTS_SECONDS
+        ]
+        return max(0.0, now - min(firsts, default=now))
 
     def base(self, revision: int) -> PublishedItem | None:
         """A configuration that is or was in force, None when it isn't kept."""
@@ -120,10 +142,11 @@
         if self.configuration is not None and configuration.version < self.configuration.version:
             self._on_refused(item.key, f"version {configuration.version} is not newer")
             return
-        self.newer_heard_at = min(self._heard_at_by_revision.values(), default=None)
-        self._heard_at_by_revision = {
-            revision: at
-            for revision, at in self._heard_at_by_revision.items()
+        firsts = (newer.first_at for newer in self._newer_by_revision.values())
+        self.newer_heard_at = min(firsts, default=None)
+        self._newer_by_revision = {
+            revision: newer
+            for revision, newer in self._newer_by_revision.items()
             if revision > item.revision
         }
         self._keep(item)
--- a/pondpin/settings.py
+++ b/pondpin/settings.py
@@ -126,10 +126,13 @@
     key_ms: how long a key that was taken away may still be served, in milliseconds.
     keys_need_proof: whether keys are refused once the configuration in force was not proved for
     that long; otherwise an instance that can read nothing goes on with what it knows.
+    configuration_ms: how long after its publication a configuration must be in force everywhere, in
+    milliseconds.
     """
 
     key_ms: float = Field(default=5000.0, gt=0)
     keys_need_proof: bool = True
+    configuration_ms: float = Field(default=2000.0, ge=1000)
     retry_ratio: float = Field(default=0.2, ge=0)
     retry_allowance: float = Field(default=20.0, ge=0)
     retry_window_seconds: float = Field(default=10.0, gt=0)
--- a/pondpin/tests/test_platform.py
+++ b/pondpin/tests/test_platform.py
@@ -32,6 +32,7 @@
     "internalPortRange|json": "[7340,7355]",
     "bounds.revokeMs": "5000",
     "bounds.strictRevocation|json": "false",
+    "bounds.configApplyMs": "2500",
     "bounds.retryBudgetRatio": "0.2",
     "bounds.retryAllowance": "106",
     "bounds.budgetWindowS": "10",
@@ -238,6 +239,7 @@
         settings = read_relay_settings(str(path))
         self.assertEqual(settings.limits.key_ms, 5000)
         self.assertFalse(settings.limits.keys_need_proof)
+        self.assertEqual(settings.limits.configuration_ms, 2500)
         self.assertEqual(len(settings.peers.known), 2)
         self.assertEqual(json.loads(filled)["data_center"], "north")
 
--- a/pondpin/tests/test_relay_lifecycle.py
+++ b/pondpin/tests/test_relay_lifecycle.py
@@ -118,6 +118,21 @@
 
         self.play(work)
 
+    def test_an_instance_that_stays_behind_refuses_and_the_others_serve(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            behind = platform.entries[0]
+            behind.publication.note_newer(10**6, behind.handler.clock() - 60.0)
+            behind.publication.note_newer(10**6, behind.handler.clock())
+            self.assertFalse(behind.ready)
+            self.assertEqual((await ask(platform, "again", "a")).status, 503)
+            self.assertEqual(runs(platform, "a"), 0)
+            self.assertEqual((await ask(platform, "again", "b", instance=1)).status, 200)
+            # The peer that told of it is silent: this instance serves by what it has.
+            await platform.until(lambda: behind.ready)
+            self.assertEqual((await ask(platform, "again", "c")).status, 200)
+
+        self.play(work)
+
     def is_stale(self, entry: RelayEntry) -> bool:
         age = entry.beliefs().proof_age(entry.handler.clock())
         return age > SHORT_KEY_MS / 1000
--- a/pondpin/tests/test_relay_publication.py
+++ b/pondpin/tests/test_relay_publication.py
@@ -17,6 +17,7 @@
 from pondpin.relay.publication import (
     ABSENCE_SECONDS,
     KEPT_CONFIGURATIONS,
+    NEWER_COUNTS_SECONDS,
     RELIST_SECONDS,
     ListChange,
     Publication,
@@ -102,6 +103,23 @@
         self.publication.offer_configuration(configuration_item(4, 60), None)
         self.assertEqual(self.recorder.versions, [5])
 
+    def test_how_long_a_newer_configuration_is_known_of(self) -> None:
+        publication = self.publication
+        publication.offer_configuration(configuration_item(5, 50), None)
+        self.assertFalse(publication.note_newer(50, NOW))
+        self.assertTrue(publication.note_newer(60, NOW))
+        self.assertFalse(publication.note_newer(60, NOW + 1.0))
+        publication.note_newer(70, NOW + 2.0)
+        self.assertEqual(publication.behind_seconds(NOW + 2.0), 2.0)
+        # Nobody tells of 60 any more: who had it may be gone.
+        late = NOW + 1.0 + NEWER_COUNTS_SECONDS
+        self.assertEqual(publication.behind_seconds(late), late - NOW - 2.0)
+        publication.offer_configuration(configuration_item(6, 60), None)
+        self.assertEqual(publication.newer_heard_at, NOW)
+        self.assertEqual(publication.behind_seconds(NOW + 3.0), 1.0)
+        publication.offer_configuration(configuration_item(7, 70), None)
+        self.assertEqual(publication.behind_seconds(NOW + 3.0), 0.0)
+
     def test_the_last_configurations_are_kept_for_differences(self) -> None:
         for number in range(1, KEPT_CONFIGURATIONS + 3):
             self.publication.offer_configuration(configuration_item(number, number * 10), None)
--- a/pondpin/tests/test_relay_rules.py
+++ b/pondpin/tests/test_relay_rules.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pondpin.codes import Code
+from pondpin.codes import Code, Ran
 from pondpin.errors import PondpinError
 from pondpin.relay.admission import (
     OUTAGE_RETRY_SECONDS,
@@ -13,6 +13,7 @@
     SURE_SECONDS,
     Beliefs,
     admit,
+    check_not_behind,
 )
 from pondpin.relay.events import EventSplitter
 from pondpin.relay.freshness import Proof, is_fresh, later, peer_proof
@@ -139,6 +140,15 @@
             admit(together, facts(), "/a/x", NOW)
         self.assertIn(caught.exception.retry_after, {together.retry_seconds("1")})
 
+    def test_who_is_long_behind_a_newer_configuration_refuses(self) -> None:
+        proof = Proof(1, NOW)
+        check_not_behind(Beliefs(self.configuration, proof, 4.6, behind=1.29, behind_bound=1.3))
+        with self.assertRaises(PondpinError) as caught:
+            check_not_behind(Beliefs(self.configuration, proof, 4.6, behind=1.3, behind_bound=1.3))
+        error = caught.exception
+        self.assertEqual((error.code, error.ran), (Code.NOT_PROVED, Ran.NOT_RUN))
+        self.assertEqual(error.retry_after, RETRY_SECONDS)
+
     def test_an_unknown_key_is_final_only_when_the_version_is_sure(self) -> None:
         self.assertEqual(self.code(0.1, key="other"), Code.UNKNOWN_KEY)
         self.assertEqual(self.code(SURE_SECONDS + 0.01, key="other"), Code.NOT_PROVED)
