Lists of upstreams travel as differences too

Configuration and list are now one kind of document (a version and bytes), packed, kept and passed on by the same code; a difference is made from the list that the receiver has. Tests: a change of one of 300 is under 150 bytes, who has a list gets nothing.

--- a/pondpin/relay/document_fetch.py
+++ b/pondpin/relay/document_fetch.py
@@ -12,7 +12,7 @@
 
 from pondpin.clocks import Clock
 from pondpin.controllers.peers import PeerPort, PeerUnreachableError
-from pondpin.relay.documents import DocumentKind, unpack_configuration, unpack_upstreams
+from pondpin.relay.documents import DocumentKind, decode_configuration, decode_list, unpack
 from pondpin.relay.freshness import Proof
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import Fetched, FetchFailed
@@ -166,9 +166,10 @@
 
     def _request(self, kind: DocumentKind, transfer: Transfer) -> FetchPieceRequest:
         partial = transfer.partial
-        have = 0
-        if kind is DocumentKind.CONFIGURATION and not transfer.whole:
-            have = self.publication.revision
+        is_configuration = kind is DocumentKind.CONFIGURATION
+        have = self.publication.revision if is_configuration else self.publication.list_tag
+        if transfer.whole:
+            have = 0
         return FetchPieceRequest(
             kind=kind,
             have=have,
@@ -201,8 +202,8 @@
             if kind is DocumentKind.CONFIGURATION:
                 self._take_configuration(bytes(partial.data), proved_at)
             elif proved_at is not None:
-                items = unpack_upstreams(bytes(partial.data))
-                self.publication.offer_list(items, proved_at, now)
+                document = unpack(bytes(partial.data), self.publication.kept_lists.find)
+                self.publication.offer_list(decode_list(document), proved_at, now)
         except ValueError as error:
             transfer.whole = True
             self._give_up(transfer, holder, str(error), partial.began_at)
@@ -221,7 +222,8 @@
         self.on_news()
 
     def _take_configuration(self, data: bytes, proved_at: float | None) -> None:
-        item = unpack_configuration(data, self.publication.base)
+        document = unpack(data, self.publication.kept_configurations.find)
+        item = decode_configuration(document)
         proof = Proof(item.revision, proved_at) if proved_at is not None else None
         self.publication.offer_configuration(item, proof)
 
--- a/pondpin/relay/document_server.py
+++ b/pondpin/relay/document_server.py
@@ -5,7 +5,13 @@
 from grpclib.server import Stream
 
 from pondpin.clocks import Clock
-from pondpin.relay.documents import PIECE_BYTES, DocumentKind, DocumentShelf, PackedDocument
+from pondpin.relay.documents import (
+    PIECE_BYTES,
+    DocumentKind,
+    DocumentShelf,
+    KeptVersions,
+    PackedDocument,
+)
 from pondpin.relay.publication import Publication
 from pondpin.wire.peer_grpc import PeerBase
 from pondpin.wire.peer_pb2 import (
@@ -89,22 +95,24 @@
         )
 
     def _find(self, request: FetchPieceRequest) -> PackedDocument | None:
-        """The document that a request asks for."""
+        """The document that a request asks for; None when the asker has it."""
         publication = self._publication
-        if request.kind == DocumentKind.UPSTREAMS:
-            if publication.list_at is None:
+        if request.kind == DocumentKind.CONFIGURATION:
+            # A transfer that has begun ends, though a newer one is in force by now: in a series of
+            # changes a slow receiver would begin again and again.
+            begun = self._shelf.by_id(request.document) if request.document else None
+            if begun is not None:
+                return begun
+            if publication.revision <= request.have:
                 return None
-            return self._shelf.upstreams(publication.list_items, publication.list_tag)
-        if request.kind != DocumentKind.CONFIGURATION:
-            return None
-        # A transfer that has begun ends, though a newer one is in force by now: in a series of
-        # changes a slow receiver would begin again and again.
-        begun = self._shelf.by_id(request.document) if request.document else None
-        if begun is not None:
-            return begun
-        if publication.item is None or publication.revision <= request.have:
-            return None
-        return self._shelf.configuration(publication.item, publication.base(request.have))
+            return self._pack(publication.kept_configurations, publication.revision, request.have)
+        if request.kind == DocumentKind.UPSTREAMS and publication.list_tag != request.have:
+            return self._pack(publication.kept_lists, publication.list_tag, request.have)
+        return None
+
+    def _pack(self, kept: KeptVersions, version: int, have: int) -> PackedDocument | None:
+        document = kept.find(version)
+        return self._shelf.packed(document, kept.find(have)) if document is not None else None
 
     def _age_ms(self, kind: int, document: PackedDocument, now: float) -> int:
         """How long ago the document was proved to be the newest, rounded up."""
--- a/pondpin/relay/documents.py
+++ b/pondpin/relay/documents.py
@@ -31,21 +31,32 @@
     UPSTREAMS = 2
 
 
-class ConfigurationDocument(msgspec.Struct, frozen=True, array_like=True):
-    """A configuration as steps from the one of base_revision, or whole with base_revision 0.
+@dataclass(frozen=True, slots=True)
+class Document:
+    """What is passed on: a configuration's item or the items of a list, encoded.
+
+    version is the configuration's revision or the list's tag.
+    """
+
+    version: int
+    value: bytes
+
+
+class Packed(msgspec.Struct, frozen=True, array_like=True):
+    """A document as steps from the one of base_version, or whole with base_version 0.
 
     check is the hash of the value, so that a wrong base is noticed.
     """
 
-    key: str
-    revision: int
-    base_revision: int
+    version: int
+    base_version: int
     check: int
     steps: tuple[Step, ...]
 
 
-_CONFIGURATION = msgspec.msgpack.Decoder(ConfigurationDocument)
-_UPSTREAMS = msgspec.msgpack.Decoder(tuple[PublishedItem, ...])
+_PACKED = msgspec.msgpack.Decoder(Packed)
+_ITEM = msgspec.msgpack.Decoder(PublishedItem)
+_ITEMS = msgspec.msgpack.Decoder(tuple[PublishedItem, ...])
 
 # A piece takes 13 ms of a link of 10 Mbit/s: the streams of callers wait for no longer.
 PIECE_BYTES = 16_384
@@ -54,7 +65,10 @@
 # A document that unpacks to more is refused: a published value has a megabyte at most.
 MOST_DOCUMENT_BYTES = 8 << 20
 # Packed documents that are kept: the newest from a few bases, and those that are under way.
-KEPT_DOCUMENTS = 6
+KEPT_PACKED = 8
+# Versions that differences are made from: those that were in force last. Changes come seconds
+# apart at the most busy times, and a peer is a few seconds behind.
+KEPT_VERSIONS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,48 +84,51 @@
         return self.data[offset : offset + PIECE_BYTES]
 
 
-def pack_configuration(item: PublishedItem, base: PublishedItem | None) -> PackedDocument:
-    """Pack a configuration for one who has the base, None for one who has nothing."""
-    document = ConfigurationDocument(
-        key=item.key,
-        revision=item.revision,
-        base_revision=base.revision if base is not None else 0,
-        check=xxhash.xxh64_intdigest(item.value),
-        steps=difference(base.value if base is not None else b"", item.value),
-    )
-    return _pack(document, item.revision)
+def encode_configuration(item: PublishedItem) -> Document:
+    """The document of a configuration."""
+    return Document(item.revision, msgspec.msgpack.encode(item))
 
 
-def unpack_configuration(
-    data: bytes, find_base: Callable[[int], PublishedItem | None]
-) -> PublishedItem:
-    """The configuration of a packed document; find_base gives the configuration of a revision.
+def decode_configuration(document: Document) -> PublishedItem:
+    """The configuration of a document; raises ValueError."""
+    return _ITEM.decode(document.value)
 
-    Raises ValueError when the document is spoiled, or its base isn't there.
-    """
-    document = _CONFIGURATION.decode(_unpack(data))
-    base = find_base(document.base_revision) if document.base_revision else None
-    if document.base_revision and base is None:
-        raise ValueError(f"a difference from revision {document.base_revision}")
-    value = patch(base.value if base is not None else b"", document.steps)
-    if xxhash.xxh64_intdigest(value) != document.check:
-        raise ValueError("a configuration that is not the one that was sent")
-    return PublishedItem(document.key, document.revision, value)
+
+def encode_list(items: Sequence[PublishedItem], tag: int) -> Document:
+    """The document of a list of upstreams."""
+    return Document(tag, msgspec.msgpack.encode(tuple(items)))
 
 
-def pack_upstreams(items: Sequence[PublishedItem], tag: int) -> PackedDocument:
-    """Pack a list of upstreams."""
-    return _pack(tuple(items), tag)
+def decode_list(document: Document) -> tuple[PublishedItem, ...]:
+    """The list of a document; raises ValueError."""
+    return _ITEMS.decode(document.value)
 
 
-def unpack_upstreams(data: bytes) -> tuple[PublishedItem, ...]:
-    """The list of a packed document; raises ValueError."""
-    return _UPSTREAMS.decode(_unpack(data))
+def pack(document: Document, base: Document | None) -> PackedDocument:
+    """Pack a document for one who has the base, None for one who has nothing."""
+    packed = Packed(
+        version=document.version,
+        base_version=base.version if base is not None else 0,
+        check=xxhash.xxh64_intdigest(document.value),
+        steps=difference(base.value if base is not None else b"", document.value),
+    )
+    data = zlib.compress(msgspec.msgpack.encode(packed), PACK_LEVEL)
+    return PackedDocument(xxhash.xxh64_intdigest(data), document.version, data)
+
 
+def unpack(data: bytes, find_base: Callable[[int], Document | None]) -> Document:
+    """A packed document; find_base gives the one of a version.
 
-def _pack(document: object, version: int) -> PackedDocument:
-    data = zlib.compress(msgspec.msgpack.encode(document), PACK_LEVEL)
-    return PackedDocument(xxhash.xxh64_intdigest(data), version, data)
+    Raises ValueError when the document is spoiled, or its base isn't there.
+    """
+    packed = _PACKED.decode(_unpack(data))
+    base = find_base(packed.base_version) if packed.base_version else None
+    if packed.base_version and base is None:
+        raise ValueError(f"a difference from version {packed.base_version}")
+    value = patch(base.value if base is not None else b"", packed.steps)
+    if xxhash.xxh64_intdigest(value) != packed.check:
+        raise ValueError("a document that is not the one that was sent")
+    return Document(packed.version, value)
 
 
 def _unpack(data: bytes) -> bytes:
@@ -125,34 +142,42 @@
     return document
 
 
+class KeptVersions:
+    """The last documents of a kind, by their version."""
+
+    def __init__(self) -> None:
+        self._by_version: OrderedDict[int, Document] = OrderedDict()
+
+    def keep(self, document: Document) -> None:
+        """Keep a document, and forget the oldest."""
+        self._by_version[document.version] = document
+        while len(self._by_version) > KEPT_VERSIONS:
+            self._by_version.popitem(last=False)
+
+    def find(self, version: int) -> Document | None:
+        """The document of a version, None when it isn't kept."""
+        return self._by_version.get(version)
+
+
 class DocumentShelf:
     """Keeps what was packed last, by what it was packed from and by its id."""
 
     def __init__(self) -> None:
-        self._by_source: OrderedDict[tuple[DocumentKind, int, int], PackedDocument] = OrderedDict()
-
-    def configuration(self, item: PublishedItem, base: PublishedItem | None) -> PackedDocument:
-        """A configuration for one who has the base."""
-        base_revision = base.revision if base is not None else 0
-        source = (DocumentKind.CONFIGURATION, item.revision, base_revision)
-        found = self._by_source.get(source)
-        return found or self._keep(source, pack_configuration(item, base))
+        self._by_source: OrderedDict[tuple[int, int], PackedDocument] = OrderedDict()
 
-    def upstreams(self, items: Sequence[PublishedItem], tag: int) -> PackedDocument:
-        """A list of upstreams."""
-        source = (DocumentKind.UPSTREAMS, tag, 0)
+    def packed(self, document: Document, base: Document | None) -> PackedDocument:
+        """A document for one who has the base."""
+        source = (document.version, base.version if base is not None else 0)
         found = self._by_source.get(source)
-        return found or self._keep(source, pack_upstreams(items, tag))
+        if found is not None:
+            return found
+        made = pack(document, base)
+        self._by_source[source] = made
+        while len(self._by_source) > KEPT_PACKED:
+            self._by_source.popitem(last=False)
+        return made
 
     def by_id(self, document: int) -> PackedDocument | None:
         """A document that is still kept."""
         found = (kept for kept in self._by_source.values() if kept.id == document)
         return next(found, None)
-
-    def _keep(
-        self, source: tuple[DocumentKind, int, int], document: PackedDocument
-    ) -> PackedDocument:
-        self._by_source[source] = document
-        while len(self._by_source) > KEPT_DOCUMENTS:
-            self._by_source.popitem(last=False)
-        return document
--- a/pondpin/relay/publication.py
+++ b/pondpin/relay/publication.py
@@ -1,13 +1,17 @@
 """The published configuration and list of upstreams in force, with proofs of freshness."""
 
-from collections import OrderedDict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
 import xxhash
 
-from pondpin.relay.documents import PublishedItem
+from pondpin.relay.documents import (
+    KeptVersions,
+    PublishedItem,
+    encode_configuration,
+    encode_list,
+)
 from pondpin.relay.freshness import Proof, later
 from pondpin.relay.model import ListedUpstream, RelayConfiguration
 
@@ -16,9 +20,6 @@
 RELIST_SECONDS = 2.4
 # A gap between reads that is longer than this counts as an absence of the source.
 ABSENCE_SECONDS = 3.0
-# Configurations that differences for peers are made from: those that were in force last. Changes
-# come seconds apart at the most busy times, and a peer is a few seconds behind.
-KEPT_CONFIGURATIONS = 4
 # A newer configuration can be had while a peer tells of it; in a large fleet a neighbour is
 # heard every two seconds.
 NEWER_COUNTS_SECONDS = 2.5
@@ -73,14 +74,14 @@
         self._on_list = on_list
         self._on_refused = on_refused
         self.configuration: RelayConfiguration | None = None
-        self.item: PublishedItem | None = None
-        self._kept_by_revision: OrderedDict[int, PublishedItem] = OrderedDict()
+        self.revision = 0
+        self.kept_configurations = KeptVersions()
+        self.kept_lists = KeptVersions()
         self.proof: Proof | None = None
         self.refused_revision = 0
         self._newer_by_revision: dict[int, Newer] = {}
         # When the first word of a newer one came, at the moment the one in force was taken.
         self.newer_heard_at: float | None = None
-        self.list_items: tuple[PublishedItem, ...] = ()
         self.list_tag = 0
         self.list_at: float | None = None
         self._listed_by_key: dict[str, ListedUpstream] = {}
@@ -88,11 +89,6 @@
         self._missing: set[str] = set()
         self._relist_until = 0.0
 
-    @property
-    def revision(self) -> int:
-        """Revision of the configuration in force, 0 before the first."""
-        return self.item.revision if self.item is not None else 0
-
     @property
     def seen_revision(self) -> int:
         """The highest revision looked at, in force or refused."""
@@ -116,10 +112,6 @@
         ]
         return max(0.0, now - min(firsts, default=now))
 
-    def base(self, revision: int) -> PublishedItem | None:
-        """A configuration that is or was in force, None when it isn't kept."""
-        return self._kept_by_revision.get(revision)
-
     def offer_configuration(self, item: PublishedItem, proof: Proof | None) -> None:
         """Take a configuration if it is newer and sound; note the proof of its revision."""
         if item.revision > self.seen_revision:
@@ -149,16 +141,11 @@
             for revision, newer in self._newer_by_revision.items()
             if revision > item.revision
         }
-        self._keep(item)
-        self.item = item
+        self.kept_configurations.keep(encode_configuration(item))
+        self.revision = item.revision
         self.configuration = configuration
         self._on_configuration(configuration)
 
-    def _keep(self, item: PublishedItem) -> None:
-        self._kept_by_revision[item.revision] = item
-        while len(self._kept_by_revision) > KEPT_CONFIGURATIONS:
-            self._kept_by_revision.popitem(last=False)
-
     def offer_list(self, items: Sequence[PublishedItem], at: float, now: float) -> None:
         """Take the list as it was at a moment of this process's clock."""
         if self.list_at is not None and at < self.list_at:
@@ -169,7 +156,7 @@
         tag = tag_of(items)
         if tag != self.list_tag:
             self._take_items(items)
-            self.list_items = tuple(items)
+            self.kept_lists.keep(encode_list(items, tag))
             self.list_tag = tag
             self._report(now)
         self.settle(now)
--- a/pondpin/tests/test_relay_documents.py
+++ b/pondpin/tests/test_relay_documents.py
@@ -23,15 +23,17 @@
     DocumentServer,
 )
 from pondpin.relay.documents import (
-    KEPT_DOCUMENTS,
+    KEPT_PACKED,
     PIECE_BYTES,
     DocumentKind,
     DocumentShelf,
     PublishedItem,
-    pack_configuration,
-    pack_upstreams,
-    unpack_configuration,
-    unpack_upstreams,
+    decode_configuration,
+    decode_list,
+    encode_configuration,
+    encode_list,
+    pack,
+    unpack,
 )
 from pondpin.relay.freshness import Proof
 from pondpin.relay.log import EventLog
@@ -144,39 +146,47 @@
 
 class PackingTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.old = item(5, *ROUTES)
-        self.new = item(6, *ROUTES, b'{"name":"new"}')
+        self.old = encode_configuration(item(5, *ROUTES))
+        self.new = encode_configuration(item(6, *ROUTES, b'{"name":"new"}'))
         self.found = {5: self.old}
 
-    def test_a_configuration_is_unpacked_alike_whole_or_from_a_base(self) -> None:
-        whole = pack_configuration(self.new, None)
-        packed = pack_configuration(self.new, self.old)
-        self.assertEqual(unpack_configuration(whole.data, lambda _: None), self.new)
-        self.assertEqual(unpack_configuration(packed.data, self.found.get), self.new)
+    def test_a_document_is_unpacked_alike_whole_or_from_a_base(self) -> None:
+        whole = pack(self.new, None)
+        packed = pack(self.new, self.old)
+        self.assertEqual(unpack(whole.data, lambda _: None), self.new)
+        self.assertEqual(unpack(packed.data, self.found.get), self.new)
+        self.assertEqual(decode_configuration(self.new).revision, 6)
         self.assertLess(len(packed.data) * 10, len(whole.data))
 
     def test_spoiled_documents_and_wrong_bases_are_refused(self) -> None:
-        packed = pack_configuration(self.new, self.old).data
+        packed = pack(self.new, self.old).data
         for spoiled in (b"", packed[:-3], b"x" + packed, zlib.compress(b"x")):
             with self.assertRaises(ValueError):
-                unpack_configuration(spoiled, self.found.get)
+                unpack(spoiled, self.found.get)
         with self.assertRaises(ValueError):
-            unpack_configuration(packed, lambda _: None)
+            unpack(packed, lambda _: None)
+        moved = encode_configuration(item(5, *ROUTES[1:], ROUTES[0]))
         with self.assertRaises(ValueError):
-            unpack_configuration(packed, lambda _: item(5, *ROUTES[1:], ROUTES[0]))
+            unpack(packed, lambda _: moved)
+        with self.assertRaises(ValueError):
+            decode_configuration(encode_list((), 5))
 
-    def test_a_list_is_unpacked_as_it_was(self) -> None:
-        items = (PublishedItem("servers/a", 1, b"{}"), PublishedItem("servers/b", 2, b"{}"))
-        packed = pack_upstreams(items, 77)
-        self.assertEqual((unpack_upstreams(packed.data), packed.version), (items, 77))
+    def test_a_change_of_one_upstream_is_a_small_difference(self) -> None:
+        items = [PublishedItem(f"servers/{number}", number, b'{"a":1}') for number in range(300)]
+        old = encode_list(items, 77)
+        items[100] = PublishedItem("servers/100", 900, b'{"a":2}')
+        new = encode_list(items, 78)
+        packed = pack(new, old)
+        self.assertLess(len(packed.data), 150)
+        self.assertEqual(decode_list(unpack(packed.data, lambda _: old)), tuple(items))
 
     def test_the_shelf_packs_once_and_keeps_a_few(self) -> None:
         shelf = DocumentShelf()
-        first = shelf.configuration(self.new, self.old)
-        self.assertIs(shelf.configuration(self.new, self.old), first)
+        first = shelf.packed(self.new, self.old)
+        self.assertIs(shelf.packed(self.new, self.old), first)
         self.assertIs(shelf.by_id(first.id), first)
-        for tag in range(KEPT_DOCUMENTS):
-            shelf.upstreams((), tag)
+        for tag in range(KEPT_PACKED):
+            shelf.packed(encode_list((), 100 + tag), None)
         self.assertIsNone(shelf.by_id(first.id))
 
 
@@ -235,8 +245,15 @@
         self.assertEqual(self.ask("host").age_ms, 1251)
 
     def test_who_has_the_newest_gets_nothing(self) -> None:
-        request = FetchPieceRequest(kind=DocumentKind.CONFIGURATION, have=1, host="host")
+        for have in (1, 2):
+            request = FetchPieceRequest(kind=DocumentKind.CONFIGURATION, have=have, host="host")
+            self.assertEqual(self.server.answer(request, self.now).document, 0)
+        self.publication.offer_list((), self.now, self.now)
+        tag = self.publication.list_tag
+        request = FetchPieceRequest(kind=DocumentKind.UPSTREAMS, have=tag, host="host")
         self.assertEqual(self.server.answer(request, self.now).document, 0)
+        request = FetchPieceRequest(kind=DocumentKind.UPSTREAMS, host="host")
+        self.assertEqual(self.server.answer(request, self.now).version, tag)
         strange = FetchPieceRequest(kind=9, host="host")
         self.assertEqual(self.server.answer(strange, self.now).document, 0)
 
@@ -300,7 +317,7 @@
         own = published()
         peers = self.play(own, {"a": 1, "b": 1, "c": 1000}, {"a": False, "b": False, "c": False})
         self.assertEqual(own.revision, 3)
-        pieces = len(pack_configuration(configuration(3), None).data) / PIECE_BYTES
+        pieces = len(pack(encode_configuration(configuration(3)), None).data) / PIECE_BYTES
         # Each deaf peer costs one question more; no piece is fetched twice.
         self.assertLessEqual(len(peers.asked), math.ceil(pieces) + 2)
 
--- a/pondpin/tests/test_relay_publication.py
+++ b/pondpin/tests/test_relay_publication.py
@@ -8,7 +8,7 @@
 
 from pondpin.http_streams import CallFailedError
 from pondpin.platform.documents import PlatformDecoder
-from pondpin.relay.documents import PublishedItem
+from pondpin.relay.documents import KEPT_VERSIONS, PublishedItem
 from pondpin.relay.freshness import Proof
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import LogEvent, SourceChanged
@@ -16,7 +16,6 @@
 from pondpin.relay.ports import ConfigurationChange, ListRead
 from pondpin.relay.publication import (
     ABSENCE_SECONDS,
-    KEPT_CONFIGURATIONS,
     NEWER_COUNTS_SECONDS,
     RELIST_SECONDS,
     ListChange,
@@ -121,10 +120,11 @@
         self.assertEqual(publication.behind_seconds(NOW + 3.0), 0.0)
 
     def test_the_last_configurations_are_kept_for_differences(self) -> None:
-        for number in range(1, KEPT_CONFIGURATIONS + 3):
+        for number in range(1, KEPT_VERSIONS + 3):
             self.publication.offer_configuration(configuration_item(number, number * 10), None)
-        kept = [number for number in range(9) if self.publication.base(number * 10) is not None]
-        self.assertEqual(len(kept), KEPT_CONFIGURATIONS)
+        find = self.publication.kept_configurations.find
+        kept = [number for number in range(9) if find(number * 10) is not None]
+        self.assertEqual(len(kept), KEPT_VERSIONS)
         self.assertEqual(kept[-1] * 10, self.publication.revision)
 
     def test_a_peers_proof_counts_only_for_the_revision_in_force(self) -> None:
