Silence ends an attempt only when another upstream may take the request then

The new lines tell it: placed at 48.1 s by version 41, 38 events, then silent; its engine answered its report twice (5 running); at 51.5 s 'stalled, no event in time; next: elsewhere', and the other try was refused UNKNOWN_KEY, since version 44 had taken the key away. So a stream that a worker would have ended was cut for a try that was not allowed. Whether another try may follow was asked once, when the first was sent. Now it is asked when patience ends, key and budget included; otherwise the stream is waited for. Ruled out: the configuration's way to the instance (version 44 was in force), a worker's fault (the stream was under work). Tests: the wait (seen to fail: None is not True), the key that is gone.

--- a/pondpin/relay/attempt.py
+++ b/pondpin/relay/attempt.py
@@ -50,6 +50,10 @@
         """Ask the upstream whether it lives."""
         ...
 
+    def may_go_elsewhere(self) -> bool:
+        """Whether another upstream may still take the request."""
+        ...
+
 
 class EventSink:
     """Passes the whole events of an answer on to the caller, in order and none twice."""
@@ -152,16 +156,13 @@
         opening = asyncio.ensure_future(self._http.open_exact(exact, fresh))
         try:
             while True:
-                limit = patience.first
-                if limit is not None:
-                    limit = self._explained_limit(call, began, limit, watcher)
-                left = self._limit(call, limit, began)
+                left = self._time_left(call, patience.first, began, watcher)
                 if left <= 0:
                     return None
                 done, _ = await asyncio.wait((opening,), timeout=min(left, LOOK_SECONDS))
                 if done:
                     return opening.result()
-                if not await self._is_alive(patience, watcher, began):
+                if await self._is_given_up(patience, watcher, began):
                     return None
         finally:
             opening.cancel()
@@ -194,11 +195,29 @@
             body=call.incoming.body,
         )
 
-    async def _is_alive(self, patience: Patience, watcher: Watcher, heard_at: float) -> bool:
-        """Ask an upstream that has been silent for long; False when it does not answer."""
+    async def _is_given_up(self, patience: Patience, watcher: Watcher, heard_at: float) -> bool:
+        """Ask an upstream that has been silent for long; True when it does not answer and another
+        one may take the request.
+        """
         if patience.ask is None or self._clock() - heard_at < patience.ask:
-            return True
-        return await watcher.ask()
+            return False
+        return not await watcher.ask() and watcher.may_go_elsewhere()
+
+    def _time_left(
+        self, call: RelayCall, limit: float | None, heard_at: float, watcher: Watcher
+    ) -> float:
+        """Seconds until an attempt counts as stalled.
+
+        Silence ends it only when another upstream may take the request at that moment: a key may
+        have been taken away, or the budget spent, since it was sent.
+        """
+        if limit is None:
+            return self._limit(call, None, heard_at)
+        explained = self._explained_limit(call, heard_at, limit, watcher)
+        left = self._limit(call, explained, heard_at)
+        if left <= 0 and not watcher.may_go_elsewhere():
+            return self._limit(call, None, heard_at)
+        return left
 
     def _limit(self, call: RelayCall, patience: float | None, began: float) -> float:
         left = max(0.0, call.deadline - self._clock())
@@ -251,7 +270,7 @@
         sink.stream = stream
         call.reply.follow(stream)
         try:
-            whole = await self._wait_for_end(call, sink, progress, patience, watcher)
+            whole = await self.wait_for_end(call, sink, progress, patience, watcher)
         finally:
             call.reply.unfollow()
             if not sink.ended.done() or not sink.ended.result():
@@ -263,7 +282,7 @@
         begin()
         return AttemptEnd(EndKind.DONE)
 
-    async def _wait_for_end(
+    async def wait_for_end(
         self,
         call: RelayCall,
         sink: EventSink,
@@ -275,15 +294,13 @@
         before = progress.events
         while True:
             limit = patience.first if progress.events == before else patience.gap
-            if limit is not None:
-                limit = self._explained_limit(call, sink.heard_at, limit, watcher)
-            left = self._limit(call, limit, sink.heard_at)
+            left = self._time_left(call, limit, sink.heard_at, watcher)
             if left <= 0:
                 return None
             done, _ = await asyncio.wait((sink.ended,), timeout=min(left, LOOK_SECONDS))
             if done:
                 return sink.ended.result()
-            if not await self._is_alive(patience, watcher, sink.heard_at):
+            if await self._is_given_up(patience, watcher, sink.heard_at):
                 return None
 
     def _explained_limit(
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -165,8 +165,8 @@
                 plan,
                 group.places if group is not None else plan.places,
                 progress,
-                patience_for(call, plan, self.policy, self._may_go_elsewhere(call, progress)),
-                _Watcher(self, plan, key),
+                patience_for(call, plan, self.policy, self.may_go_elsewhere(call, progress)),
+                _Watcher(self, call, progress, plan, key),
             )
         finally:
             self.planner.end(plan, key)
@@ -233,10 +233,15 @@
         detail = f"first event after {first:.2f} s"
         return PondpinError(Code.CANNOT_FINISH, detail, retry_after=RETRY_SECONDS)
 
-    def _may_go_elsewhere(self, call: RelayCall, progress: Progress) -> bool:
-        """Whether another attempt could follow the one that is about to be sent."""
+    def may_go_elsewhere(self, call: RelayCall, progress: Progress) -> bool:
+        """Whether another attempt could follow the present one, by what is in force now."""
         if progress.sends + 1 >= call.route.attempts or progress.attempts >= MOST_ATTEMPTS:
             return False
+        try:
+            self._check_still_allowed(call, self.beliefs())
+        except PondpinError:
+            # The reason is logged when the request ends.
+            return False
         return self._window(call.service).has_left(self.clock(), self.sharers())
 
     def _may_try_again(self, call: RelayCall, progress: Progress, end: AttemptEnd) -> bool:
@@ -339,6 +344,8 @@
     """Notes what an attempt hears of its upstream."""
 
     handler: RelayHandler
+    call: RelayCall
+    progress: Progress
     plan: Plan
     key: int
 
@@ -362,6 +369,10 @@
         """See Watcher."""
         return await self.handler.reports.ask(self.plan.lead)
 
+    def may_go_elsewhere(self) -> bool:
+        """See Watcher."""
+        return self.handler.may_go_elsewhere(self.call, self.progress)
+
     def is_cut(self, now: float) -> bool:
         """See Watcher."""
         return self.plan.lead.needs_probe or self.handler.table.is_cut(self.plan.lead, now)
--- a/pondpin/tests/test_relay_lifecycle.py
+++ b/pondpin/tests/test_relay_lifecycle.py
@@ -8,13 +8,19 @@
 from typing import Any
 from unittest import mock
 
+from pondpin.http_reply import Incoming
 from pondpin.http_streams import CallFailedError
+from pondpin.relay.call import Progress
 from pondpin.relay.entry import RelayEntry
 from pondpin.relay.freshness import Proof
+from pondpin.relay.model import RequestFacts
 from pondpin.relay.planner import Plan
 from pondpin.settings import RelayLimits
 from pondpin.standins.local_platform import (
+    HOST,
+    KEY,
     PLAIN,
+    TENANT,
     LocalPlatform,
     sample_configuration,
     sample_route,
@@ -30,6 +36,7 @@
     numbers,
     runs,
 )
+from pondpin.tests.test_relay_planner import make_call
 
 SHORT_KEY_MS = 1500.0
 
@@ -133,6 +140,23 @@
 
         self.play(work)
 
+    def test_a_request_whose_key_was_taken_away_goes_to_no_other_worker(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            entry = platform.entries[0]
+            call = replace(
+                make_call(5000),
+                account=TENANT,
+                facts=RequestFacts("a1", HOST, KEY, 10.0, 5000, 800, ""),
+                incoming=Incoming("POST", "/stream/x", {}, {}, b""),
+            )
+            progress = Progress(attempts=1)
+            self.assertTrue(entry.handler.may_go_elsewhere(call, progress))
+            platform.publish(2, tenants=[{"name": TENANT, "apiKeys": ["another"]}])
+            await platform.until(lambda: entry.publication.revision == platform.store.revision)
+            self.assertFalse(entry.handler.may_go_elsewhere(call, progress))
+
+        self.play(work)
+
     def is_stale(self, entry: RelayEntry) -> bool:
         age = entry.beliefs().proof_age(entry.handler.clock())
         return age > SHORT_KEY_MS / 1000
--- a/pondpin/tests/test_relay_patience.py
+++ b/pondpin/tests/test_relay_patience.py
@@ -1,16 +1,21 @@
 """How long an attempt may be silent."""
 
+import asyncio
 import unittest
 from dataclasses import replace
+from typing import Any
 
+from pondpin.relay.attempt import Attempts, EventSink
+from pondpin.relay.call import Progress
 from pondpin.relay.engine_choice import EngineChoice
 from pondpin.relay.mechanisms import Mechanism
-from pondpin.relay.model import ListedUpstream
+from pondpin.relay.model import AnswerHead, ListedUpstream
 from pondpin.relay.patience import Patience, patience_for
 from pondpin.relay.planner import Plan, RelayPolicy
 from pondpin.relay.retry_window import FEWEST_SHARERS, RetryBounds, RetryWindow
 from pondpin.relay.upstreams import UpstreamState
 from pondpin.tests.test_relay_planner import make_call
+from pondpin.tools.virtual_time import run_virtual
 
 ENGINE = UpstreamState(ListedUpstream("e0", "engines", "10.0.0.1", 80, "north", 8, False))
 PLAN = Plan(ENGINE, (), EngineChoice("e0", (), 0.02, 0, 0.1, 0.0, 2), 9)
@@ -38,6 +43,63 @@
         self.assertEqual(patience_for(make_call(5000), PLAN, policy, True), ENDLESS)
 
 
+class ScriptedWatcher:
+    """A watcher of a busy upstream that answers its report."""
+
+    def __init__(self, may_go_elsewhere: bool) -> None:
+        self._may_go_elsewhere = may_go_elsewhere
+
+    def head(self, head: AnswerHead) -> None: ...
+
+    def first_event(self) -> None: ...
+
+    def heard(self, now: float) -> None: ...
+
+    def silent_until(self, now: float) -> float:
+        return 0.0
+
+    def is_cut(self, now: float) -> bool:
+        return False
+
+    async def ask(self) -> bool:
+        return True
+
+    def may_go_elsewhere(self) -> bool:
+        return self._may_go_elsewhere
+
+
+class SilenceTest(unittest.TestCase):
+    def wait(self, may_go_elsewhere: bool, patience: Patience) -> tuple[bool | None, float]:
+        """Wait for a stream whose last event comes after a pause of three seconds."""
+
+        async def work() -> tuple[bool | None, float]:
+            loop = asyncio.get_running_loop()
+            http: Any = None
+            dialect: Any = None
+            call = make_call(5000)
+            progress = Progress(events=3)
+            watcher = ScriptedWatcher(may_go_elsewhere)
+            sink = EventSink(call, progress, loop.time, lambda: None, watcher)
+            loop.call_later(3.0, sink.on_end, True)
+            began = loop.time()
+            attempts = Attempts(http, dialect, loop.time)
+            whole = await attempts.wait_for_end(call, sink, progress, patience, watcher)
+            return whole, loop.time() - began
+
+        found: tuple[bool | None, float] = run_virtual(work())
+        return found
+
+    def test_a_silent_stream_is_left_when_another_upstream_may_take_it(self) -> None:
+        whole, seconds = self.wait(True, Patience(1.0, 1.0, 0.5))
+        self.assertIsNone(whole)
+        self.assertAlmostEqual(seconds, 1.0, 3)
+
+    def test_it_is_waited_for_when_none_may_take_it_any_more(self) -> None:
+        whole, seconds = self.wait(False, Patience(1.0, 1.0, 0.5))
+        self.assertIs(whole, True)
+        self.assertAlmostEqual(seconds, 3.0, 3)
+
+
 class RetryShareTest(unittest.TestCase):
     def test_looking_spends_nothing(self) -> None:
         window = RetryWindow(RetryBounds(0.0, 2.0 * FEWEST_SHARERS, 10.0))
