Digests tell the newest leavings first

Elsewhere of the same class (what travels leaves out what matters): a digest told the first 32 leaving upstreams in the order of the list, so while more leave at once the newest were left out for good; the list has them a moment later. Now the 32 found last. Test: test_the_newest_leavings_are_told_first.

--- a/pondpin/relay/gossip.py
+++ b/pondpin/relay/gossip.py
@@ -49,7 +49,7 @@
 HOSTS_TOLD = 6
 # A host that nobody has mentioned for so long is no longer tried; seeds always are.
 HOST_SECONDS = 120.0
-# Leaving upstreams are told for a while; the list then says it too.
+# Upstreams found last to leave are told; the list says it of all a moment later.
 LEAVING_TOLD = 32
 
 
@@ -320,7 +320,7 @@
             list_age=-1 if list_at is None else _round_up(now - list_at),
             data_center=self.table.data_center,
             reads_source=self.reads_source(),
-            leaving=self._leaving_told(),
+            leaving=self.table.newest_leaving(LEAVING_TOLD),
             ejected=self._ejected(now),
             work=tuple(work for work in works if work is not None),
             hosts=tuple(self.rng.sample(others, min(HOSTS_TOLD, len(others)))),
@@ -329,10 +329,6 @@
             waiting=self.calendar.digest(now),
         )
 
-    def _leaving_told(self) -> tuple[str, ...]:
-        listed = [state.id for state in self.table.by_id.values() if state.leaving]
-        return tuple(listed[:LEAVING_TOLD])
-
     def _ejected(self, now: float) -> tuple[EjectedDigest, ...]:
         return tuple(
             EjectedDigest(state.id, int((state.health.ejected_until - now) * MILLISECONDS))
--- a/pondpin/relay/upstreams.py
+++ b/pondpin/relay/upstreams.py
@@ -1,5 +1,6 @@
 """The upstreams as this instance knows them: listing, leaving, health, own and peers' work."""
 
+import itertools
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
@@ -239,7 +240,8 @@
         self._without = without
         self.by_id: dict[str, UpstreamState] = {}
         self._ids_by_service: dict[str, list[str]] = {}
-        self._left: set[str] = set()
+        # Ids in the order in which they were found to leave.
+        self._left: dict[str, None] = {}
         self.silent_centers: frozenset[str] = frozenset()
         # In a large fleet only the peers of the own data centre tell of their work.
         self.peers_tell_all = True
@@ -267,12 +269,17 @@
         """Some source says that an upstream leaves; True when that is news."""
         if name in self._left:
             return False
-        self._left.add(name)
+        self._left[name] = None
         state = self.by_id.get(name)
         if state is not None:
             state.leaving = True
         return True
 
+    def newest_leaving(self, most: int) -> tuple[str, ...]:
+        """Listed upstreams that leave, those found last first."""
+        listed = (name for name in reversed(self._left) if name in self.by_id)
+        return tuple(itertools.islice(listed, most))
+
     @property
     def left(self) -> frozenset[str]:
         """Ids that are known to leave."""
--- a/pondpin/tests/test_relay_engines.py
+++ b/pondpin/tests/test_relay_engines.py
@@ -195,6 +195,16 @@
         self.table.take_list([listed("a")], [])
         self.assertNotIn("a", self.usable())
 
+    def test_the_newest_leavings_are_told_first(self) -> None:
+        names = [f"e{number:02}" for number in range(40)]
+        self.table.take_list([listed(name) for name in names], [])
+        for name in reversed(names):
+            self.table.mark_leaving(name)
+        self.assertEqual(self.table.newest_leaving(3), ("e00", "e01", "e02"))
+        self.table.take_list([], ["e01"])
+        self.assertEqual(self.table.newest_leaving(3), ("e00", "e02", "e03"))
+        self.assertEqual(len(self.table.newest_leaving(100)), 39)
+
     def test_leaving_ones_are_never_a_way_out(self) -> None:
         for name in "abc":
             self.table.mark_leaving(name)
