Reads of the store have an end; the ends of attempts get a module of their own

A store that sends a few bytes a second would have held a reader for hours, since a read goes on while bytes come: 12 s in all now (a megabyte over 1 Mbit/s).

--- a/pondpin/http_client.py
+++ b/pondpin/http_client.py
@@ -224,14 +224,16 @@
             raise CallFailedError("no answer in time", sent=True) from None
         return Answer(start.status, start.headers, content)
 
-    async def call_while_moving(self, method: str, url: str, stall: float) -> Answer:
-        """As call, without a bound on the whole: stall seconds without a byte end it."""
+    async def call_while_moving(
+        self, method: str, url: str, stall: float, longest: float
+    ) -> Answer:
+        """As call, but stall seconds without a byte, or longest seconds of the body, end it."""
         try:
             async with asyncio.timeout(stall):
                 start = await self.open(method, url)
         except TimeoutError:
             raise CallFailedError("no answer in time", sent=True) from None
-        content = await start.read_while_moving(stall)
+        content = await start.read_while_moving(stall, longest)
         return Answer(start.status, start.headers, content)
 
     async def close(self) -> None:
--- a/pondpin/http_streams.py
+++ b/pondpin/http_streams.py
@@ -1,6 +1,7 @@
 """Answers that are received piece by piece."""
 
 import asyncio
+import math
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -143,18 +144,23 @@
             collector.stream.abort()
             raise
 
-    async def read_while_moving(self, stall: float, limit: int = ANSWER_LIMIT) -> bytes:
-        """As read, for as long as bytes come: stall seconds without any end it."""
+    async def read_while_moving(
+        self, stall: float, longest: float, limit: int = ANSWER_LIMIT
+    ) -> bytes:
+        """As read, for as long as bytes come: stall seconds without any, or longest seconds in all,
+        end it.
+        """
         collector = _Collector(limit)
         collector.stream = self.deliver(collector)
         try:
-            while True:
+            for _ in range(math.ceil(longest / stall)):
                 before = collector.size
                 done, _ = await asyncio.wait((collector.done,), timeout=stall)
                 if done:
                     return collector.done.result()
                 if collector.size == before:
-                    raise CallFailedError(f"stopped after {before} bytes", sent=True)
+                    break
+            raise CallFailedError(f"not whole after {collector.size} bytes", sent=True)
         finally:
             if not collector.done.done():
                 collector.stream.abort()
--- a/pondpin/platform/store.py
+++ b/pondpin/platform/store.py
@@ -11,6 +11,8 @@
 
 CONFIGURATION_KEY = "op/config"
 UPSTREAMS_PREFIX = "servers/"
+# A value of a megabyte over 1 Mbit/s; no link of a deployment is slower.
+LONGEST_READ_SECONDS = 12.0
 NOT_FOUND = 404
 HISTORY_GONE = 410
 
@@ -111,7 +113,8 @@
             start = f"&sinceRevision={page.items[-1].key}"
 
     async def _get(self, call: str, stall: float) -> Answer:
-        return await self._http.call_while_moving("GET", f"{self._base}/{call}", stall)
+        url = f"{self._base}/{call}"
+        return await self._http.call_while_moving("GET", url, stall, LONGEST_READ_SECONDS)
 
 
 def _check_status(status: int) -> None:
--- /dev/null
+++ b/pondpin/relay/attempt_ends.py
@@ -0,0 +1,32 @@
+"""What the end of an attempt means: who was at fault, whether to try again, what may be said."""
+
+from pondpin.codes import Code, Ran
+from pondpin.errors import PondpinError
+from pondpin.network import Endpoint
+from pondpin.relay.call import AttemptEnd, Progress, RelayCall
+from pondpin.relay.planner import Plan
+from pondpin.relay.upstreams import UpstreamState
+
+FIRST_SERVER_ERROR = 500
+
+
+def helper_at_fault(plan: Plan, end: AttemptEnd) -> UpstreamState | None:
+    """The helper that the lead names as the reason why it did not run a request."""
+    for state in plan.helpers:
+        if end.at_fault == Endpoint(state.listed.host, state.listed.port):
+            return state
+    return None
+
+
+def keep_true(error: PondpinError, progress: Progress) -> PondpinError:
+    """An error that ends a later attempt must not say that the request has not run."""
+    if not progress.may_have_run or error.ran is not Ran.NOT_RUN:
+        return error
+    return PondpinError(Code.UPSTREAM_LOST, f"{error.code.name}: {error.detail}", Ran.UNKNOWN)
+
+
+def is_retryable_answer(call: RelayCall, end: AttemptEnd) -> bool:
+    """Whether an upstream's own failure may be tried again elsewhere."""
+    answer = end.answer
+    assert answer is not None, "an answered attempt has its answer"
+    return call.route.idempotent and answer.status >= FIRST_SERVER_ERROR
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -10,9 +10,14 @@
 from pondpin.errors import PondpinError
 from pondpin.http_reply import Incoming, Reply
 from pondpin.metrics import Metrics
-from pondpin.network import Endpoint
 from pondpin.relay.admission import Admitted, Beliefs, admit, check_not_behind, check_proof
 from pondpin.relay.attempt import Attempts
+from pondpin.relay.attempt_ends import (
+    FIRST_SERVER_ERROR,
+    helper_at_fault,
+    is_retryable_answer,
+    keep_true,
+)
 from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall
 from pondpin.relay.leases import LeaseGroup, Leases
 from pondpin.relay.log import EventLog
@@ -26,10 +31,9 @@
 from pondpin.relay.retry_window import RetryBounds, RetryWindow
 from pondpin.relay.routing import pick_service
 from pondpin.relay.turns import Turn, Turns, Verdict
-from pondpin.relay.upstreams import UpstreamState, UpstreamTable
+from pondpin.relay.upstreams import UpstreamTable
 
 MISDIRECTED = 421
-FIRST_SERVER_ERROR = 500
 # Groups of leases asked for before a request is refused for want of memory.
 LEASE_TRIES = 3
 # Upstreams tried for a request, counting those that no byte reached.
@@ -133,7 +137,7 @@
             try:
                 end = await self._attempt(call, progress)
             except PondpinError as error:
-                raise _keep_true(error, progress) from None
+                raise keep_true(error, progress) from None
             progress.may_have_run = progress.may_have_run or end.may_have_run
             progress.sends += end.kind is not EndKind.NOT_SENT
             if end.kind is EndKind.DONE:
@@ -174,7 +178,7 @@
                 keeper.cancel()
                 self.leases.release(group)
         self._judge(plan, end, began)
-        helper = _helper_at_fault(plan, end)
+        helper = helper_at_fault(plan, end)
         if helper is not None:
             progress.tried |= {helper.id}
         return end
@@ -246,7 +250,7 @@
 
     def _may_try_again(self, call: RelayCall, progress: Progress, end: AttemptEnd) -> bool:
         """Whether another upstream may get the request now; spends the budget."""
-        if end.kind is EndKind.ANSWERED and not _is_retryable_answer(call, end):
+        if end.kind is EndKind.ANSWERED and not is_retryable_answer(call, end):
             return False
         if progress.may_have_run and not call.route.idempotent:
             return False
@@ -280,7 +284,7 @@
         name = plan.lead.id
         result = end.kind.value
         self.metrics.attempts.inc({"upstream": plan.lead.listed.service, "result": result})
-        helper = _helper_at_fault(plan, end)
+        helper = helper_at_fault(plan, end)
         if helper is not None:
             # It may only be leaving; then the list says so in a moment.
             self._note_failure(helper.id, now, "named as at fault", True)
@@ -388,25 +392,3 @@
 
 def _cancel(task: "asyncio.Future[None]") -> None:
     task.cancel()
-
-
-def _helper_at_fault(plan: Plan, end: AttemptEnd) -> UpstreamState | None:
-    """The helper that the lead names as the reason why it did not run a request."""
-    for state in plan.helpers:
-        if end.at_fault == Endpoint(state.listed.host, state.listed.port):
-            return state
-    return None
-
-
-def _keep_true(error: PondpinError, progress: Progress) -> PondpinError:
-    """An error that ends a later attempt must not say that the request has not run."""
-    if not progress.may_have_run or error.ran is not Ran.NOT_RUN:
-        return error
-    return PondpinError(Code.UPSTREAM_LOST, f"{error.code.name}: {error.detail}", Ran.UNKNOWN)
-
-
-def _is_retryable_answer(call: RelayCall, end: AttemptEnd) -> bool:
-    """Whether an upstream's own failure may be tried again elsewhere."""
-    answer = end.answer
-    assert answer is not None, "an answered attempt has its answer"
-    return call.route.idempotent and answer.status >= FIRST_SERVER_ERROR
--- a/pondpin/tests/test_relay_documents.py
+++ b/pondpin/tests/test_relay_documents.py
@@ -14,7 +14,7 @@
 from pondpin.http_streams import CallFailedError
 from pondpin.metrics import Metrics
 from pondpin.platform.documents import PlatformDecoder
-from pondpin.platform.store import PlatformStore
+from pondpin.platform.store import LONGEST_READ_SECONDS, PlatformStore
 from pondpin.relay.differences import Kept, cut, difference, patch
 from pondpin.relay.document_fetch import BUSY_SECONDS, DocumentFetcher
 from pondpin.relay.document_server import (
@@ -43,6 +43,7 @@
 from pondpin.tools.document_fleet import (
     CONFIGURATION_KEY,
     TEN_MEGABIT,
+    TURN_BYTES,
     DocumentFleet,
     Link,
     SimulatedHttp,
@@ -106,6 +107,19 @@
 
         run_virtual(work())
 
+    def test_a_store_that_sends_next_to_nothing_is_given_up(self) -> None:
+        async def work() -> None:
+            store = SimulatedStore()
+            store.put(CONFIGURATION_KEY, {"routes": random_routes(MOST_ROUTES, 1)})
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            source = PlatformStore(SimulatedHttp(store, Link(TURN_BYTES / 0.9)), "store:1")
+            with self.assertRaises(CallFailedError):
+                await source.read_configuration(READ_SECONDS)
+            self.assertLessEqual(loop.time() - began, LONGEST_READ_SECONDS + READ_SECONDS)
+
+        run_virtual(work())
+
     def test_a_silent_store_is_given_up(self) -> None:
         async def work() -> None:
             http = SimulatedHttp(SimulatedStore(), Link(TEN_MEGABIT))
