An answer of the store that names no revision is no answer

Found in reading the diff: the store's revision had 0 as its default, and a list without one would have proved the configuration unchanged for good. Now such an answer fails like any spoiled one. Test: seven bodies (without the mend those without a revision pass).

--- a/pondpin/platform/store.py
+++ b/pondpin/platform/store.py
@@ -31,15 +31,15 @@
     """A page of items; more says that another page follows; at is the store's revision."""
 
     items: tuple[WireItem, ...]
+    at: int
     more: bool = False
-    at: int = 0
 
 
 class WireEvents(msgspec.Struct, frozen=True):
     """What changed under a prefix, in order, up to the store's revision at."""
 
-    events: tuple[WireItem, ...] = ()
-    at: int = 0
+    events: tuple[WireItem, ...]
+    at: int
 
 
 _ITEM = msgspec.json.Decoder(WireItem)
--- a/pondpin/tests/test_platform.py
+++ b/pondpin/tests/test_platform.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from pondpin.http_client import Answer, HttpClient
 from pondpin.http_streams import CallFailedError
 from pondpin.network import Endpoint
 from pondpin.platform.documents import PlatformDecoder
@@ -229,6 +230,33 @@
 
         run_async(work())
 
+    def test_an_answer_that_names_no_revision_proves_nothing(self) -> None:
+        async def work() -> None:
+            http = _ScriptedHttp()
+            store = PlatformStore(http, "store:1")
+            for body in (b'{"items":[]}', b'{"items":[],"at":null}', b"", b"[]"):
+                http.body = body
+                with self.assertRaises(CallFailedError):
+                    await store.read_upstreams(1.0)
+            for body in (b'{"events":[]}', b'{"at":7}', b'{"events":[{}],"at":7}'):
+                http.body = body
+                with self.assertRaises(CallFailedError):
+                    await store.read_change(3, 1.0)
+
+        run_async(work())
+
+
+class _ScriptedHttp(HttpClient):
+    """Answers every call alike."""
+
+    def __init__(self) -> None:
+        self.body = b""
+
+    async def call_while_moving(
+        self, method: str, url: str, stall: float, longest: float
+    ) -> Answer:
+        return Answer(200, {}, self.body)
+
 
 class TemplateTest(unittest.TestCase):
     def test_the_template_makes_sound_settings(self) -> None:
