--- a/pondpin/tests/test_relay_lifecycle.py
+++ b/pondpin/tests/test_relay_lifecycle.py
@@ -10,7 +10,7 @@
 
 from pondpin.http_reply import Incoming
 from pondpin.http_streams import CallFailedError
-from pondpin.relay.call import Progress
+from pondpin.relay.call import Progress, RelayCall
 from pondpin.relay.entry import RelayEntry
 from pondpin.relay.freshness import Proof
 from pondpin.relay.model import RequestFacts
@@ -41,6 +41,16 @@
 SHORT_KEY_MS = 1500.0
 
 
+def admitted_stream() -> RelayCall:
+    """A stream as it was admitted by the first configuration."""
+    return replace(
+        make_call(5000),
+        account=TENANT,
+        facts=RequestFacts("a1", HOST, KEY, 10.0, 5000, 800, ""),
+        incoming=Incoming("POST", "/stream/x", {}, {}, b""),
+    )
+
+
 class ConfigurationTest(RelayTest):
     instances = 3
     limits = RelayLimits(key_ms=SHORT_KEY_MS)
@@ -143,13 +153,7 @@
     def test_a_request_whose_key_was_taken_away_goes_to_no_other_worker(self) -> None:
         async def work(platform: LocalPlatform) -> None:
             entry = platform.entries[0]
-            call = replace(
-                make_call(5000),
-                account=TENANT,
-                facts=RequestFacts("a1", HOST, KEY, 10.0, 5000, 800, ""),
-                incoming=Incoming("POST", "/stream/x", {}, {}, b""),
-            )
-            progress = Progress(attempts=1)
+            call, progress = admitted_stream(), Progress(attempts=1)
             self.assertTrue(entry.handler.may_go_elsewhere(call, progress))
             platform.publish(2, tenants=[{"name": TENANT, "apiKeys": ["another"]}])
             await platform.until(lambda: entry.publication.revision == platform.store.revision)
@@ -157,6 +161,19 @@
 
         self.play(work)
 
+    def test_a_request_whose_budget_is_spent_goes_to_no_other_worker(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            entry = platform.entries[0]
+            call, progress = admitted_stream(), Progress(attempts=1)
+            limits = replace(self.limits, retry_ratio=0.0, retry_allowance=0.0)
+            self.assertTrue(entry.handler.may_go_elsewhere(call, progress))
+            entry.reload(replace(entry.settings, limits=limits))
+            # The budget of another service is made by the new bounds.
+            other = replace(call, service="another")
+            self.assertFalse(entry.handler.may_go_elsewhere(other, progress))
+
+        self.play(work)
+
     def is_stale(self, entry: RelayEntry) -> bool:
         age = entry.beliefs().proof_age(entry.handler.clock())
         return age > SHORT_KEY_MS / 1000
