--- a/pondpin/tools/units.py
+++ b/pondpin/tools/units.py
@@ -134,6 +134,10 @@
     "limits": "bounds of the deployment",
     "limits.key_ms": "ms that a key may still be served after it was taken away",
     "limits.keys_need_proof": "whether keys are refused once the configuration is older than that",
+    "limits.configuration_ms": (
+        "ms until a published configuration must be in force everywhere; an instance that has been "
+        "behind a peer for 700 ms less refuses"
+    ),
     "limits.retry_ratio": "retries for each request, over all instances and a window",
     "limits.retry_allowance": "further retries in a window, over all instances",
     "limits.retry_window_seconds": "s, length of the window",
