--- a/pondpin/tools/document_fleet.py
+++ b/pondpin/tools/document_fleet.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import base64
-import os
 import random
 import string
 from collections.abc import Callable
@@ -43,10 +42,12 @@
 TEN_MEGABIT = 1.25e6
 CONFIGURATION_KEY = "op/config"
 LONGEST_SECONDS = 60.0
+# Logs are counted and never flushed.
+NO_DESCRIPTOR = -1
 
 
 class Link:
-    """One direction of a machine's link; rate in bytes a second."""
+    """One direction of a machine's link; rate in bytes a second, carried in bytes."""
 
     def __init__(self, rate: float) -> None:
         self._rate = rate
@@ -217,7 +218,7 @@
     """Counts failed fetches; writes nothing."""
 
     def __init__(self, name: str, clock: Callable[[], float]) -> None:
-        super().__init__(name, clock, clock, os.open(os.devnull, os.O_WRONLY))
+        super().__init__(name, clock, clock, NO_DESCRIPTOR)
         self.failed_fetches = 0
 
     def write(self, event: LogEvent) -> None:
