A request whose caller has left goes nowhere: read too late, or between two tries

Cause: bytes and the end of a connection are read one after the other; a request that lay unread while its caller gave up was sent on a kept connection before the end was seen. And what may not be repeated ran on after its caller had left, as it must, but was also sent to a second upstream when the first turned it away. Ruled out: waiting prompts, parts and leases, which end with the task of the request.

Both tests fail without the change: the worker saw the request whose caller had closed; two upstreams saw the one that was turned away. One turn of the event loop more for each request.

--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -119,7 +119,16 @@
         )
 
     async def _serve_unless_gone(self, call: RelayCall) -> None:
-        """Serve; a caller that leaves ends the work unless it may not be repeated."""
+        """Serve; a caller that leaves ends the work unless it may not be repeated.
+
+        A request may have been read long after its caller sent it and left. The end of its
+        connection is read just after it, so the first step waits for that: otherwise a kept
+        connection would carry the request to an upstream at once.
+        """
+        await asyncio.sleep(0)
+        if call.reply.gone:
+            self.notes.caller_gone(call)
+            return
         task = asyncio.ensure_future(self._serve(call))
         if call.route.kind is not RouteKind.UNSAFE:
             call.reply.on_gone = lambda: _cancel(task)
@@ -252,7 +261,8 @@
         """Whether another upstream may get the request now; spends the budget."""
         if end.kind is EndKind.ANSWERED and not is_retryable_answer(call, end):
             return False
-        if progress.may_have_run and not call.route.idempotent:
+        # What may not be repeated runs on without its caller, but is not sent once more.
+        if call.reply.gone or (progress.may_have_run and not call.route.idempotent):
             return False
         now = self.clock()
         used_up = progress.sends >= call.route.attempts or progress.attempts >= MOST_ATTEMPTS
--- a/pondpin/tests/test_relay_streams.py
+++ b/pondpin/tests/test_relay_streams.py
@@ -1,14 +1,17 @@
 """Streams through a relaying instance: resumed, cancelled, read in parts."""
 
 import asyncio
+import socket
 import unittest
+from typing import Any
 from unittest import mock
 
 from pondpin.http_streams import CallFailedError
+from pondpin.relay.call import AttemptEnd, RelayCall
 from pondpin.relay.retry_window import RetryWindow
-from pondpin.standins.local_platform import (
-    LocalPlatform,
-)
+from pondpin.standins.local_platform import HOST as RELAY_HOST
+from pondpin.standins.local_platform import KEY as RELAY_KEY
+from pondpin.standins.local_platform import PLAIN, LocalPlatform, sample_route
 from pondpin.standins.worker import WorkerFault
 from pondpin.tests.support import (
     RelayTest,
@@ -111,6 +114,53 @@
 
         self.play(work)
 
+    def test_a_request_whose_caller_left_before_it_was_read_goes_nowhere(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            await ask(platform, "again", "before")
+            place = platform.callers[0]
+            head = (
+                f"POST /again/x HTTP/1.1\r\nhost: {RELAY_HOST}\r\nx-attempt-id: left\r\n"
+                f"authorization: Bearer {RELAY_KEY}\r\ncontent-length: 1\r\n\r\nq"
+            )
+            with socket.create_connection((place.host, place.port)) as caller:
+                caller.sendall(head.encode())
+            await ask(platform, "again", "after")
+            seen = [
+                item.headers["x-attempt-id"]
+                for worker in platform.workers_by_id.values()
+                for item in worker.seen
+            ]
+            self.assertEqual(seen, ["before", "after"])
+
+        self.play(work)
+
+    def test_what_may_run_once_is_not_sent_again_without_its_caller(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            revision = platform.publish(
+                2, routes=[sample_route("once", "unsafe", PLAIN, maxAttempts=2)]
+            )
+            publication = platform.entries[0].publication
+            await platform.until(lambda: publication.revision == revision)
+            attempts = platform.entries[0].handler.attempts
+            run = attempts.run
+
+            async def run_and_leave(call: RelayCall, *others: Any) -> AttemptEnd:
+                end = await run(call, *others)
+                call.reply.mark_gone()
+                return end
+
+            fail_next(platform, WorkerFault.SHED)
+            with mock.patch.object(attempts, "run", run_and_leave):
+                task = asyncio.ensure_future(ask(platform, "once"))
+                handler = platform.entries[0].handler
+                workers = platform.workers_by_id.values()
+                await platform.until(lambda: any(worker.seen for worker in workers))
+                await platform.until(lambda: not handler.open_requests)
+                task.cancel()
+            self.assertEqual(sum(len(worker.seen) for worker in workers), 1)
+
+        self.play(work)
+
     def test_a_long_prompt_is_read_in_parts_and_leases_are_returned(self) -> None:
         async def work(platform: LocalPlatform) -> None:
             platform.workers_by_id["engine-0"].memory = 450_000
