Light streams stay on their data centre's engines, however few these are

Above 16 peers an instance hears of the work of its own data centre only, but with fewer than 12 engines there it shared one pool with all others, sized by the fifth of its streams that it knew.

Change: light streams use the data centre's own engines while any is usable, and leave when they are crowded, as in larger data centres. Long prompts still choose among all; they keep off the first engines of every data centre, by what these tell of their light streams. An engine's load is worked out when it is asked for: a light stream looks at two.

--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -2,7 +2,7 @@
 
 import itertools
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -13,12 +13,11 @@
     MOST_PARTS,
     ChoiceRules,
     EngineChoice,
-    EngineView,
     Job,
     choose_engines,
     is_light,
 )
-from pondpin.relay.forecast import read_seconds
+from pondpin.relay.forecast import EngineLoad, read_seconds
 from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.model import EngineProfile
 from pondpin.relay.ports import PartPlace
@@ -74,6 +73,31 @@
         )
 
 
+@dataclass(slots=True)
+class _Candidate:
+    """An engine whose load is worked out once, when it is asked for.
+
+    A light stream looks at two engines of its pool; the loads of 150 engines take a millisecond.
+    """
+
+    state: UpstreamState
+    now: float
+    local: bool
+    known: EngineLoad | None = None
+
+    @property
+    def id(self) -> str:
+        """See Engine."""
+        return self.state.id
+
+    @property
+    def load(self) -> EngineLoad:
+        """See Engine."""
+        if self.known is None:
+            self.known = self.state.load(self.now)
+        return self.known
+
+
 def connection_share(connections: int, sharers: int) -> int:
     """Connections that one instance may have open to an upstream that takes so many in all."""
     return max(FEWEST_CONNECTIONS, int(connections * CONNECTIONS_SHARE / max(1, sharers)))
@@ -138,8 +162,10 @@
         if self._policy.placement is not PlacementPolicy.PREDICTED:
             return self._plan_baseline(call, profile, states, now)
         job = make_job(call, progress, now)
-        near = self._near(states)
-        choice = self._choose(job, profile, near, now)
+        near = self._near(states, is_light(profile, job.prompt_tokens, job.light_gap))
+        choice = self._choose(
+            job, profile, near, now, self._light_elsewhere(call.service, near, now)
+        )
         if len(near) < len(states):
             choice = self._look_further(call.service, job, profile, states, choice, now)
         if choice is None:
@@ -168,7 +194,8 @@
             return self._choose(job, profile, engines, now, seen.load.light) or near
         if not late:
             return near
-        wide = self._choose(job, profile, states, now)
+        told = self._light_elsewhere(service, states, now)
+        wide = self._choose(job, profile, states, now, told)
         return wide if near is None or (wide and wide.loss < near.loss) else near
 
     def _idle_center(
@@ -188,12 +215,24 @@
             return None
         return found if found[1].mean_in_flight <= in_flight - CENTER_DIFFERENCE else None
 
-    def _near(self, states: list[UpstreamState]) -> list[UpstreamState]:
-        """The engines whose load is known here: in a large fleet those of the data centre."""
+    def _near(self, states: list[UpstreamState], light: bool) -> list[UpstreamState]:
+        """The engines whose load is known here: in a large fleet those of the data centre.
+
+        A light stream stays on them however few they are. When all data centres of five shared one
+        pool, each knew a fifth of it: the busiest of 15 engines had 3.5 times the mean, and half
+        of the short streams came late.
+        """
         if self._table.peers_tell_all:
             return states
         near = [state for state in states if self._is_local(state)]
-        return near if len(near) >= FEWEST_NEAR else states
+        fewest = 1 if light else FEWEST_NEAR
+        return near if len(near) >= fewest else states
+
+    def _light_elsewhere(self, service: str, engines: list[UpstreamState], now: float) -> int:
+        """Light streams on some engines, as far as other data centres tell of theirs."""
+        if self._table.peers_tell_all or all(self._is_local(state) for state in engines):
+            return 0
+        return self._table.light_streams(service, now)
 
     def _choose(
         self,
@@ -204,7 +243,9 @@
         light: int = 0,
     ) -> EngineChoice | None:
         """Choose among some engines; light is what is told of their light streams."""
-        views = [EngineView(state.id, state.load(now), self._is_local(state)) for state in states]
+        if not self._table.peers_tell_all:
+            states = _by_rank(states)
+        views = [_Candidate(state, now, self._is_local(state)) for state in states]
         light = max(light, sum(state.light_in_flight(now) for state in states))
         if is_light(profile, job.prompt_tokens, job.light_gap):
             light += self._unseen_light(profile, len(states), now)
@@ -303,6 +344,20 @@
             self._tell_soon()
 
 
+def _by_rank(states: list[UpstreamState]) -> list[UpstreamState]:
+    """The first engines of all data centres, then the second ones and so on.
+
+    Light streams have the first engines of their data centre; long prompts of all keep off these.
+    """
+    counts: Counter[str] = Counter()
+    ranked = []
+    for state in states:
+        center = state.listed.data_center
+        ranked.append((counts[center], state))
+        counts[center] += 1
+    return [state for _, state in sorted(ranked, key=lambda item: item[0])]
+
+
 def make_job(call: RelayCall, progress: Progress, now: float) -> Job:
     """What placement needs to know of a call."""
     # A caller that has events waits anew for the next one.
