--- a/pondpin/soak/deployment.py
+++ b/pondpin/soak/deployment.py
@@ -22,7 +22,7 @@
 EVENT_MS = 20
 KEY_MS = 2000
 READY_SECONDS = 30.0
-# Callers use a connection again that rested for four fifths of the published idle limit at most; the
+# Callers use a connection again that rested for four fifths of the published idle limit; the
 # soak's configuration leaves that at its default of 15 s. An instance may close it after that.
 CALLER_REST_SECONDS = 12.0
 STORE_PORT = 7100
