--- a/pondpin/datagrams.py
+++ b/pondpin/datagrams.py
@@ -3,12 +3,25 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from typing import Protocol
 
 from pondpin.network import Endpoint
 
 LARGEST_BYTES = 65536
 
 
+class DatagramPort(Protocol):
+    """Sends datagrams."""
+
+    def write(self, data: bytes, place: tuple[str, int]) -> None:
+        """Send a datagram; raises OSError when it can't leave now."""
+        ...
+
+    def close(self) -> None:
+        """Send no more."""
+        ...
+
+
 class DatagramSocket:
     """Sends and receives datagrams; a system call for each, and closed at once.
 
--- a/pondpin/relay/digests.py
+++ b/pondpin/relay/digests.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from pondpin.relay.calendar import WaitingDigest
-from pondpin.relay.upstreams import CenterLoad
+from pondpin.relay.center_loads import CenterLoad
 from pondpin.relay.work import WorkDigest
 
 # 5: documents travel over HTTP, hosts are told by data centre; instances of an older format are not
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -23,10 +23,10 @@
 from pondpin.relay.admission import Beliefs
 from pondpin.relay.attempt import Attempts
 from pondpin.relay.document_server import DocumentServer
-from pondpin.relay.fan_out import PERIOD_SECONDS
 from pondpin.relay.freshness import is_fresh
 from pondpin.relay.gossip import Gossip, GossipAddress, GossipController
 from pondpin.relay.handler import RelayHandler
+from pondpin.relay.housekeeping import HousekeepingController
 from pondpin.relay.leases import Leases
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import (
@@ -65,8 +65,6 @@
 KEY_MARGIN_SECONDS = 0.4
 # A change of the configuration is read by some instance within this, and told to the others.
 NOTICE_SECONDS = 0.7
-# Steps of all controllers come together, this often or at multiples of it.
-LOG_FLUSH_SECONDS = PERIOD_SECONDS
 DRAIN_POLL_SECONDS = 0.1
 # The balancer takes an instance out after two questions a second apart.
 BALANCER_SECONDS = 3.0
@@ -213,7 +211,7 @@
     def _is_seed(self) -> bool:
         """Whether peers that start try this instance first."""
         own = parse_endpoint(self.settings.peers.documents).host
-        return own in self.gossip.seeds
+        return own in self.gossip.host_book.seeds
 
     def _sharers(self) -> int:
         """Instances that share the bounds of the whole system; silent ones may be alive."""
@@ -334,7 +332,9 @@
     def reload(self, settings: RelaySettings) -> None:
         """Take what may change while running: limits and seeds."""
         self.settings = settings
-        self.gossip.seeds = tuple(parse_endpoint(item).host for item in settings.peers.known)
+        self.gossip.host_book.seeds = tuple(
+            parse_endpoint(item).host for item in settings.peers.known
+        )
         self.log.write(Reloaded(outcome="taken"))
 
     def refuse_reload(self, reason: str) -> None:
@@ -385,21 +385,3 @@
     async def _show_metrics(self, incoming: Incoming, reply: Reply) -> None:
         content, headers = self.metrics.render(incoming.headers.get("accept", ""))
         reply.send(200, headers, content)
-
-
-class HousekeepingController(Controller):
-    """Writes the log out and keeps the gauges."""
-
-    period = LOG_FLUSH_SECONDS
-
-    def __init__(self, entry: RelayEntry) -> None:
-        super().__init__()
-        self._entry = entry
-
-    async def step(self) -> None:
-        """One round."""
-        entry = self._entry
-        entry.note_freshness()
-        entry.log.flush()
-        entry.metrics.open_requests.set({}, entry.handler.open_requests)
-        entry.metrics.peers_alive.set({}, len(entry.gossip.known.alive(steady_now())))
--- a/pondpin/relay/gossip.py
+++ b/pondpin/relay/gossip.py
@@ -2,16 +2,15 @@
 
 import asyncio
 import random
-from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import Any
 
 import msgspec
 
 from pondpin.clocks import Clock
 from pondpin.controllers.base import Controller
-from pondpin.datagrams import DatagramSocket
+from pondpin.datagrams import DatagramPort, DatagramSocket
 from pondpin.network import Endpoint
 from pondpin.relay.calendar import Calendar
 from pondpin.relay.digests import (
@@ -30,6 +29,7 @@
 from pondpin.relay.documents import DocumentKind
 from pondpin.relay.fan_out import PERIOD_SECONDS, FanOut, Round
 from pondpin.relay.freshness import peer_proof
+from pondpin.relay.hosts import HostBook
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import (
     Behind,
@@ -48,13 +48,8 @@
 HELLO_SECONDS = 1.0
 # At most so many of them are tried at a time.
 MOST_HELLOS = 16
-# In a large fleet the others of a data centre are not greeted once so many of it are heard: one of
-# them is asked at a time, and all are asked by others.
-FEWEST_FAR = 6
 # Hosts of the own data centre, and of others, that a digest mentions.
 HOSTS_TOLD = 4
-# A host that nobody has mentioned for so long is no longer tried; seeds always are.
-HOST_SECONDS = 120.0
 # Upstreams found last to leave are told; the list says it of all a moment later.
 LEAVING_TOLD = 32
 
@@ -68,18 +63,6 @@
     document_port: int
 
 
-class Transport(Protocol):
-    """Carries datagrams to peers."""
-
-    def write(self, data: bytes, place: tuple[str, int]) -> None:
-        """Send a datagram; raises OSError when it can't leave now."""
-        ...
-
-    def close(self) -> None:
-        """Send no more."""
-        ...
-
-
 @dataclass
 class Gossip:
     """The task that owns the datagram socket and the table of peers."""
@@ -96,7 +79,6 @@
     rng: random.Random
     reads_source: Callable[[], bool]
     calendar: Calendar = field(default_factory=Calendar)
-    mentioned_at_by_host: dict[str, float] = field(default_factory=dict)
     sequence: int = 0
     bytes_out: int = 0
     bytes_in: int = 0
@@ -106,16 +88,14 @@
         self.known = PeerTable(self.boot)
         self._fan_out = FanOut(self.table.data_center, self.rng)
         self._told: tuple[object, ...] = ()
-        self._hosts: frozenset[str] | None = None
-        self._hosts_of = self.seeds
-        self._center_by_host: dict[str, str] = {}
+        self.host_book = HostBook(self.address.host, self.table.data_center, self.seeds)
         self._peer_changes = 0
         self._hello_at = 0.0
         self._sent_at = 0.0
         self._telling = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._alive: set[str] = set()
-        self.transport: Transport | None = None
+        self.transport: DatagramPort | None = None
         self._fetcher = DocumentFetcher(
             host=self.address.host,
             document_port=self.address.document_port,
@@ -130,11 +110,7 @@
     @property
     def hosts(self) -> frozenset[str]:
         """Every host that is or may be a peer."""
-        if self._hosts is None or self._hosts_of != self.seeds:
-            mentioned = self.mentioned_at_by_host.keys()
-            self._hosts = frozenset((mentioned | set(self.seeds)) - {self.address.host})
-            self._hosts_of = self.seeds
-        return self._hosts
+        return self.host_book.all
 
     @property
     def hears_peers(self) -> bool:
@@ -173,8 +149,10 @@
         """Believe what a digest says, dated by this process's clock."""
         if not self.known.take(digest, now):
             return
-        self._note_hosts((digest.host, *digest.hosts), digest.data_center, now)
-        self._note_hosts(digest.far_hosts, "", now)
+        near = self.host_book.note((digest.host, *digest.hosts), digest.data_center, now)
+        if self.host_book.note(digest.far_hosts, "", now) or near:
+            # A new host is greeted with the next digests.
+            self._hello_at = float("-inf")
         self._note_newer(digest, now)
         self._take_proofs(digest, now)
         for name in digest.leaving:
@@ -186,21 +164,10 @@
         until = now + max(PEER_LOAD_SECONDS, QUIET_TIMES * quiet)
         self.table.take_peer_work(digest.instance, digest.work, now, until)
         self.calendar.take_peer(digest.instance, digest.waiting, now, until)
-        self.table.take_center_loads(digest.data_center, digest.center_loads, now)
+        self.table.center_loads.take(digest.data_center, digest.center_loads, now)
         if digest.asks:
             self._answer(digest, now)
 
-    def _note_hosts(self, hosts: Iterable[str], data_center: str, now: float) -> None:
-        """Note hosts of a data centre ("" if not known); a new one is greeted with the next."""
-        for host in hosts:
-            if data_center:
-                self._center_by_host[host] = data_center
-            if host not in self.mentioned_at_by_host:
-                if host != self.address.host and host not in self.hosts:
-                    self._hello_at = float("-inf")
-                self._hosts = None
-            self.mentioned_at_by_host[host] = now
-
     def _answer(self, asking: Digest, now: float) -> None:
         """Tell a peer of another data centre at once, so that it can date what it hears."""
         base = msgspec.structs.replace(
@@ -298,35 +265,11 @@
 
     def _greet(self, base: Digest, now: float) -> None:
         """Try hosts that are not heard, and forget those that nobody mentions any more."""
-        silent = self._worth_greeting(now)
+        silent = self.host_book.worth_greeting(self.known, now)
         for host in self.rng.sample(silent, min(MOST_HELLOS, len(silent))):
             self._post(base, host, self.known.by_host.get(host))
         self.known.forget(now)
-        for host, at in list(self.mentioned_at_by_host.items()):
-            if now - at > HOST_SECONDS:
-                del self.mentioned_at_by_host[host]
-                self._center_by_host.pop(host, None)
-                self._hosts = None
-
-    def _worth_greeting(self, now: float) -> list[str]:
-        """Silent hosts to be heard: neighbours, and in a large fleet a few of each other centre.
-
-        Greeting all took 16 of the 43 digests a second of an idle instance among 195, and
-        neighbours were found late: 17 of 38 after two seconds.
-        """
-        alive = self.known.alive(now)
-        silent = sorted(self.hosts - {peer.host for peer in alive})
-        if not self.known.is_large:
-            return silent
-        heard = Counter(peer.data_center for peer in alive)
-        own = self.table.data_center
-        near = [
-            host for host in silent if self._center_by_host.get(host) == own or host in self.seeds
-        ]
-        if near:
-            return near
-        centers = {host: self._center_by_host.get(host, "") for host in silent}
-        return [host for host in silent if centers[host] and heard[centers[host]] < FEWEST_FAR]
+        self.host_book.forget(now)
 
     def _post(self, base: Digest, host: str, peer: PeerSeen | None) -> int:
         """Send a digest with the receiver's echo; returns its bytes."""
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -9,6 +9,7 @@
 from pondpin.clocks import Clock
 from pondpin.policies import PlacementPolicy
 from pondpin.relay.call import Progress, RelayCall
+from pondpin.relay.center_loads import CenterLoadSeen
 from pondpin.relay.engine_choice import (
     MOST_PARTS,
     ChoiceRules,
@@ -22,7 +23,7 @@
 from pondpin.relay.model import EngineProfile
 from pondpin.relay.ports import PartPlace
 from pondpin.relay.routing import shortest_gap
-from pondpin.relay.upstreams import CenterLoadSeen, UpstreamState, UpstreamTable
+from pondpin.relay.upstreams import UpstreamState, UpstreamTable
 from pondpin.relay.work import LONG_READ_SECONDS, Work
 from pondpin.service_choice import ServiceView, choose_service
 
@@ -207,7 +208,7 @@
         now: float,
     ) -> tuple[str, CenterLoadSeen] | None:
         """A data centre that a light stream had better go to."""
-        found = self._table.idlest_center(service, now)
+        found = self._table.center_loads.idlest(service, self._table.silent_centers, now)
         if found is None or late or near is None:
             return found
         in_flight = self._table.by_id[near.lead].in_flight(now)
@@ -232,7 +233,9 @@
         """Light streams on some engines, as far as other data centres tell of theirs."""
         if self._table.peers_tell_all or all(self._is_local(state) for state in engines):
             return 0
-        return self._table.light_streams(service, now)
+        own = self._table.own_center_loads(now)
+        near = sum(load.light for load in own if load.service == service)
+        return near + self._table.center_loads.light_elsewhere(service, now)
 
     def _choose(
         self,
--- a/pondpin/relay/upstreams.py
+++ b/pondpin/relay/upstreams.py
@@ -4,10 +4,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
-import msgspec
 import xxhash
 
 from pondpin.health import Health, note_failure, note_success
+from pondpin.relay.center_loads import CenterLoad, CenterLoads
 from pondpin.relay.forecast import EngineLoad, Pending, Writers
 from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.model import EngineReport, ListedUpstream, Load
@@ -27,8 +27,6 @@
 
 # A peer's word on its work counts for so many seconds; digests come several times a second.
 PEER_LOAD_SECONDS = 1.5
-# A word on a whole data centre changes slowly; it is told twice a second.
-CENTER_LOAD_SECONDS = 2.0
 # It is summed up anew after this: a twentieth of the time that it counts elsewhere.
 OWN_LOAD_SECONDS = 0.1
 # What an upstream told of its load in an answer counts for so many seconds.
@@ -43,28 +41,6 @@
 FAILURE_HALF_LIFE_SECONDS = 4.0
 
 
-class CenterLoad(msgspec.Struct, frozen=True, array_like=True):
-    """The load of a service's upstreams in one data centre, as an instance there knows it."""
-
-    service: str
-    upstreams: int
-    in_flight: int
-    light: int
-
-
-@dataclass(frozen=True, slots=True)
-class CenterLoadSeen:
-    """What was told of a data centre, and when by this clock."""
-
-    load: CenterLoad
-    at: float
-
-    @property
-    def mean_in_flight(self) -> float:
-        """Requests on an upstream there."""
-        return self.load.in_flight / max(1, self.load.upstreams)
-
-
 @dataclass(frozen=True, slots=True)
 class FailureRate:
     """The share of requests that failed lately; without requests it is forgotten."""
@@ -247,7 +223,7 @@
         self.silent_centers: frozenset[str] = frozenset()
         # In a large fleet only the peers of the own data centre tell of their work.
         self.peers_tell_all = True
-        self._center_loads: dict[tuple[str, str], CenterLoadSeen] = {}
+        self.center_loads = CenterLoads(data_center)
         self._own_loads: tuple[CenterLoad, ...] = ()
         self._own_loads_at = float("-inf")
         # The upstreams that a peer's last digest named.
@@ -364,34 +340,6 @@
             loads.append(CenterLoad(service, len(local), in_flight, light))
         return tuple(loads)
 
-    def take_center_loads(self, center: str, loads: Iterable[CenterLoad], now: float) -> None:
-        """Take a peer's word on its data centre."""
-        for load in loads:
-            self._center_loads[center, load.service] = CenterLoadSeen(load, now)
-
-    def light_streams(self, service: str, now: float) -> int:
-        """Light streams on a service's engines, by what each data centre tells of its own."""
-        told = sum(
-            seen.load.light
-            for (center, name), seen in self._center_loads.items()
-            if name == service and center != self.data_center and self._is_lately(seen, now)
-        )
-        own = sum(load.light for load in self.own_center_loads(now) if load.service == service)
-        return told + own
-
-    def _is_lately(self, seen: CenterLoadSeen, now: float) -> bool:
-        return now - seen.at < CENTER_LOAD_SECONDS
-
-    def idlest_center(self, service: str, now: float) -> tuple[str, CenterLoadSeen] | None:
-        """The other data centre whose upstreams of a service have the fewest requests."""
-        known = [
-            (center, seen)
-            for (center, name), seen in self._center_loads.items()
-            if name == service and self._is_lately(seen, now) and seen.load.upstreams
-        ]
-        heard = [item for item in known if item[0] not in self.silent_centers]
-        return min(heard, key=lambda item: item[1].mean_in_flight, default=None)
-
     def note_success(self, name: str, now: float) -> None:
         """An upstream answered."""
         state = self.by_id.get(name)
--- a/pondpin/tests/test_relay_crowding.py
+++ b/pondpin/tests/test_relay_crowding.py
@@ -69,7 +69,7 @@
             for center in CENTERS:
                 if center != there:
                     loads = self.tables[center].own_center_loads(self.now)
-                    table.take_center_loads(center, loads, self.now)
+                    table.center_loads.take(center, loads, self.now)
 
     def place(self, center: str) -> None:
         """One stream arrives at an instance of a data centre."""
--- a/pondpin/tests/test_relay_planner.py
+++ b/pondpin/tests/test_relay_planner.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from pondpin.relay.call import Progress, RelayCall
+from pondpin.relay.center_loads import CenterLoad
 from pondpin.relay.model import (
     EngineProfile,
     ListedUpstream,
@@ -23,7 +24,7 @@
     Planner,
     connection_share,
 )
-from pondpin.relay.upstreams import CenterLoad, UpstreamTable
+from pondpin.relay.upstreams import UpstreamTable
 from pondpin.relay.work import Work
 
 NOW = 1000.0
@@ -147,9 +148,9 @@
                     state.work_by_key[key] = Work(0.0, NOW, 1, 0.3, 0.2, 1.0, True, True)
                     state.work_by_key[key].first_event = True
         self.assertEqual(self.centers(self.plan(make_call(2000))), {"north"})
-        self.table.take_center_loads("south", [CenterLoad("engines", 20, 90, 90)], NOW)
+        self.table.center_loads.take("south", [CenterLoad("engines", 20, 90, 90)], NOW)
         self.assertEqual(self.centers(self.plan(make_call(2000))), {"south"})
-        self.table.take_center_loads("south", [CenterLoad("engines", 20, 140, 140)], NOW)
+        self.table.center_loads.take("south", [CenterLoad("engines", 20, 140, 140)], NOW)
         self.assertEqual(self.centers(self.plan(make_call(2000))), {"north"})
 
     def test_few_neighbours_are_not_enough_for_a_long_prompt(self) -> None:
@@ -161,7 +162,7 @@
     def test_a_light_stream_stays_with_few_neighbours_until_they_are_crowded(self) -> None:
         self.fill(3, 20)
         self.table.peers_tell_all = False
-        self.table.take_center_loads("south", [CenterLoad("engines", 20, 20, 20)], NOW)
+        self.table.center_loads.take("south", [CenterLoad("engines", 20, 20, 20)], NOW)
         for _ in range(3 * (PROFILE.slots - 2)):
             call = make_call(2000)
             plan = self.plan(call)
@@ -181,7 +182,7 @@
     def test_a_long_prompt_keeps_off_the_light_engines_of_all_data_centres(self) -> None:
         self.fill(6, 6)
         self.table.peers_tell_all = False
-        self.table.take_center_loads("south", [CenterLoad("engines", 6, 8, 8)], NOW)
+        self.table.center_loads.take("south", [CenterLoad("engines", 6, 8, 8)], NOW)
         first: dict[str, str] = {}
         for state in self.table.of_service("engines"):
             first.setdefault(state.listed.data_center, state.id)
