--- a/pondpin/tests/test_relay_documents.py
+++ b/pondpin/tests/test_relay_documents.py
@@ -40,14 +40,14 @@
 from pondpin.relay.publication import Publication
 from pondpin.relay.reader import READ_SECONDS
 from pondpin.standins.local_platform import sample_configuration
+from pondpin.standins.published_store import CONFIGURATION_KEY
+from pondpin.standins.simulated_store import SimulatedStore
 from pondpin.tools.document_fleet import (
-    CONFIGURATION_KEY,
     TEN_MEGABIT,
     TURN_BYTES,
     DocumentFleet,
     Link,
     SimulatedHttp,
-    SimulatedStore,
     random_routes,
 )
 from pondpin.tools.virtual_time import run_virtual
--- a/pondpin/tools/document_fleet.py
+++ b/pondpin/tools/document_fleet.py
@@ -5,15 +5,11 @@
 """
 
 import asyncio
-import base64
 import random
 import string
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
-from urllib.parse import parse_qs, urlsplit
 
-import msgspec
 from twisted.python.failure import Failure
 from twisted.web.client import ResponseDone
 
@@ -33,13 +29,14 @@
 from pondpin.relay.reader import ReaderController
 from pondpin.relay.upstreams import UpstreamTable
 from pondpin.standins.local_platform import ENGINES, PLAIN, sample_configuration, sample_route
+from pondpin.standins.published_store import CONFIGURATION_KEY
+from pondpin.standins.simulated_store import SimulatedStore
 
 # One way, as between data centres of one region.
 DELAY_SECONDS = 0.0015
 # A transfer gives way to the others of its link after so many bytes.
 TURN_BYTES = 8192
 TEN_MEGABIT = 1.25e6
-CONFIGURATION_KEY = "op/config"
 LONGEST_SECONDS = 60.0
 # Logs are counted and never flushed.
 NO_DESCRIPTOR = -1
@@ -86,51 +83,6 @@
     ]
 
 
-@dataclass
-class SimulatedStore:
-    """The published values; every change raises the revision."""
-
-    revision: int = 0
-    value_by_key: dict[str, tuple[int, bytes]] = field(default_factory=dict)
-
-    def put(self, key: str, value: object) -> int:
-        """Write an item."""
-        self.revision += 1
-        self.value_by_key[key] = (self.revision, msgspec.json.encode(value))
-        return self.revision
-
-    def answer(self, url: str) -> tuple[int, bytes]:
-        """Status and body of a call."""
-        parts = urlsplit(url)
-        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
-        if parts.path.endswith("/kv-key"):
-            return self._item(query["tlsKey"])
-        if parts.path.endswith("/kv-range"):
-            found = self._under(query["pathPrefix"], 0)
-            return 200, msgspec.json.encode({"items": found, "more": False, "at": self.revision})
-        if parts.path.endswith("/kv-watch"):
-            found = self._under(query["pathPrefix"], int(query["sinceRevision"]))
-            return 200, msgspec.json.encode({"events": found, "at": self.revision})
-        return 404, b""
-
-    def _item(self, key: str) -> tuple[int, bytes]:
-        if key not in self.value_by_key:
-            return 404, b"{}"
-        return 200, msgspec.json.encode(self._describe(key) | {"at": self.revision})
-
-    def _under(self, prefix: str, above: int) -> list[dict[str, object]]:
-        return [
-            self._describe(key)
-            for key, (revision, _) in sorted(self.value_by_key.items())
-            if key.startswith(prefix) and revision > above
-        ]
-
-    def _describe(self, key: str) -> dict[str, object]:
-        revision, value = self.value_by_key[key]
-        text = base64.b64encode(value).decode()
-        return {"tlsKey": key, "value": text, "revision": revision}
-
-
 class _SlowResponse:
     """A body that comes over a link."""
 
