The simulated fleet of digests opens no descriptors

Each simulated instance opened /dev/null for its log and never closed it; with 877 instances of the test before it and what the whole run holds open, the selector of virtual time, which takes descriptors below 1,024, was given a higher one. Alone the module passes, so it was not seen before. Ruled out: the controllers, the load beside it. The new test fails without the change.

--- a/pondpin/tests/test_relay_gossip.py
+++ b/pondpin/tests/test_relay_gossip.py
@@ -1,5 +1,6 @@
 """What instances tell each other: digests, peers, whom to tell, and fleets of many instances."""
 
+import os
 import random
 import unittest
 
@@ -205,6 +206,12 @@
 
 
 class FleetTest(unittest.TestCase):
+    def test_a_simulated_fleet_opens_no_descriptors(self) -> None:
+        before = len(os.listdir("/proc/self/fd"))
+        fleet = GossipFleet(centers=3, instances=40, seed=1)
+        fleet.play(1.0)
+        self.assertEqual(len(os.listdir("/proc/self/fd")), before)
+
     def test_a_large_fleet_knows_its_proof_everywhere_within_a_budget(self) -> None:
         fleet = GossipFleet(centers=3, instances=60, seed=1)
         fleet.play(12.0)
--- a/pondpin/tools/gossip_fleet.py
+++ b/pondpin/tools/gossip_fleet.py
@@ -6,7 +6,6 @@
 
 import heapq
 import itertools
-import os
 import random
 
 import msgspec
@@ -26,6 +25,8 @@
 
 # One way, as between data centres of one region.
 DELAY_SECONDS = 0.0015
+# Logs are never flushed; a descriptor for each of 398 instances would leave none for the tests.
+NO_DESCRIPTOR = -1
 
 
 class _Transport:
@@ -85,7 +86,7 @@
     def _member(self, number: int, centers: int) -> Gossip:
         center = f"c{number % centers}"
         name = f"i{number:04}"
-        log = EventLog(name, self._clock, self._clock, os.open(os.devnull, os.O_WRONLY))
+        log = EventLog(name, self._clock, self._clock, NO_DESCRIPTOR)
         publication = Publication(
             PlatformDecoder(), lambda _: None, lambda _: None, lambda *_: None
         )
