--- a/pondpin/http_client.py
+++ b/pondpin/http_client.py
@@ -236,6 +236,10 @@
         content = await start.read_while_moving(stall, longest)
         return Answer(start.status, start.headers, content)
 
+    def drop_idle(self, host: str, port: int) -> None:
+        """Close the connections to a place that rest."""
+        self._pool.drop_idle(host, port)
+
     async def close(self) -> None:
         """Close the idle connections."""
         pool: Any = self._pool
--- a/pondpin/http_connections.py
+++ b/pondpin/http_connections.py
@@ -61,6 +61,15 @@
         self.cachedConnectionTimeout: Any = idle_seconds
         self._idle_seconds = idle_seconds
 
+    def drop_idle(self, host: str, port: int) -> None:
+        """Close the connections to a place that rest: whoever had it is no longer there."""
+        for key in [key for key in self._connections if _place_of(key) == (host, port)]:
+            for connection in list(self._connections[key]):
+                self._timeouts[connection].cancel()
+                connection.transport.loseConnection()
+                self._connections[key].remove(connection)
+                del self._timeouts[connection]
+
     def _putConnection(self, key: Any, connection: Any) -> None:
         said = connection.kept_seconds
         seconds = self._idle_seconds
@@ -73,6 +82,12 @@
         super()._putConnection(key, connection)  # type: ignore[no-untyped-call]
 
 
+def _place_of(key: tuple[Any, ...]) -> tuple[str, int]:
+    """The host and port of a pool's key: a kind or scheme, the host, the port."""
+    host = key[1]
+    return (host.decode() if isinstance(host, bytes) else str(host), int(key[2]))
+
+
 class _CheckedFactory(Factory):
     """Builds checked connections."""
 
--- a/pondpin/metrics.py
+++ b/pondpin/metrics.py
@@ -39,6 +39,10 @@
         self.configurations = self._counter(
             "pondpin_configuration_offers_total", "Configurations offered, by source and result."
         )
+        self.entries_refused = self._counter(
+            "pondpin_upstream_entries_refused_total",
+            "Revisions of entries in the published list that name no upstream to use.",
+        )
         self.call_tokens = self._counter(
             "pondpin_call_tokens_total", "Call tokens, by what became of them."
         )
--- a/pondpin/platform/documents.py
+++ b/pondpin/platform/documents.py
@@ -1,6 +1,7 @@
 """Decodes what the platform publishes: the operator's configuration and the workers' entries."""
 
 from collections import defaultdict
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 
@@ -17,11 +18,18 @@
     ServiceShare,
 )
 
+# What an entry may say: more slots than any worker has, and starts outside these years, are
+# another writer's (seconds or microseconds in place of milliseconds among them).
+MOST_SLOTS = 10_000
+FIRST_BORN_MS = 1_000_000_000_000
+LAST_BORN_MS = 9_999_999_999_999
 KINDS = {"safe": RouteKind.SAFE, "unsafe": RouteKind.UNSAFE, "streaming": RouteKind.STREAM}
 DRAINING = "draining"
 MILLISECOND = 0.001
 MILLION = 1e6
 
+Wire = TypeVar("Wire")
+
 
 class WireShare(msgspec.Struct, frozen=True):
     """One service of a split route."""
@@ -99,14 +107,24 @@
     tenants: tuple[WireTenant, ...] = ()
 
 
-class WireServer(msgspec.Struct, frozen=True):
-    """A worker's entry; state says draining some time before a planned end."""
+class WireServer(msgspec.Struct, frozen=True, rename="camel"):
+    """A worker's entry; state says draining some time before a planned end.
+
+    All but born must be there. version is of its software; born, in Unix ms, is said only by
+    workers that may start again under their id.
+    """
 
     service: str
     address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
+    zone: str
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)]
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)]
+    sequence: Annotated[int, msgspec.Meta(ge=0)]
+    born: Annotated[int, msgspec.Meta(ge=FIRST_BORN_MS, le=LAST_BORN_MS)] | msgspec.UnsetType = (
+        msgspec.UNSET
+    )
 
 
 _CONFIGURATION = msgspec.json.Decoder(WireConfiguration)
@@ -118,7 +136,7 @@
 
     def configuration(self, value: bytes) -> RelayConfiguration:
         """Decode the configuration; raises ValueError."""
-        wire = _CONFIGURATION.decode(value)
+        wire = _decode(_CONFIGURATION, value)
         routes: dict[str, list[Route]] = defaultdict(list)
         for route in wire.routes:
             routes[route.host].append(_decode_route(route))
@@ -142,20 +160,35 @@
         )
 
     def upstream(self, key: str, value: bytes) -> ListedUpstream:
-        """Decode a worker's entry, whose id is the last part of its key; raises ValueError."""
-        wire = _SERVER.decode(value)
+        """Decode a worker's entry, whose id is the last part of its key; raises ValueError.
+
+        The list has other writers too: what isn't just as a worker writes it names none to use.
+        """
+        wire = _decode(_SERVER, value)
         endpoint = parse_endpoint(wire.address)
+        name = key.rpartition("/")[2]
+        if not name or not endpoint.port:
+            raise ValueError("no id, or no port")
         return ListedUpstream(
-            id=key.rpartition("/")[2],
+            id=name,
             service=wire.service,
             host=endpoint.host,
             port=endpoint.port,
             data_center=wire.zone,
-            slots=max(1, wire.slots),
+            slots=wire.slots,
             leaving=wire.state == DRAINING,
+            born=wire.born if wire.born is not msgspec.UNSET else None,
         )
 
 
+def _decode(decoder: "msgspec.json.Decoder[Wire]", value: bytes) -> Wire:
+    try:
+        return decoder.decode(value)
+    except RecursionError:
+        # A hundred thousand brackets in a field that nobody reads.
+        raise ValueError("nested too deeply") from None
+
+
 def _decode_route(wire: WireRoute) -> Route:
     kind = KINDS.get(wire.route_type)
     if kind is None:
--- a/pondpin/platform/reports.py
+++ b/pondpin/platform/reports.py
@@ -15,6 +15,7 @@
 
     active: int
     queued: int
+    born: int | None = None
 
 
 class PlatformReports:
@@ -32,4 +33,4 @@
             report = msgspec.json.decode(answer.body, type=WireReport)
         except msgspec.MsgspecError as error:
             raise CallFailedError(f"no report: {error}", sent=True) from None
-        return EngineReport(running=report.active, waiting=report.queued)
+        return EngineReport(report.active, report.queued, report.born)
--- a/pondpin/platform/store.py
+++ b/pondpin/platform/store.py
@@ -1,6 +1,7 @@
 """Reads the platform's store; each call is one HTTP call."""
 
 import base64
+from urllib.parse import quote
 
 import msgspec
 
@@ -35,6 +36,14 @@
     more: bool = False
 
 
+class WireRawRange(msgspec.Struct, frozen=True):
+    """A page whose items are looked at one by one, since one of them is odd."""
+
+    items: tuple[msgspec.Raw, ...]
+    at: int
+    more: bool = False
+
+
 class WireEvents(msgspec.Struct, frozen=True):
     """What changed under a prefix, in order, up to the store's revision at."""
 
@@ -44,6 +53,7 @@
 
 _ITEM = msgspec.json.Decoder(WireItem)
 _RANGE = msgspec.json.Decoder(WireRange)
+_RAW_RANGE = msgspec.json.Decoder(WireRawRange)
 _EVENTS = msgspec.json.Decoder(WireEvents)
 
 
@@ -51,6 +61,33 @@
     return PublishedItem(wire.key, wire.revision, base64.b64decode(wire.value, validate=True))
 
 
+def _decode_page(body: bytes) -> WireRange:
+    """A page of entries; raises ValueError for what is no page.
+
+    One item that can't be read doesn't hide the others.
+    """
+    try:
+        return _RANGE.decode(body)
+    except ValueError:
+        raw = _RAW_RANGE.decode(body)
+    items = []
+    for item in raw.items:
+        try:
+            items.append(_ITEM.decode(item))
+        except ValueError:
+            # It names no key to refuse a value of.
+            continue
+    return WireRange(tuple(items), raw.at, raw.more)
+
+
+def _decode_entry(wire: WireItem) -> PublishedItem:
+    """An entry; a value that isn't base64 is passed on as none, which is refused by its key."""
+    try:
+        return _decode_item(wire)
+    except ValueError:
+        return PublishedItem(wire.key, wire.revision, b"")
+
+
 class PlatformStore:
     """The product's PublishedSource over the platform's store.
 
@@ -101,16 +138,16 @@
             answer = await self._get(f"kv-range?pathPrefix={UPSTREAMS_PREFIX}{start}", stall)
             _check_status(answer.status)
             try:
-                page = _RANGE.decode(answer.body)
-                items += [_decode_item(item) for item in page.items]
+                page = _decode_page(answer.body)
             except ValueError as error:
                 raise CallFailedError(f"no range: {error}", sent=True) from None
+            items += [_decode_entry(item) for item in page.items]
             # Pages are no snapshot: what the first one says holds for all.
             at = page.at if at is None else at
             if not page.more or not page.items:
                 return ListRead(tuple(items), at)
             # The next page starts after the last key; the name of the field is the store's.
-            start = f"&sinceRevision={page.items[-1].key}"
+            start = f"&sinceRevision={quote(page.items[-1].key, safe='/')}"
 
     async def _get(self, call: str, stall: float) -> Answer:
         url = f"{self._base}/{call}"
--- a/pondpin/relay/attempt_ends.py
+++ b/pondpin/relay/attempt_ends.py
@@ -5,7 +5,7 @@
 from pondpin.network import Endpoint
 from pondpin.relay.call import AttemptEnd, Progress, RelayCall
 from pondpin.relay.planner import Plan
-from pondpin.relay.upstreams import UpstreamState
+from pondpin.relay.upstream_state import UpstreamState
 
 FIRST_SERVER_ERROR = 500
 
--- a/pondpin/relay/call.py
+++ b/pondpin/relay/call.py
@@ -90,8 +90,11 @@
     attempts: int = 0
     sends: int = 0
     may_have_run: bool = False
-    tried: frozenset[str] = frozenset()
+    # Lives of upstreams.
+    tried: frozenset[int] = frozenset()
+    # The id and the life of the last one.
     upstream: str = ""
+    life: int = 0
     events: int = 0
     last_number: int = -1
     first_at: float | None = None
--- a/pondpin/relay/digests.py
+++ b/pondpin/relay/digests.py
@@ -12,9 +12,8 @@
 from pondpin.relay.center_loads import CenterLoad
 from pondpin.relay.work import WorkDigest
 
-# 5: documents travel over HTTP, hosts are told by data centre; instances of an older format are not
-# heard.
-DIGEST_FORMAT = 5
+# 6: upstreams are named by the number of their life; instances of an older format are not heard.
+DIGEST_FORMAT = 6
 MILLISECONDS = 1000.0
 # A peer that was silent for so long is not counted among the live ones: several digests.
 ALIVE_SECONDS = 1.2
@@ -34,9 +33,9 @@
 
 
 class EjectedDigest(msgspec.Struct, frozen=True, array_like=True):
-    """An upstream that its sender ejected, and for how many more ms."""
+    """A life of an upstream that its sender ejected, and for how many more ms."""
 
-    upstream: str
+    life: int
     left: int
 
 
@@ -64,7 +63,7 @@
     list_age: int
     data_center: str
     reads_source: bool
-    leaving: tuple[str, ...]
+    leaving: tuple[int, ...]
     ejected: tuple[EjectedDigest, ...]
     work: tuple[WorkDigest, ...]
     hosts: tuple[str, ...]
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -23,6 +23,7 @@
 from pondpin.relay.admission import Beliefs
 from pondpin.relay.attempt import Attempts
 from pondpin.relay.document_server import DocumentServer
+from pondpin.relay.documents import DocumentKind
 from pondpin.relay.freshness import is_fresh
 from pondpin.relay.gossip import Gossip, GossipAddress, GossipController
 from pondpin.relay.handler import RelayHandler
@@ -38,6 +39,7 @@
     Stopped,
     Stopping,
     UpstreamLeaving,
+    UpstreamRestarted,
 )
 from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.model import RelayConfiguration
@@ -53,7 +55,7 @@
 from pondpin.relay.reports import Reports
 from pondpin.relay.retry_window import RetryBounds
 from pondpin.relay.turns import Turns
-from pondpin.relay.upstreams import UpstreamTable
+from pondpin.relay.upstreams import Restart, UpstreamTable
 from pondpin.relay_settings import RelaySettings
 from pondpin.runtime import steady_now, wall_now
 
@@ -151,7 +153,7 @@
             policy,
         )
         prefix = f"{settings.instance}-{self.boot:x}"
-        self.leases = Leases(PlatformLeases(self.http), prefix, self.log)
+        self.leases = Leases(PlatformLeases(self.http), prefix, self.log, self.table.has_ended)
         dialect = PlatformDialect()
         self.handler = RelayHandler(
             dialect=dialect,
@@ -272,7 +274,6 @@
         self.log.open()
         self.log.write(
             Started(
-                instance=settings.instance,
                 data_center=settings.data_center,
                 boot=self.boot,
                 version=pondpin.__version__,
@@ -372,11 +373,24 @@
         return 0 if heard_at is None else int((steady_now() - heard_at) * MILLISECONDS)
 
     def _take_list(self, change: ListChange) -> None:
-        for name in self.table.take_list(change.listed, change.missing):
+        news = self.table.take_list(change.listed, change.missing)
+        for name in news.leaving:
             self.log.write(UpstreamLeaving(upstream=name, source="list"))
-
-    def _note_refused(self, key: str, reason: str) -> None:
-        self.metrics.configurations.inc({"source": "platform", "result": "refused"})
+        for restart in news.restarted:
+            self._note_restart(restart)
+
+    def _note_restart(self, restart: Restart) -> None:
+        """Connections that rest belong to the earlier life, which may have crashed silently."""
+        for listed in (restart.earlier, restart.later):
+            self.http.drop_idle(listed.host, listed.port)
+        later = restart.later
+        self.log.write(UpstreamRestarted(upstream=later.id, born=later.born))
+
+    def _note_refused(self, kind: DocumentKind, key: str, reason: str) -> None:
+        if kind is DocumentKind.CONFIGURATION:
+            self.metrics.configurations.inc({"source": "platform", "result": "refused"})
+        else:
+            self.metrics.entries_refused.inc({})
         self.log.write(PublishedRefused(key=key, reason=reason))
 
     async def _show_ready(self, incoming: Incoming, reply: Reply) -> None:
--- a/pondpin/relay/gossip.py
+++ b/pondpin/relay/gossip.py
@@ -155,11 +155,12 @@
             self._hello_at = float("-inf")
         self._note_newer(digest, now)
         self._take_proofs(digest, now)
-        for name in digest.leaving:
-            if self.table.mark_leaving(name):
+        for life in digest.leaving:
+            if self.table.mark_leaving(life):
+                name = self.table.name_of(life)
                 self.log.write(UpstreamLeaving(upstream=name, source=f"peer {digest.instance}"))
         for ejected in digest.ejected:
-            self.table.suspect(ejected.upstream, now + ejected.left / MILLISECONDS)
+            self.table.suspect(ejected.life, now + ejected.left / MILLISECONDS)
         quiet = digest.quiet / MILLISECONDS
         until = now + max(PEER_LOAD_SECONDS, QUIET_TIMES * quiet)
         self.table.take_peer_work(digest.instance, digest.work, now, until)
@@ -337,7 +338,7 @@
 
     def _ejected(self, now: float) -> tuple[EjectedDigest, ...]:
         return tuple(
-            EjectedDigest(state.id, int((state.health.ejected_until - now) * MILLISECONDS))
+            EjectedDigest(state.life, int((state.health.ejected_until - now) * MILLISECONDS))
             for state in self.table.by_id.values()
             if state.health.ejected_until > now
         )
@@ -370,7 +371,7 @@
 def _news_of(digest: Digest) -> tuple[object, ...]:
     """What of a digest peers need to hear without delay; ages grow by themselves."""
     work = tuple(
-        (item.upstream, item.in_flight, item.light, item.tokens, len(item.reads), item.writers)
+        (item.life, item.in_flight, item.light, item.tokens, len(item.reads), item.writers)
         for item in digest.work
     )
     told = (digest.revision, digest.list_tag, digest.leaving, len(digest.ejected))
--- a/pondpin/relay/handler.py
+++ b/pondpin/relay/handler.py
@@ -31,6 +31,7 @@
 from pondpin.relay.retry_window import RetryBounds, RetryWindow
 from pondpin.relay.routing import pick_service
 from pondpin.relay.turns import Turn, Turns, Verdict
+from pondpin.relay.upstream_state import UpstreamState
 from pondpin.relay.upstreams import UpstreamTable
 
 MISDIRECTED = 421
@@ -166,7 +167,7 @@
         plan, group = await self._plan(call, progress)
         key = self.planner.begin(call, progress, plan)
         keeper = asyncio.ensure_future(self.leases.keep(group)) if group is not None else None
-        progress.upstream = plan.lead.id
+        progress.upstream, progress.life = plan.lead.id, plan.lead.life
         began = self.clock()
         try:
             beliefs = self.beliefs()
@@ -189,7 +190,7 @@
         self._judge(plan, end, began)
         helper = helper_at_fault(plan, end)
         if helper is not None:
-            progress.tried |= {helper.id}
+            progress.tried |= {helper.life}
         return end
 
     def _check_still_allowed(self, call: RelayCall, beliefs: Beliefs) -> None:
@@ -199,7 +200,7 @@
             check_proof(beliefs, call.facts, self.clock())
 
     async def _plan(self, call: RelayCall, progress: Progress) -> tuple[Plan, LeaseGroup | None]:
-        avoid: frozenset[str] = frozenset()
+        avoid: frozenset[int] = frozenset()
         for _ in range(LEASE_TRIES):
             plan = await self._plan_when_free(call, progress, avoid)
             if plan is None:
@@ -209,11 +210,11 @@
             group, refusing = await self.leases.take(call.id, plan.places, plan.choice.lease_tokens)
             if group is not None:
                 return plan, group
-            avoid |= frozenset(refusing)
+            avoid |= {place.life for place in refusing}
         raise PondpinError(Code.NO_UPSTREAM, call.service, retry_after=RETRY_SECONDS)
 
     async def _plan_when_free(
-        self, call: RelayCall, progress: Progress, avoid: frozenset[str]
+        self, call: RelayCall, progress: Progress, avoid: frozenset[int]
     ) -> Plan | None:
         """Plan; a long prompt waits for its turn."""
         turn: Turn | None = None
@@ -268,7 +269,7 @@
         used_up = progress.sends >= call.route.attempts or progress.attempts >= MOST_ATTEMPTS
         if used_up or now >= call.deadline:
             return False
-        progress.tried |= {progress.upstream}
+        progress.tried |= {progress.life}
         if not self.table.usable(call.service, now, progress.tried):
             return False
         if not progress.sends:
@@ -291,13 +292,12 @@
     def _judge(self, plan: Plan, end: AttemptEnd, began: float) -> None:
         """Note what an attempt's end says of its upstream."""
         now = self.clock()
-        name = plan.lead.id
         result = end.kind.value
         self.metrics.attempts.inc({"upstream": plan.lead.listed.service, "result": result})
         helper = helper_at_fault(plan, end)
         if helper is not None:
             # It may only be leaving; then the list says so in a moment.
-            self._note_failure(helper.id, now, "named as at fault", True)
+            self._note_failure(helper, now, "named as at fault", True)
             return
         if end.kind is EndKind.NOT_EXECUTED:
             return
@@ -311,16 +311,16 @@
         if failing or end.kind in (EndKind.BROKEN, EndKind.INVALID):
             silent = plan.lead.heard_at < began
             certain = failing and silent
-            self._note_failure(name, now, end.detail, certain)
+            self._note_failure(plan.lead, now, end.detail, certain)
         elif end.answer is not None and end.answer.status >= FIRST_SERVER_ERROR:
-            self._note_failure(name, now, f"status {end.answer.status}", False)
+            self._note_failure(plan.lead, now, f"status {end.answer.status}", False)
         else:
-            self.table.note_success(name, now)
+            plan.lead.note_success(now)
 
-    def _note_failure(self, name: str, now: float, reason: str, certain: bool) -> None:
-        if self.table.note_failure(name, now, certain):
-            left = self.table.by_id[name].health.ejected_until - now
-            self.log.write(UpstreamEjected(upstream=name, reason=reason, seconds=round(left, 2)))
+    def _note_failure(self, state: UpstreamState, now: float, reason: str, certain: bool) -> None:
+        if self.table.note_failure(state, now, certain):
+            left = round(state.health.ejected_until - now, 2)
+            self.log.write(UpstreamEjected(upstream=state.id, reason=reason, seconds=left))
 
     def note_head(self, plan: Plan, head: AnswerHead) -> None:
         """The head of an answer came: take what it says of its upstream."""
@@ -330,7 +330,7 @@
             plan.lead.told, plan.lead.told_at = head.load, now
         # Another upstream has the address; one that names itself is still there.
         elsewhere = head.status == MISDIRECTED and head.instance != plan.lead.id
-        if elsewhere and self.table.mark_leaving(plan.lead.id):
+        if elsewhere and self.table.mark_leaving(plan.lead.life):
             self.log.write(UpstreamLeaving(upstream=plan.lead.id, source="misdirected"))
 
     def _send_whole(self, call: RelayCall, progress: Progress, end: AttemptEnd) -> None:
@@ -389,7 +389,8 @@
 
     def is_cut(self, now: float) -> bool:
         """See Watcher."""
-        return self.plan.lead.needs_probe or self.handler.table.is_cut(self.plan.lead, now)
+        lead = self.plan.lead
+        return lead.ended or lead.needs_probe or self.handler.table.is_cut(lead, now)
 
 
 def _send_refusal(reply: Reply, request: str, error: PondpinError) -> None:
--- a/pondpin/relay/leases.py
+++ b/pondpin/relay/leases.py
@@ -6,8 +6,8 @@
 
 import asyncio
 import itertools
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
 
 from pondpin.http_streams import CallFailedError
 from pondpin.relay.log import EventLog
@@ -34,7 +34,15 @@
 class Leases:
     """Takes, renews and returns groups of leases."""
 
-    def __init__(self, port: LeasePort, prefix: str, log: EventLog) -> None:
+    def __init__(
+        self,
+        port: LeasePort,
+        prefix: str,
+        log: EventLog,
+        has_ended: Callable[[int], bool] = lambda life: False,
+    ) -> None:
+        """has_ended: whether a later life has taken the place of a life."""
+        self._has_ended = has_ended
         self._port = port
         self._prefix = prefix
         self._log = log
@@ -44,21 +52,17 @@
 
     async def take(
         self, request: str, places: Sequence[PartPlace], tokens: int
-    ) -> tuple[LeaseGroup | None, tuple[str, ...]]:
-        """Lease tokens at every place, or at none; also the upstreams that did not give it."""
+    ) -> tuple[LeaseGroup | None, tuple[PartPlace, ...]]:
+        """Lease tokens at every place, or at none; also the places that did not give it."""
         name = f"{self._prefix}-{next(self._numbers)}"
-        named = tuple(
-            PartPlace(place.upstream, place.host, place.port, f"{name}-{index}")
-            for index, place in enumerate(places)
-        )
+        named = tuple(replace(place, lease=f"{name}-{index}") for index, place in enumerate(places))
         group = LeaseGroup(request, named, tokens)
         answers = await asyncio.gather(*(self._reserve(place, tokens) for place in named))
-        failed = tuple(
-            place.upstream for place, held in zip(named, answers, strict=True) if not held
-        )
+        failed = tuple(place for place, held in zip(named, answers, strict=True) if not held)
         if not failed:
             return group, ()
-        self._log.write(LeasesEnded(request=request, outcome="refused", detail=",".join(failed)))
+        names = ",".join(place.upstream for place in failed)
+        self._log.write(LeasesEnded(request=request, outcome="refused", detail=names))
         self.release(group)
         return None, failed
 
@@ -66,11 +70,15 @@
         """Renew until cancelled."""
         while True:
             await asyncio.sleep(RENEW_SECONDS)
-            await asyncio.gather(*(self._reserve(place, group.tokens) for place in group.places))
+            # A later life at that place holds nothing of this prompt: it would only lose memory.
+            standing = [place for place in group.places if not self._has_ended(place.life)]
+            await asyncio.gather(*(self._reserve(place, group.tokens) for place in standing))
 
     def release(self, group: LeaseGroup) -> None:
         """Give all back, in a task of its own."""
         for place in group.places:
+            if self._has_ended(place.life):
+                continue
             task = asyncio.get_running_loop().create_task(self._release(group, place))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
--- a/pondpin/relay/log_events.py
+++ b/pondpin/relay/log_events.py
@@ -11,9 +11,8 @@
 
 
 class Started(LogEvent, frozen=True, kw_only=True, tag="started"):
-    """The process is up."""
+    """The process is up; as on each line, `instance` names it."""
 
-    instance: str
     data_center: str
     boot: int
     version: str
@@ -120,6 +119,13 @@
     source: str
 
 
+class UpstreamRestarted(LogEvent, frozen=True, kw_only=True, tag="upstream_restarted"):
+    """A later life of an upstream is listed; nothing known of the earlier one counts for it."""
+
+    upstream: str
+    born: int | None
+
+
 class UpstreamEjected(LogEvent, frozen=True, kw_only=True, tag="upstream_ejected"):
     """An upstream failed too often and is left alone for a while."""
 
--- a/pondpin/relay/model.py
+++ b/pondpin/relay/model.py
@@ -8,6 +8,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+import xxhash
+
 from pondpin.network import Endpoint
 
 
@@ -128,7 +130,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ListedUpstream:
-    """An upstream as the published list has it; its id stands for one life of it."""
+    """An upstream as the published list has it.
+
+    Its id and its start stand for one life of it: one that starts again may keep its id. born is
+    the start in ms of Unix time, None where the upstream doesn't say it; such a one has a new id in
+    each life.
+    """
 
     id: str
     service: str
@@ -137,6 +144,30 @@
     data_center: str
     slots: int
     leaving: bool
+    born: int | None = None
+    # The life's number among instances: 9 bytes of a digest, where an id alone takes 11.
+    life: int = field(init=False, compare=False)
+
+    def __post_init__(self) -> None:
+        """Work out what is asked for at every choice."""
+        object.__setattr__(self, "life", life_of(self.id, self.born))
+
+    def is_before(self, other: "ListedUpstream") -> bool:
+        """Whether this is an earlier life than another entry of the same id."""
+        return starts_before(self.born, other.born)
+
+
+def life_of(upstream: str, born: int | None) -> int:
+    """A number for one life of an upstream, the same at every instance."""
+    name = upstream if born is None else f"{upstream}@{born}"
+    return xxhash.xxh64_intdigest(name.encode())
+
+
+def starts_before(born: int | None, other: int | None) -> bool:
+    """Whether a life starts before another one; one that doesn't say when comes first."""
+    if other is None:
+        return False
+    return born is None or born < other
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,10 +194,14 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineReport:
-    """What a model engine says of itself when it is asked; some hundred ms old."""
+    """What a model engine says of itself when it is asked; some hundred ms old.
+
+    born is the start of the life that answers, None where it doesn't say.
+    """
 
     running: int
     waiting: int
+    born: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/pondpin/relay/planner.py
+++ b/pondpin/relay/planner.py
@@ -23,7 +23,8 @@
 from pondpin.relay.model import EngineProfile
 from pondpin.relay.ports import PartPlace
 from pondpin.relay.routing import shortest_gap
-from pondpin.relay.upstreams import UpstreamState, UpstreamTable
+from pondpin.relay.upstream_state import UpstreamState
+from pondpin.relay.upstreams import UpstreamTable
 from pondpin.relay.work import LONG_READ_SECONDS, Work
 from pondpin.service_choice import ServiceView, choose_service
 
@@ -70,7 +71,8 @@
     def places(self) -> tuple[PartPlace, ...]:
         """Where the helpers are."""
         return tuple(
-            PartPlace(state.id, state.listed.host, state.listed.port) for state in self.helpers
+            PartPlace(state.id, state.listed.host, state.listed.port, life=state.life)
+            for state in self.helpers
         )
 
 
@@ -129,7 +131,7 @@
         self._light_times: deque[float] = deque()
         self._keys = itertools.count(1)
 
-    def plan(self, call: RelayCall, progress: Progress, avoid: frozenset[str]) -> Plan | None:
+    def plan(self, call: RelayCall, progress: Progress, avoid: frozenset[int]) -> Plan | None:
         """The next attempt of a call, None when no upstream can take it now."""
         now = self._clock()
         states = self._table.usable(call.service, now, progress.tried | avoid)
--- a/pondpin/relay/ports.py
+++ b/pondpin/relay/ports.py
@@ -13,12 +13,16 @@
 
 @dataclass(frozen=True, slots=True)
 class PartPlace:
-    """An engine that reads a part of a prompt, with its memory lease if it has one."""
+    """An engine that reads a part of a prompt, with its memory lease if it has one.
+
+    life is that of the engine when it was chosen.
+    """
 
     upstream: str
     host: str
     port: int
     lease: str = ""
+    life: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/pondpin/relay/probe.py
+++ b/pondpin/relay/probe.py
@@ -11,7 +11,8 @@
 from pondpin.relay.log_events import UpstreamBack
 from pondpin.relay.model import RelayConfiguration
 from pondpin.relay.publication import Publication
-from pondpin.relay.upstreams import UpstreamState, UpstreamTable
+from pondpin.relay.upstream_state import UpstreamState
+from pondpin.relay.upstreams import UpstreamTable
 
 # Twice the time between the steps of the other controllers, with which its own coincide.
 CHECK_SECONDS = 2 * PERIOD_SECONDS
@@ -62,10 +63,10 @@
         except CallFailedError:
             passed = False
         if passed:
-            self._table.probe_passed(state.id)
+            state.note_probe_passed()
             self._log.write(UpstreamBack(upstream=state.id))
         else:
-            self._table.note_failure(state.id, self._clock(), certain=True)
+            self._table.note_failure(state, self._clock(), certain=True)
 
 
 def is_due(state: UpstreamState, now: float) -> bool:
--- a/pondpin/relay/publication.py
+++ b/pondpin/relay/publication.py
@@ -1,5 +1,6 @@
 """The published configuration and list of upstreams in force, with proofs of freshness."""
 
+from collections import OrderedDict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -7,13 +8,14 @@
 import xxhash
 
 from pondpin.relay.documents import (
+    DocumentKind,
     KeptVersions,
     PublishedItem,
     encode_configuration,
     encode_list,
 )
 from pondpin.relay.freshness import Proof, later
-from pondpin.relay.model import ListedUpstream, RelayConfiguration
+from pondpin.relay.model import ListedUpstream, RelayConfiguration, starts_before
 
 # An upstream's entry may lapse while the list's source is away and is written again within
 # about two seconds of its return: only what is missing for longer is gone.
@@ -23,6 +25,10 @@
 # A newer configuration can be had while a peer tells of it; in a large fleet a neighbour is
 # heard every two seconds.
 NEWER_COUNTS_SECONDS = 2.5
+# Starts of lives that are remembered when their entries are gone: an entry that comes late, from
+# the source or a peer, must not bring an earlier life back. Ten times the upstreams of the
+# largest fleet.
+KEPT_STARTS = 10_000
 
 
 class Decoder(Protocol):
@@ -39,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ListChange:
-    """What a reading of the list changed."""
+    """What a reading of the list changed: the upstreams to use, and ids that are none any more."""
 
     listed: tuple[ListedUpstream, ...]
     missing: tuple[str, ...]
@@ -67,7 +73,7 @@
         decoder: Decoder,
         on_configuration: Callable[[RelayConfiguration], None],
         on_list: Callable[[ListChange], None],
-        on_refused: Callable[[str, str], None],
+        on_refused: Callable[[DocumentKind, str, str], None],
     ) -> None:
         self._decoder = decoder
         self._on_configuration = on_configuration
@@ -87,6 +93,13 @@
         self._listed_by_key: dict[str, ListedUpstream] = {}
         self._revision_by_key: dict[str, int] = {}
         self._missing: set[str] = set()
+        # Ids whose entry became one that can't be used.
+        self._withdrawn: list[str] = []
+        # The start of the latest life that was seen under a key.
+        self._born_by_key: OrderedDict[str, int] = OrderedDict()
+        # Services that some configuration has named; others' upstreams aren't used.
+        self._named_services: set[str] = set()
+        self._unnamed_revision_by_key: dict[str, int] = {}
         self._relist_until = 0.0
 
     @property
@@ -129,10 +142,11 @@
             configuration = self._decoder.configuration(item.value)
         except ValueError as error:
             self.refused_revision = item.revision
-            self._on_refused(item.key, str(error))
+            self._on_refused(DocumentKind.CONFIGURATION, item.key, str(error))
             return
         if self.configuration is not None and configuration.version < self.configuration.version:
-            self._on_refused(item.key, f"version {configuration.version} is not newer")
+            reason = f"version {configuration.version} is not newer"
+            self._on_refused(DocumentKind.CONFIGURATION, item.key, reason)
             return
         firsts = (newer.first_at for newer in self._newer_by_revision.values())
         self.newer_heard_at = min(firsts, default=None)
@@ -145,6 +159,14 @@
         self.revision = item.revision
         self.configuration = configuration
         self._on_configuration(configuration)
+        self._note_services(configuration)
+
+    def _note_services(self, configuration: RelayConfiguration) -> None:
+        """Upstreams of a service that is named for the first time can be used now."""
+        known = len(self._named_services)
+        self._named_services |= configuration.services_by_name.keys()
+        if len(self._named_services) > known and self.list_at is not None:
+            self._on_list(ListChange(self._usable(), ()))
 
     def offer_list(self, items: Sequence[PublishedItem], at: float, now: float) -> None:
         """Take the list as it was at a moment of this process's clock."""
@@ -178,18 +200,70 @@
         for item in items:
             if self._revision_by_key.get(item.key) == item.revision:
                 continue
+            self._revision_by_key[item.key] = item.revision
             try:
-                self._listed_by_key[item.key] = self._decoder.upstream(item.key, item.value)
-                self._revision_by_key[item.key] = item.revision
+                self._take_entry(item)
             except ValueError as error:
-                self._on_refused(item.key, str(error))
+                self._on_refused(DocumentKind.UPSTREAMS, item.key, str(error))
         self._missing = self._listed_by_key.keys() - present
+        self._revision_by_key = {
+            key: revision
+            for key, revision in self._revision_by_key.items()
+            if key in present or key in self._listed_by_key
+        }
+
+    def _take_entry(self, item: PublishedItem) -> None:
+        """Take an entry that changed; raises ValueError for one that isn't taken.
+
+        An earlier life's entry leaves the later one's in force; any other bad one is another
+        writer's, and until it is put right its key names no upstream.
+        """
+        born = self._born_by_key.get(item.key)
+        try:
+            entry = self._decoder.upstream(item.key, item.value)
+            if entry.born is None and born is not None:
+                raise ValueError("it doesn't say when its life began, as it did before")
+        except ValueError:
+            withdrawn = self._listed_by_key.pop(item.key, None)
+            if withdrawn is not None:
+                self._withdrawn.append(withdrawn.id)
+            raise
+        if starts_before(entry.born, born):
+            raise ValueError(f"an earlier life: {entry.born}, and {born} is known")
+        self._listed_by_key[item.key] = entry
+        if entry.born is not None:
+            self._note_born(item.key, entry.born)
+
+    def _note_born(self, key: str, born: int) -> None:
+        self._born_by_key[key] = born
+        self._born_by_key.move_to_end(key)
+        while len(self._born_by_key) > KEPT_STARTS:
+            self._born_by_key.popitem(last=False)
+
+    def _usable(self) -> tuple[ListedUpstream, ...]:
+        """The listed upstreams whose service has been named."""
+        found = []
+        for key, entry in self._listed_by_key.items():
+            if entry.service in self._named_services:
+                found.append(entry)
+            elif self.configuration is not None:
+                self._note_unnamed(key, entry)
+        return tuple(found)
+
+    def _note_unnamed(self, key: str, entry: ListedUpstream) -> None:
+        revision = self._revision_by_key.get(key, 0)
+        if self._unnamed_revision_by_key.get(key) == revision:
+            return
+        self._unnamed_revision_by_key[key] = revision
+        reason = f"no configuration names its service {entry.service!r}"
+        self._on_refused(DocumentKind.UPSTREAMS, key, reason)
 
     def _report(self, now: float) -> None:
-        gone: list[str] = []
+        gone, self._withdrawn = self._withdrawn, []
         if now >= self._relist_until:
             for key in self._missing:
                 gone.append(self._listed_by_key.pop(key).id)
                 self._revision_by_key.pop(key, None)
+                self._unnamed_revision_by_key.pop(key, None)
             self._missing = set()
-        self._on_list(ListChange(tuple(self._listed_by_key.values()), tuple(gone)))
+        self._on_list(ListChange(self._usable(), tuple(gone)))
--- a/pondpin/relay/reports.py
+++ b/pondpin/relay/reports.py
@@ -8,7 +8,7 @@
 from pondpin.relay.log_events import UpstreamAsked
 from pondpin.relay.model import EngineReport
 from pondpin.relay.ports import ReportPort
-from pondpin.relay.upstreams import UpstreamState
+from pondpin.relay.upstream_state import UpstreamState
 
 # A report takes no slot and is sent at once: a way there and back takes a few ms, a lost
 # packet is sent again after a quarter of a second or so.
@@ -24,17 +24,17 @@
         self._port = port
         self._log = log
         self._clock = clock
-        self._tasks_by_id: dict[str, asyncio.Task[EngineReport | None]] = {}
+        self._tasks_by_life: dict[int, asyncio.Task[EngineReport | None]] = {}
 
     async def ask(self, state: UpstreamState) -> bool:
         """Whether an engine answers now, or did a moment ago."""
         if self._clock() - state.report_at < KEPT_SECONDS:
             return True
-        task = self._tasks_by_id.get(state.id)
+        task = self._tasks_by_life.get(state.life)
         if task is None:
             task = asyncio.get_running_loop().create_task(self._read(state))
-            self._tasks_by_id[state.id] = task
-            task.add_done_callback(lambda _: self._tasks_by_id.pop(state.id, None))
+            self._tasks_by_life[state.life] = task
+            task.add_done_callback(lambda _: self._tasks_by_life.pop(state.life, None))
         return await asyncio.shield(task) is not None
 
     async def _read(self, state: UpstreamState) -> EngineReport | None:
@@ -43,10 +43,15 @@
         report = None
         try:
             report = await self._port.read_report(listed.host, listed.port, ASK_SECONDS)
-            state.report, state.report_at = report, self._clock()
-            state.heard_at = state.report_at
         except CallFailedError as error:
             reason = str(error)
+        born = report.born if report is not None else None
+        if born not in (None, listed.born):
+            # What answers at this address knows nothing of the requests of the life asked.
+            report, reason = None, f"another life, from {born}"
+        if report is not None:
+            state.report, state.report_at = report, self._clock()
+            state.heard_at = state.report_at
         self._log.write(
             UpstreamAsked(
                 upstream=state.id,
--- /dev/null
+++ b/pondpin/relay/upstream_state.py
@@ -0,0 +1,216 @@
+"""One life of an upstream as this instance knows it: health, own and peers' work."""
+
+from dataclasses import dataclass, field, replace
+
+from pondpin.health import Health, note_success
+from pondpin.relay.forecast import EngineLoad, Pending, Writers
+from pondpin.relay.model import EngineReport, ListedUpstream, Load
+from pondpin.relay.work import (
+    HUNDREDTHS,
+    MILLISECONDS,
+    PeerWork,
+    Read,
+    ReadDigest,
+    Work,
+    WorkDigest,
+    WritersDigest,
+    add_writers,
+    long_reads_end,
+    reads_end,
+)
+
+# What an upstream told of its load in an answer counts for so many seconds.
+TOLD_LOAD_SECONDS = 0.5
+# An upstream that fails part of its requests while it is well otherwise is avoided from this
+# rate on: four failures in a row, or nearly half of many. Some services fail one in seven.
+FAILURE_WEIGHT = 0.15
+FAILING_RATE = 0.4
+FAILURE_HALF_LIFE_SECONDS = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class FailureRate:
+    """The share of requests that failed lately; without requests it is forgotten."""
+
+    rate: float = 0.0
+    noted_at: float = 0.0
+
+    def at(self, now: float) -> float:
+        """The share as it counts now."""
+        age = max(0.0, now - self.noted_at)
+        return self.rate * float(0.5 ** (age / FAILURE_HALF_LIFE_SECONDS))
+
+    def note(self, failed: bool, now: float) -> "FailureRate":
+        """Count a request."""
+        rate = self.at(now)
+        return FailureRate(rate + FAILURE_WEIGHT * (float(failed) - rate), now)
+
+
+@dataclass
+class UpstreamState:
+    """One life of an upstream; what is known of it ends with that life.
+
+    ended: a later life has taken its place, so nothing more will come from this one.
+    """
+
+    listed: ListedUpstream
+    order: int = 0
+    ended: bool = False
+    leaving: bool = False
+    health: Health = field(default_factory=Health)
+    needs_probe: bool = False
+    probing: bool = False
+    suspected_until: float = 0.0
+    failing: FailureRate = field(default_factory=lambda: FailureRate())
+    told: Load | None = None
+    told_at: float = 0.0
+    heard_at: float = 0.0
+    report: EngineReport | None = None
+    report_at: float = float("-inf")
+    work_by_key: dict[int, Work] = field(default_factory=dict)
+    peer_work_by_instance: dict[str, PeerWork] = field(default_factory=dict)
+
+    @property
+    def id(self) -> str:
+        """The upstream's id."""
+        return self.listed.id
+
+    @property
+    def life(self) -> int:
+        """The number of this life among instances."""
+        return self.listed.life
+
+    def usable(self, now: float) -> bool:
+        """Whether new work may go there."""
+        if self.leaving or self.needs_probe:
+            return False
+        return not self.health.is_ejected(now) and now >= self.suspected_until
+
+    def in_flight(self, now: float) -> int:
+        """Requests there, of this instance and of peers; what it told itself may be more."""
+        known = self.open_here + sum(item.work.in_flight for item in self._peer_work(now))
+        if self.told is not None and now - self.told_at < TOLD_LOAD_SECONDS:
+            return max(known, self.told.running + self.told.waiting)
+        return known
+
+    def is_busy(self, now: float) -> bool:
+        """Whether an engine's silence is explained by what it is known to do."""
+        load = self.load(now)
+        if load.long_until > 0 or load.in_flight > self.listed.slots:
+            return True
+        return self.report is not None and self.report.waiting > 0
+
+    @property
+    def open_here(self) -> int:
+        """Requests of this instance there, each on a connection of its own."""
+        return sum(1 for work in self.work_by_key.values() if work.writes)
+
+    def light_in_flight(self, now: float) -> int:
+        """Light streams there."""
+        own = sum(1 for work in self.work_by_key.values() if work.light and work.writes)
+        return own + sum(item.work.light for item in self._peer_work(now))
+
+    def load(self, now: float) -> EngineLoad:
+        """The upstream as an engine."""
+        tokens = 0
+        sums: dict[int, tuple[int, float]] = {}
+        for work in self.work_by_key.values():
+            tokens += work.tokens
+            if work.writes and work.first_event:
+                add_writers(sums, round(work.gap_target * MILLISECONDS), 1, work.worth)
+        for item in self._peer_work(now):
+            tokens += item.work.tokens
+            for told in item.work.writers:
+                add_writers(sums, told.gap_target, told.count, told.worth / HUNDREDTHS)
+        writers = tuple(
+            Writers(gap / MILLISECONDS, count, worth) for gap, (count, worth) in sums.items()
+        )
+        reads = self._reads(now)
+        end = max(now, reads_end(reads))
+        return EngineLoad(
+            in_flight=self.in_flight(now),
+            reading=end - now,
+            pending=tuple(
+                Pending(end - read.since, read.target, read.worth, read.group, read.parts)
+                for read in reads
+            ),
+            tokens=tokens,
+            writers=writers,
+            long_until=long_reads_end(reads, end, now) - now,
+        )
+
+    def reads_until(self, now: float) -> float:
+        """When the reading that is known of should be over."""
+        return reads_end(self._reads(now))
+
+    def _reads(self, now: float) -> list[Read]:
+        reads = [work.read for work in self.work_by_key.values() if not work.first_event]
+        for item in self._peer_work(now):
+            reads += [
+                Read(
+                    item.at - read.age / MILLISECONDS,
+                    read.length / MILLISECONDS,
+                    read.target / MILLISECONDS,
+                    read.worth / HUNDREDTHS,
+                    read.group,
+                    read.parts,
+                )
+                for read in item.work.reads
+            ]
+        return reads
+
+    def note_success(self, now: float) -> None:
+        """It answered."""
+        self.health = note_success(self.health, now)
+        self.failing = self.failing.note(False, now)
+
+    def note_probe_passed(self) -> None:
+        """It was ejected and answered its liveness check."""
+        self.needs_probe = False
+        self.health = replace(self.health, failures=0)
+
+    def note_read(self, key: int, now: float) -> None:
+        """A reading is through: those behind it can't have begun before."""
+        done = self.work_by_key.get(key)
+        if done is None or done.first_event:
+            return
+        done.first_event = True
+        for work in self.work_by_key.values():
+            if not work.first_event and work.since < now:
+                work.since = now
+
+    def digest(self, now: float) -> WorkDigest | None:
+        """This instance's work there, None when there is none."""
+        if not self.work_by_key:
+            return None
+        sums: dict[int, tuple[int, float]] = {}
+        for work in self.work_by_key.values():
+            if work.writes and work.first_event:
+                add_writers(sums, round(work.gap_target * MILLISECONDS), 1, work.worth)
+        works = self.work_by_key.values()
+        return WorkDigest(
+            life=self.life,
+            in_flight=sum(1 for work in works if work.writes),
+            light=sum(1 for work in works if work.writes and work.light),
+            tokens=sum(work.tokens for work in works),
+            reads=tuple(
+                ReadDigest(
+                    round((now - work.since) * MILLISECONDS),
+                    round(work.reading * MILLISECONDS),
+                    round(work.target * MILLISECONDS),
+                    round(work.worth * HUNDREDTHS),
+                    work.group,
+                    work.parts,
+                )
+                for work in works
+                if not work.first_event
+            ),
+            writers=tuple(
+                WritersDigest(gap, count, round(worth * HUNDREDTHS))
+                for gap, (count, worth) in sums.items()
+            ),
+        )
+
+    def _peer_work(self, now: float) -> list[PeerWork]:
+        items = self.peer_work_by_instance.values()
+        return [item for item in items if now < item.until]
--- a/pondpin/relay/upstreams.py
+++ b/pondpin/relay/upstreams.py
@@ -1,280 +1,147 @@
-"""The upstreams as this instance knows them: listing, leaving, health, own and peers' work."""
+"""The upstreams as this instance knows them: listing, lives, leaving, peers' work."""
 
 import itertools
+from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass
 
 import xxhash
 
-from pondpin.health import Health, note_failure, note_success
+from pondpin.health import note_failure
 from pondpin.relay.center_loads import CenterLoad, CenterLoads
-from pondpin.relay.forecast import EngineLoad, Pending, Writers
 from pondpin.relay.mechanisms import Mechanism
-from pondpin.relay.model import EngineReport, ListedUpstream, Load
-from pondpin.relay.work import (
-    HUNDREDTHS,
-    MILLISECONDS,
-    PeerWork,
-    Read,
-    ReadDigest,
-    Work,
-    WorkDigest,
-    WritersDigest,
-    add_writers,
-    long_reads_end,
-    reads_end,
-)
+from pondpin.relay.model import ListedUpstream
+from pondpin.relay.upstream_state import FAILING_RATE, UpstreamState
+from pondpin.relay.work import PeerWork, WorkDigest
 
 # A peer's word on its work counts for so many seconds; digests come several times a second.
 PEER_LOAD_SECONDS = 1.5
 # It is summed up anew after this: a twentieth of the time that it counts elsewhere.
 OWN_LOAD_SECONDS = 0.1
-# What an upstream told of its load in an answer counts for so many seconds.
-TOLD_LOAD_SECONDS = 0.5
 # An upstream that was heard this lately proves that its data centre can be reached; the
 # streams of a busy one come every tenth of a second.
 HEARD_SECONDS = 0.6
-# An upstream that fails part of its requests while it is well otherwise is avoided from this
-# rate on: four failures in a row, or nearly half of many. Some services fail one in seven.
-FAILURE_WEIGHT = 0.15
-FAILING_RATE = 0.4
-FAILURE_HALF_LIFE_SECONDS = 4.0
+# Ended lives that are remembered for as long as requests that they had may hold leases.
+KEPT_ENDED = 1000
 
 
 @dataclass(frozen=True, slots=True)
-class FailureRate:
-    """The share of requests that failed lately; without requests it is forgotten."""
-
-    rate: float = 0.0
-    noted_at: float = 0.0
-
-    def at(self, now: float) -> float:
-        """The share as it counts now."""
-        age = max(0.0, now - self.noted_at)
-        return self.rate * float(0.5 ** (age / FAILURE_HALF_LIFE_SECONDS))
-
-    def note(self, failed: bool, now: float) -> "FailureRate":
-        """Count a request."""
-        rate = self.at(now)
-        return FailureRate(rate + FAILURE_WEIGHT * (float(failed) - rate), now)
-
-
-@dataclass
-class UpstreamState:
-    """One upstream, that is one life of it."""
-
-    listed: ListedUpstream
-    order: int = 0
-    leaving: bool = False
-    health: Health = field(default_factory=Health)
-    needs_probe: bool = False
-    probing: bool = False
-    suspected_until: float = 0.0
-    failing: FailureRate = field(default_factory=lambda: FailureRate())
-    told: Load | None = None
-    told_at: float = 0.0
-    heard_at: float = 0.0
-    report: EngineReport | None = None
-    report_at: float = float("-inf")
-    work_by_key: dict[int, Work] = field(default_factory=dict)
-    peer_work_by_instance: dict[str, PeerWork] = field(default_factory=dict)
+class Restart:
+    """A later life of an upstream was listed."""
 
-    @property
-    def id(self) -> str:
-        """The upstream's id."""
-        return self.listed.id
+    earlier: ListedUpstream
+    later: ListedUpstream
 
-    def usable(self, now: float) -> bool:
-        """Whether new work may go there."""
-        if self.leaving or self.needs_probe:
-            return False
-        return not self.health.is_ejected(now) and now >= self.suspected_until
-
-    def in_flight(self, now: float) -> int:
-        """Requests there, of this instance and of peers; what it told itself may be more."""
-        known = self.open_here + sum(item.work.in_flight for item in self._peer_work(now))
-        if self.told is not None and now - self.told_at < TOLD_LOAD_SECONDS:
-            return max(known, self.told.running + self.told.waiting)
-        return known
-
-    def is_busy(self, now: float) -> bool:
-        """Whether an engine's silence is explained by what it is known to do."""
-        load = self.load(now)
-        if load.long_until > 0 or load.in_flight > self.listed.slots:
-            return True
-        return self.report is not None and self.report.waiting > 0
 
-    @property
-    def open_here(self) -> int:
-        """Requests of this instance there, each on a connection of its own."""
-        return sum(1 for work in self.work_by_key.values() if work.writes)
-
-    def light_in_flight(self, now: float) -> int:
-        """Light streams there."""
-        own = sum(1 for work in self.work_by_key.values() if work.light and work.writes)
-        return own + sum(item.work.light for item in self._peer_work(now))
-
-    def load(self, now: float) -> EngineLoad:
-        """The upstream as an engine."""
-        tokens = 0
-        sums: dict[int, tuple[int, float]] = {}
-        for work in self.work_by_key.values():
-            tokens += work.tokens
-            if work.writes and work.first_event:
-                add_writers(sums, round(work.gap_target * MILLISECONDS), 1, work.worth)
-        for item in self._peer_work(now):
-            tokens += item.work.tokens
-            for told in item.work.writers:
-                add_writers(sums, told.gap_target, told.count, told.worth / HUNDREDTHS)
-        writers = tuple(
-            Writers(gap / MILLISECONDS, count, worth) for gap, (count, worth) in sums.items()
-        )
-        reads = self._reads(now)
-        end = max(now, reads_end(reads))
-        return EngineLoad(
-            in_flight=self.in_flight(now),
-            reading=end - now,
-            pending=tuple(
-                Pending(end - read.since, read.target, read.worth, read.group, read.parts)
-                for read in reads
-            ),
-            tokens=tokens,
-            writers=writers,
-            long_until=long_reads_end(reads, end, now) - now,
-        )
-
-    def reads_until(self, now: float) -> float:
-        """When the reading that is known of should be over."""
-        return reads_end(self._reads(now))
-
-    def _reads(self, now: float) -> list[Read]:
-        reads = [work.read for work in self.work_by_key.values() if not work.first_event]
-        for item in self._peer_work(now):
-            reads += [
-                Read(
-                    item.at - read.age / MILLISECONDS,
-                    read.length / MILLISECONDS,
-                    read.target / MILLISECONDS,
-                    read.worth / HUNDREDTHS,
-                    read.group,
-                    read.parts,
-                )
-                for read in item.work.reads
-            ]
-        return reads
+@dataclass(frozen=True, slots=True)
+class ListNews:
+    """What a reading of the list tells: ids that newly leave or are gone, and later lives."""
 
-    def note_read(self, key: int, now: float) -> None:
-        """A reading is through: those behind it can't have begun before."""
-        done = self.work_by_key.get(key)
-        if done is None or done.first_event:
-            return
-        done.first_event = True
-        for work in self.work_by_key.values():
-            if not work.first_event and work.since < now:
-                work.since = now
-
-    def digest(self, now: float) -> WorkDigest | None:
-        """This instance's work there, None when there is none."""
-        if not self.work_by_key:
-            return None
-        sums: dict[int, tuple[int, float]] = {}
-        for work in self.work_by_key.values():
-            if work.writes and work.first_event:
-                add_writers(sums, round(work.gap_target * MILLISECONDS), 1, work.worth)
-        works = self.work_by_key.values()
-        return WorkDigest(
-            upstream=self.id,
-            in_flight=sum(1 for work in works if work.writes),
-            light=sum(1 for work in works if work.writes and work.light),
-            tokens=sum(work.tokens for work in works),
-            reads=tuple(
-                ReadDigest(
-                    round((now - work.since) * MILLISECONDS),
-                    round(work.reading * MILLISECONDS),
-                    round(work.target * MILLISECONDS),
-                    round(work.worth * HUNDREDTHS),
-                    work.group,
-                    work.parts,
-                )
-                for work in works
-                if not work.first_event
-            ),
-            writers=tuple(
-                WritersDigest(gap, count, round(worth * HUNDREDTHS))
-                for gap, (count, worth) in sums.items()
-            ),
-        )
-
-    def _peer_work(self, now: float) -> list[PeerWork]:
-        items = self.peer_work_by_instance.values()
-        return [item for item in items if now < item.until]
+    leaving: tuple[str, ...]
+    restarted: tuple[Restart, ...]
 
 
 class UpstreamTable:
-    """All upstreams by their id. Leaving is sticky for an id; a lapsed entry may come back."""
+    """All upstreams by their id, each with its latest life.
+
+    Leaving is sticky for a life; a lapsed entry may come back. Peers name lives, not ids: what
+    they tell of an earlier or a later one doesn't count for the one that is listed here.
+    """
 
     def __init__(self, data_center: str, without: frozenset[Mechanism] = frozenset()) -> None:
         self.data_center = data_center
         self._without = without
         self.by_id: dict[str, UpstreamState] = {}
+        self._by_life: dict[int, UpstreamState] = {}
+        # Lives whose place a later one took, those found last at the end.
+        self._ended: OrderedDict[int, None] = OrderedDict()
         self._ids_by_service: dict[str, list[str]] = {}
-        # Ids in the order in which they were found to leave.
-        self._left: dict[str, None] = {}
+        # Lives in the order in which they were found to leave.
+        self._left: dict[int, None] = {}
         self.silent_centers: frozenset[str] = frozenset()
         # In a large fleet only the peers of the own data centre tell of their work.
         self.peers_tell_all = True
         self.center_loads = CenterLoads(data_center)
         self._own_loads: tuple[CenterLoad, ...] = ()
         self._own_loads_at = float("-inf")
-        # The upstreams that a peer's last digest named.
-        self._names_by_peer: dict[str, tuple[str, ...]] = {}
+        # The lives that a peer's last digest named.
+        self._lives_by_peer: dict[str, tuple[int, ...]] = {}
 
-    def take_list(self, listed: Iterable[ListedUpstream], missing: Iterable[str]) -> list[str]:
-        """Take a reading of the list; returns the ids that newly leave or are gone."""
-        news: list[str] = []
-        for item in listed:
-            state = self.by_id.get(item.id)
-            if state is None:
-                order = xxhash.xxh32_intdigest(item.id.encode())
-                state = UpstreamState(item, order, leaving=item.id in self._left)
-                self.by_id[item.id] = state
-            state.listed = item
-            if item.leaving and self.mark_leaving(item.id):
-                news.append(item.id)
+    def take_list(self, listed: Iterable[ListedUpstream], missing: Iterable[str]) -> ListNews:
+        """Take a reading of the list."""
+        leaving: list[str] = []
+        restarted: list[Restart] = []
         for name in missing:
             if self.by_id.pop(name, None) is not None:
-                news.append(name)
+                leaving.append(name)
+        for item in listed:
+            known = self.by_id.get(item.id)
+            if known is not None and item.is_before(known.listed):
+                continue
+            if known is not None and known.listed.is_before(item):
+                self._end(known)
+                restarted.append(Restart(known.listed, item))
+                known = None
+            if known is None:
+                known = self._begin(item)
+            known.listed = item
+            if item.leaving and self.mark_leaving(known.life):
+                leaving.append(item.id)
         self._sort()
-        return news
-
-    def mark_leaving(self, name: str) -> bool:
-        """Some source says that an upstream leaves; True when that is news."""
-        if name in self._left:
+        return ListNews(tuple(leaving), tuple(restarted))
+
+    def _end(self, state: UpstreamState) -> None:
+        """A later life has taken the place of this one."""
+        state.ended = True
+        self._ended[state.life] = None
+        while len(self._ended) > KEPT_ENDED:
+            self._ended.popitem(last=False)
+
+    def _begin(self, item: ListedUpstream) -> UpstreamState:
+        """A life that nothing is known of but whether it leaves."""
+        order = xxhash.xxh32_intdigest(item.id.encode())
+        state = UpstreamState(item, order, leaving=item.life in self._left)
+        self.by_id[item.id] = state
+        self._by_life[state.life] = state
+        return state
+
+    def mark_leaving(self, life: int) -> bool:
+        """Some source says that a life of an upstream leaves; True when that is news."""
+        if life in self._left:
             return False
-        self._left[name] = None
-        state = self.by_id.get(name)
+        self._left[life] = None
+        state = self._by_life.get(life)
         if state is not None:
             state.leaving = True
         return True
 
-    def newest_leaving(self, most: int) -> tuple[str, ...]:
-        """Listed upstreams that leave, those found last first."""
-        listed = (name for name in reversed(self._left) if name in self.by_id)
+    def has_ended(self, life: int) -> bool:
+        """Whether a life that was listed has had its place taken by a later one."""
+        return life in self._ended
+
+    def name_of(self, life: int) -> str:
+        """The id of a listed life, for logs; of another one its number."""
+        state = self._by_life.get(life)
+        return f"life {life:x}" if state is None else state.id
+
+    def newest_leaving(self, most: int) -> tuple[int, ...]:
+        """Listed lives that leave, those found last first."""
+        listed = (life for life in reversed(self._left) if life in self._by_life)
         return tuple(itertools.islice(listed, most))
 
     @property
-    def left(self) -> frozenset[str]:
-        """Ids that are known to leave."""
+    def left(self) -> frozenset[int]:
+        """Lives that are known to leave."""
         return frozenset(self._left)
 
     def of_service(self, service: str) -> list[UpstreamState]:
         """The upstreams of a service, in the order that all instances share."""
         return [self.by_id[name] for name in self._ids_by_service.get(service, ())]
 
-    def usable(self, service: str, now: float, tried: frozenset[str]) -> list[UpstreamState]:
-        """Those that may get work; when too many look bad, looks are ignored."""
+    def usable(self, service: str, now: float, tried: frozenset[int]) -> list[UpstreamState]:
+        """Those that may get work, without lives tried; when many look bad, looks are ignored."""
         present = [item for item in self.of_service(service) if not item.leaving]
-        fresh = [item for item in present if item.id not in tried]
+        fresh = [item for item in present if item.life not in tried] if tried else present
         good = [item for item in fresh if item.usable(now)]
         cut = self._cut_centers(now)
         near = [item for item in good if item.listed.data_center not in cut] or good
@@ -304,18 +171,18 @@
         """Take a peer's work, good until until; what it does not name is idle."""
         if Mechanism.PEER_LOADS in self._without:
             return
-        for name in self._names_by_peer.pop(instance, ()):
-            known = self.by_id.get(name)
+        for life in self._lives_by_peer.pop(instance, ()):
+            known = self._by_life.get(life)
             if known is not None:
                 known.peer_work_by_instance.pop(instance, None)
-        names = []
+        lives = []
         for work in works:
-            state = self.by_id.get(work.upstream)
+            state = self._by_life.get(work.life)
             if state is not None:
                 state.peer_work_by_instance[instance] = PeerWork(work, at, until)
-                names.append(work.upstream)
-        if names:
-            self._names_by_peer[instance] = tuple(names)
+                lives.append(work.life)
+        if lives:
+            self._lives_by_peer[instance] = tuple(lives)
 
     def own_center_loads(self, now: float) -> tuple[CenterLoad, ...]:
         """The load of the own data centre's upstreams, by service, as a moment ago.
@@ -340,18 +207,8 @@
             loads.append(CenterLoad(service, len(local), in_flight, light))
         return tuple(loads)
 
-    def note_success(self, name: str, now: float) -> None:
-        """An upstream answered."""
-        state = self.by_id.get(name)
-        if state is not None:
-            state.health = note_success(state.health, now)
-            state.failing = state.failing.note(False, now)
-
-    def note_failure(self, name: str, now: float, certain: bool) -> bool:
+    def note_failure(self, state: UpstreamState, now: float, certain: bool) -> bool:
         """An upstream failed a request; True when that ejects it."""
-        state = self.by_id.get(name)
-        if state is None:
-            return False
         state.failing = state.failing.note(True, now)
         if Mechanism.EJECTION in self._without:
             return False
@@ -361,20 +218,14 @@
         state.needs_probe = state.needs_probe or ejected
         return ejected
 
-    def suspect(self, name: str, until: float) -> None:
-        """A peer ejected an upstream."""
-        state = self.by_id.get(name)
+    def suspect(self, life: int, until: float) -> None:
+        """A peer ejected a life of an upstream."""
+        state = self._by_life.get(life)
         if state is not None and not state.work_by_key:
             state.suspected_until = max(state.suspected_until, until)
 
-    def probe_passed(self, name: str) -> None:
-        """An ejected upstream answered its liveness check."""
-        state = self.by_id.get(name)
-        if state is not None:
-            state.needs_probe = False
-            state.health = replace(state.health, failures=0)
-
     def _sort(self) -> None:
+        self._by_life = {state.life: state for state in self.by_id.values()}
         grouped: dict[str, list[UpstreamState]] = {}
         for state in self.by_id.values():
             grouped.setdefault(state.listed.service, []).append(state)
--- a/pondpin/relay/work.py
+++ b/pondpin/relay/work.py
@@ -41,9 +41,9 @@
 
 
 class WorkDigest(msgspec.Struct, frozen=True, array_like=True):
-    """One instance's work on one upstream."""
+    """One instance's work on one life of an upstream."""
 
-    upstream: str
+    life: int
     in_flight: int
     light: int
     tokens: int
--- a/pondpin/soak/deployment.py
+++ b/pondpin/soak/deployment.py
@@ -15,7 +15,13 @@
 from pondpin.soak.promises import Findings
 from pondpin.soak.proxy import Proxy
 from pondpin.soak.standin import Put
-from pondpin.standins.local_platform import CENTERS, ENGINES, PLAIN, sample_configuration
+from pondpin.standins.local_platform import (
+    CENTERS,
+    ENGINES,
+    PLAIN,
+    sample_configuration,
+    sample_entry,
+)
 from pondpin.standins.published_store import CONFIGURATION_KEY, UPSTREAMS_PREFIX
 
 EVENTS = 8
@@ -68,6 +74,8 @@
         self.http = HttpClient(reactor, 1.0, idle_seconds=CALLER_REST_SECONDS)
         self.findings = Findings()
         self.version = 1
+        # The start of their life, of workers that say it.
+        self.born_by_worker: dict[str, int] = {}
         self.keys = ["key-1"]
         self.store = self._program(
             "store", "pondpin.soak.standin", "store", f"{place.standins}:{STORE_PORT}"
@@ -127,8 +135,8 @@
         for link in (*self.store_links, *self.worker_links.values()):
             await link.start()
         await self._retry(lambda: self.publish())
-        for name, link in self.worker_links.items():
-            await self._list_worker(name, link.port, "ready")
+        for name in self.worker_links:
+            await self.list_worker(name)
         for instance in self.instances:
             instance.start()
         await self.until_ready()
@@ -180,12 +188,19 @@
         document = sample_configuration(self.version, tenants=tenants)
         await self.post(STORE_PORT, "/soak/put", Put(CONFIGURATION_KEY, document))
 
-    async def _list_worker(self, name: str, port: int, state: str) -> None:
-        entry = {
-            "service": ENGINES if name.startswith("engine") else PLAIN,
-            "address": f"{self.place.standins}:{port}",
-            "zone": CENTERS[port % len(CENTERS)],
-            "slots": 8,
-            "state": state,
-        }
+    async def list_worker(self, name: str) -> None:
+        """Write a worker's entry; its proxy is where it is reached."""
+        await self.write_entry(name, self.entry_of(name))
+
+    async def write_entry(self, name: str, entry: dict[str, Any] | None) -> None:
+        """Write what stands under an id, or take it away."""
         await self.post(STORE_PORT, "/soak/put", Put(f"{UPSTREAMS_PREFIX}{name}", entry))
+
+    def entry_of(self, name: str) -> dict[str, Any]:
+        """A worker's entry as it writes it."""
+        port = self.worker_links[name].port
+        changes: dict[str, Any] = {"zone": CENTERS[port % len(CENTERS)]}
+        if name in self.born_by_worker:
+            changes["born"] = self.born_by_worker[name]
+        service = ENGINES if name.startswith("engine") else PLAIN
+        return sample_entry(service, f"{self.place.standins}:{port}", **changes)
--- a/pondpin/soak/run.py
+++ b/pondpin/soak/run.py
@@ -39,6 +39,20 @@
 WORKER_FAULTS = tuple(fault.value for fault in WorkerFault if fault is not WorkerFault.NONE)
 PROMPT_TOKENS = (2000, 5000, 60_000, 300_000, 700_000)
 CALM_TOKENS = (2000, 5000)
+# The list is written by others this often: restarts of workers, odd entries beside and over theirs.
+LIST_GAP_SECONDS = 1.5
+RESTART_SHARE = 0.5
+BESIDE_SHARE = 0.5
+ODD_NAME = "odd"
+ODD_CHANGES: tuple[dict[str, Any], ...] = (
+    {"state": "retired"},
+    {"slots": 0},
+    {"slots": 10**9},
+    {"born": 1.5},
+    {"sequence": "4"},
+    {"service": "unheard"},
+    {"address": "worker.example:80"},
+)
 ROUTES = ("stream", "stream", "once", "again")
 
 
@@ -50,6 +64,7 @@
     ) -> None:
         super().__init__(reactor, size, place, folder)
         self.rng = random.Random(seed)
+        self.seed = seed
         self.seconds = seconds
         self.seen: list[Seen] = []
         self.runs: Counter[str] = Counter()
@@ -62,7 +77,7 @@
         try:
             await self.start()
             end = time.monotonic() + self.seconds
-            await asyncio.gather(self._load(end), self._break(end))
+            await asyncio.gather(self._load(end), self._break(end), self._rewrite_list(end))
             await self._recover()
             await asyncio.gather(*self._tasks)
             await self._audit()
@@ -123,6 +138,40 @@
             except CallFailedError as error:
                 self.faults.append(f"not done: {error}")
 
+    async def _rewrite_list(self, end: float) -> None:
+        """Restart workers under their ids, and write odd entries beside and over good ones.
+
+        By draws of its own, so that a seed's other faults stay what they were.
+        """
+        rng = random.Random(f"{self.seed} list")
+        while time.monotonic() < end:
+            await asyncio.sleep(rng.expovariate(1 / LIST_GAP_SECONDS))
+            name = rng.choice(list(self.workers))
+            try:
+                if rng.random() < RESTART_SHARE:
+                    await self._restart_worker(name)
+                else:
+                    await self._write_odd_entry(name, rng)
+            except CallFailedError as error:
+                self.faults.append(f"not done: {error}")
+
+    async def _restart_worker(self, name: str) -> None:
+        born = time.time_ns() // 1_000_000
+        await self.post(self.port_by_worker[name], "/soak/steer", Steer(born=born))
+        self.born_by_worker[name] = born
+        await self.list_worker(name)
+        self.faults.append(f"{name} starts again")
+
+    async def _write_odd_entry(self, name: str, rng: random.Random) -> None:
+        odd = {**self.entry_of(name), **rng.choice(ODD_CHANGES)}
+        if rng.random() < BESIDE_SHARE:
+            await self.write_entry(f"{ODD_NAME}-{len(self.faults)}", odd)
+        else:
+            await self.write_entry(name, odd)
+            await asyncio.sleep(rng.uniform(0.2, 1.0))
+            await self.list_worker(name)
+        self.faults.append(f"an odd entry for {name}")
+
     def _later(self, seconds: float, action: Callable[[], None]) -> None:
         asyncio.get_running_loop().call_later(seconds, action)
 
@@ -210,6 +259,8 @@
             self.runs.update(audit.runs)
             if audit.leases:
                 self.findings.add("no memory stays leased", f"{name}: {audit.leases}")
+            if any(other.startswith(ODD_NAME) for other in audit.misdirected):
+                self.findings.add("an odd entry names no worker", str(audit.misdirected))
             if audit.working:
                 self.findings.add("no work without a caller", f"{name}: {audit.working}")
 
--- a/pondpin/soak/standin.py
+++ b/pondpin/soak/standin.py
@@ -20,18 +20,20 @@
 
 
 class Steer(msgspec.Struct, frozen=True):
-    """What a worker does from now on."""
+    """What a worker does from now on; with born it crashes and starts again under its id."""
 
     faults: tuple[str, ...] = ()
     draining: bool = False
+    born: int | None = None
 
 
 class Audit(msgspec.Struct, frozen=True):
-    """What a worker saw: runs and keys by attempt, leases still held."""
+    """What a worker saw: runs by attempt, requests meant for other ids, leases still held."""
 
     runs: dict[str, int]
     leases: int
     working: int
+    misdirected: dict[str, int]
 
 
 def store(address: str) -> Ready:
@@ -66,13 +68,19 @@
 
         async def steer(incoming: Incoming, reply: Reply) -> None:
             order = msgspec.json.decode(incoming.body, type=Steer)
+            if order.born is not None:
+                reply.send_json({})
+                asyncio.get_running_loop().call_soon(standin.start_again, order.born)
+                return
             standin.faults = [WorkerFault(fault) for fault in order.faults]
             standin.draining = order.draining
             reply.send_json({})
 
         async def audit(incoming: Incoming, reply: Reply) -> None:
             runs = dict(standin.runs_by_attempt)
-            reply.send_json(Audit(runs, len(standin.held_leases()), standin.working))
+            misdirected = dict(standin.misdirected_by_id)
+            leases = len(standin.held_leases())
+            reply.send_json(Audit(runs, leases, standin.working, misdirected))
 
         standin.server.route("/soak/steer", steer)
         standin.server.route("/soak/audit", audit)
--- a/pondpin/standins/local_platform.py
+++ b/pondpin/standins/local_platform.py
@@ -91,6 +91,23 @@
     return document | changes
 
 
+def sample_entry(service: str, address: str, /, **changes: Any) -> dict[str, Any]:
+    """A worker's entry as it writes it."""
+    entry: dict[str, Any] = {
+        "service": service,
+        "address": address,
+        "zone": CENTERS[0],
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "stage": "bidirectional",
+        "models": [{"name": "m", "version": 1, "adapters": []}],
+        "sequence": 0,
+    }
+    return entry | changes
+
+
 @dataclass
 class LocalPlatform:
     """A store, workers and instances; use start and stop."""
@@ -129,11 +146,13 @@
         self.store.server.cut()
         await self.http.close()
 
-    def add_worker(self, name: str, service: str, number: int = 0) -> Worker:
-        """Start a worker and list it."""
-        worker = Worker(self.reactor, name)
+    def add_worker(
+        self, name: str, service: str, number: int = 0, born: int | None = None, port: int = 0
+    ) -> Worker:
+        """Start a worker and list it; with born it is one that may start again under its id."""
+        worker = Worker(self.reactor, name, born=born)
         self.workers_by_id[name] = worker
-        place = worker.listen(Endpoint("127.0.0.1", 0))
+        place = worker.listen(Endpoint("127.0.0.1", port))
         self.list_worker(name, service, str(place), CENTERS[number % len(CENTERS)])
         return worker
 
@@ -141,14 +160,11 @@
         self, name: str, service: str, address: str, center: str, state: str = "ready"
     ) -> None:
         """Write a worker's entry."""
-        entry = {
-            "service": service,
-            "address": address,
-            "zone": center,
-            "slots": 8,
-            "state": state,
-        }
-        self.store.put(f"{UPSTREAMS_PREFIX}{name}", entry)
+        changes: dict[str, Any] = {"zone": center, "state": state}
+        worker = self.workers_by_id.get(name)
+        if worker is not None and worker.born is not None:
+            changes["born"] = worker.born
+        self.store.put(f"{UPSTREAMS_PREFIX}{name}", sample_entry(service, address, **changes))
 
     async def add_instance(self, number: int) -> RelayEntry:
         """Start a relaying instance."""
--- a/pondpin/standins/published_store.py
+++ b/pondpin/standins/published_store.py
@@ -50,6 +50,8 @@
     # Watches are told of changes up to here; None means up to the last one.
     watched_until: int | None = None
     fault_by_host: dict[str, StoreFault] = field(default_factory=dict)
+    # What is told in the place of the values of some keys.
+    spoiled_keys: dict[str, object] = field(default_factory=dict)
     reads: int = 0
 
     def __post_init__(self) -> None:
@@ -125,7 +127,7 @@
         reply.send_json({"events": events, "at": max(since, until)})
 
     def _describe(self, key: str, item: StoredItem) -> dict[str, object]:
-        value = base64.b64encode(item.value).decode()
+        value = self.spoiled_keys.get(key, base64.b64encode(item.value).decode())
         return {"tlsKey": key, "value": value, "revision": item.revision, "lease": 0}
 
     async def _misbehave(self, reply: Reply) -> bool:
--- a/pondpin/standins/worker.py
+++ b/pondpin/standins/worker.py
@@ -56,10 +56,14 @@
 
 @dataclass
 class Worker:
-    """One life of a worker; faults are taken from the front of a list, one a request."""
+    """One life of a worker; faults are taken from the front of a list, one a request.
+
+    born is the start that it says, in Unix ms, None for a worker that says none.
+    """
 
     reactor: Any
     id: str
+    born: int | None = None
     events: int = 5
     event_seconds: float = 0.0
     memory: int = 450_000
@@ -68,6 +72,8 @@
     draining: bool = False
     ignores_resuming: bool = False
     seen: list[Seen] = field(default_factory=list)
+    # Requests that were meant for another id.
+    misdirected_by_id: Counter[str] = field(default_factory=Counter)
     runs_by_attempt: Counter[str] = field(default_factory=Counter)
     lease_by_id: dict[str, Lease] = field(default_factory=dict)
     refused_leases: int = 0
@@ -89,6 +95,14 @@
         """Listen; returns the endpoint with its port."""
         return self.server.listen(self.reactor, endpoint)
 
+    def start_again(self, born: int) -> None:
+        """Crash and start again under the same id; what the audit counted is kept."""
+        self.server.cut()
+        self.born = born
+        self.lease_by_id.clear()
+        self.faults.clear()
+        self.draining = False
+
     async def _health(self, incoming: Incoming, reply: Reply) -> None:
         self.probes += 1
         if self.lasting_fault is WorkerFault.HANG:
@@ -103,7 +117,10 @@
         if self.spoils_reports:
             reply.send_json({"stage": "bidirectional"})
             return
-        reply.send_json({"stage": "bidirectional", "queued": 0, "active": self.working})
+        report: dict[str, Any] = {"stage": "bidirectional", "queued": 0, "active": self.working}
+        if self.born is not None:
+            report["born"] = self.born
+        reply.send_json(report)
 
     async def _order(self, incoming: Incoming, reply: Reply) -> None:
         order = msgspec.json.decode(incoming.body)
@@ -137,6 +154,8 @@
         self.seen.append(Seen(incoming.method, incoming.target, incoming.headers, incoming.body))
         fault = self.faults.pop(0) if self.faults else self.lasting_fault
         expected = incoming.headers.get("x-expect-instance", self.id)
+        if expected != self.id:
+            self.misdirected_by_id[expected] += 1
         if expected != self.id or fault is WorkerFault.MISDIRECTED:
             reply.send(421, {"x-instance-id": self.id}, b"")
             return
--- a/pondpin/tests/test_platform.py
+++ b/pondpin/tests/test_platform.py
@@ -18,7 +18,13 @@
 from pondpin.relay.model import EngineReport, RouteKind
 from pondpin.relay.ports import ConfigurationChange, Forwarded, PartPlace
 from pondpin.relay_settings import read_relay_settings
-from pondpin.standins.local_platform import KEY, LocalPlatform, sample_configuration, sample_route
+from pondpin.standins.local_platform import (
+    KEY,
+    LocalPlatform,
+    sample_configuration,
+    sample_entry,
+    sample_route,
+)
 from pondpin.tests.support import run_async, the_loop
 
 ROOT = Path(__file__).parents[2]
@@ -87,7 +93,7 @@
             self.decoder.upstream("servers/a", b'{"service": "a", "address": "host:1"}')
 
     def test_unknown_fields_are_passed_over(self) -> None:
-        entry = {"service": "a", "address": "10.0.0.1:80", "news": 1, "state": "draining"}
+        entry = sample_entry("a", "10.0.0.1:80", news=1, state="draining")
         found = self.decoder.upstream("servers/i-1", msgspec.json.encode(entry))
         self.assertEqual((found.id, found.port, found.leaving), ("i-1", 80, True))
 
--- a/pondpin/tests/test_relay_engines.py
+++ b/pondpin/tests/test_relay_engines.py
@@ -25,7 +25,7 @@
     pass_seconds,
     read_seconds,
 )
-from pondpin.relay.model import EngineProfile, ListedUpstream
+from pondpin.relay.model import EngineProfile, ListedUpstream, life_of
 from pondpin.relay.upstreams import PEER_LOAD_SECONDS, UpstreamTable
 from pondpin.relay.work import Read, Work, reads_end
 
@@ -186,9 +186,15 @@
     def usable(self, now: float = NOW) -> set[str]:
         return {item.id for item in self.table.usable("engines", now, frozenset())}
 
+    def newest_names(self, most: int) -> list[str]:
+        return [self.table.name_of(life) for life in self.table.newest_leaving(most)]
+
+    def note_failure(self, name: str, now: float, certain: bool = False) -> bool:
+        return self.table.note_failure(self.table.by_id[name], now, certain)
+
     def test_leaving_is_sticky_whatever_the_list_says_later(self) -> None:
-        self.assertTrue(self.table.mark_leaving("a"))
-        self.assertFalse(self.table.mark_leaving("a"))
+        self.assertTrue(self.table.mark_leaving(life_of("a", None)))
+        self.assertFalse(self.table.mark_leaving(life_of("a", None)))
         self.table.take_list([listed("a"), listed("b"), listed("c", "south")], [])
         self.assertEqual(self.usable(), {"b", "c"})
         self.table.take_list([], ["a"])
@@ -199,15 +205,15 @@
         names = [f"e{number:02}" for number in range(40)]
         self.table.take_list([listed(name) for name in names], [])
         for name in reversed(names):
-            self.table.mark_leaving(name)
-        self.assertEqual(self.table.newest_leaving(3), ("e00", "e01", "e02"))
+            self.table.mark_leaving(life_of(name, None))
+        self.assertEqual(self.newest_names(3), ["e00", "e01", "e02"])
         self.table.take_list([], ["e01"])
-        self.assertEqual(self.table.newest_leaving(3), ("e00", "e02", "e03"))
+        self.assertEqual(self.newest_names(3), ["e00", "e02", "e03"])
         self.assertEqual(len(self.table.newest_leaving(100)), 39)
 
     def test_leaving_ones_are_never_a_way_out(self) -> None:
         for name in "abc":
-            self.table.mark_leaving(name)
+            self.table.mark_leaving(life_of(name, None))
         self.assertEqual(self.usable(), set())
 
     def test_a_lapsed_entry_may_return(self) -> None:
@@ -217,16 +223,16 @@
         self.assertEqual(self.usable(), {"a", "b"})
 
     def test_an_ejected_upstream_waits_for_its_probe(self) -> None:
-        self.assertTrue(self.table.note_failure("a", NOW, certain=True))
+        self.assertTrue(self.note_failure("a", NOW, certain=True))
         self.assertEqual(self.usable(), {"b", "c"})
         self.assertEqual(self.usable(NOW + 60), {"b", "c"})
-        self.table.probe_passed("a")
+        self.table.by_id["a"].note_probe_passed()
         self.assertEqual(self.usable(NOW + 60), {"a", "b", "c"})
 
     def test_one_that_fails_half_is_avoided_for_a_while(self) -> None:
         for step in range(20):
-            self.table.note_failure("a", NOW + step * 0.1, certain=False)
-            self.table.note_success("a", NOW + step * 0.1 + 0.05)
+            self.note_failure("a", NOW + step * 0.1)
+            self.table.by_id["a"].note_success(NOW + step * 0.1 + 0.05)
         after = NOW + 2.0
         self.assertGreater(self.table.by_id["a"].failing.at(after), 0.4)
         self.assertEqual(self.usable(after), {"b", "c"})
@@ -235,14 +241,14 @@
     def test_one_that_fails_seldom_is_kept(self) -> None:
         for step in range(70):
             if step % 7:
-                self.table.note_success("a", NOW + step * 0.1)
+                self.table.by_id["a"].note_success(NOW + step * 0.1)
             else:
-                self.table.note_failure("a", NOW + step * 0.1, certain=False)
+                self.note_failure("a", NOW + step * 0.1)
         self.assertIn("a", self.usable(NOW + 7.0))
 
     def test_when_all_look_bad_looks_are_ignored(self) -> None:
         for name in "abc":
-            self.table.note_failure(name, NOW, certain=True)
+            self.note_failure(name, NOW, certain=True)
         self.assertEqual(self.usable(), {"a", "b", "c"})
 
     def test_a_silent_data_center_is_avoided_until_one_is_heard(self) -> None:
--- a/pondpin/tests/test_relay_lifecycle.py
+++ b/pondpin/tests/test_relay_lifecycle.py
@@ -13,7 +13,7 @@
 from pondpin.relay.call import Progress, RelayCall
 from pondpin.relay.entry import RelayEntry
 from pondpin.relay.freshness import Proof
-from pondpin.relay.model import RequestFacts
+from pondpin.relay.model import RequestFacts, life_of
 from pondpin.relay.planner import Plan
 from pondpin.relay.reader import SHORTEST_KEY_MS
 from pondpin.relay_settings import RelayLimits
@@ -207,7 +207,9 @@
             place = f"127.0.0.1:{worker.server.port.getHost().port}"
             platform.list_worker("plain-0", PLAIN, place, "north", "draining")
             await platform.until(
-                lambda: all("plain-0" in entry.table.left for entry in platform.entries)
+                lambda: all(
+                    life_of("plain-0", None) in entry.table.left for entry in platform.entries
+                )
             )
             worker.seen.clear()
             for number in range(12):
--- /dev/null
+++ b/pondpin/tests/test_relay_lives.py
@@ -0,0 +1,491 @@
+"""Workers that start again under their id, and entries that another writer wrote."""
+
+import asyncio
+import random
+import unittest
+from typing import Any
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pondpin.platform.documents import PlatformDecoder
+from pondpin.platform.store import PlatformStore
+from pondpin.relay.documents import DocumentKind, PublishedItem
+from pondpin.relay.leases import RENEW_SECONDS, Leases
+from pondpin.relay.model import EngineReport, ListedUpstream, life_of
+from pondpin.relay.ports import LeaseAnswer, PartPlace
+from pondpin.relay.reports import Reports
+from pondpin.relay.upstreams import UpstreamTable
+from pondpin.relay.work import Work
+from pondpin.standins.local_platform import (
+    ENGINES,
+    PLAIN,
+    LocalPlatform,
+    sample_entry,
+)
+from pondpin.standins.published_store import UPSTREAMS_PREFIX
+from pondpin.standins.worker import WorkerFault
+from pondpin.tests.support import FakeClock, RelayTest, ask, run_async, wait_until
+from pondpin.tests.test_relay_publication import ListLog, Recorder, configuration_item, entry_item
+
+NOW = 1000.0
+FIRST = 1_700_000_000_000
+LATER = FIRST + 5000
+ADDRESS = "10.0.0.1:80"
+
+
+def engine_entry(**changes: Any) -> dict[str, Any]:
+    return sample_entry(ENGINES, ADDRESS, **changes)
+
+
+def listed(born: int | None, leaving: bool = False) -> ListedUpstream:
+    return ListedUpstream("a", ENGINES, "10.0.0.1", 80, "north", 8, leaving, born)
+
+
+def reading(since: float) -> Work:
+    return Work(1.0, since, 5000, 0.3, 0.2, 1.3, True, True)
+
+
+class EntryTest(unittest.TestCase):
+    """One entry, as the adapter decodes it."""
+
+    def decode(self, entry: dict[str, Any], key: str = "servers/a") -> ListedUpstream:
+        return PlatformDecoder().upstream(key, msgspec.json.encode(entry))
+
+    def test_entries_of_today_and_of_workers_that_say_when_they_were_born(self) -> None:
+        self.assertIsNone(self.decode(engine_entry()).born)
+        self.assertEqual(self.decode(engine_entry(born=FIRST)).born, FIRST)
+        self.assertEqual(self.decode(engine_entry(unheard="of")).slots, 8)
+
+    def test_odd_entries_name_no_worker(self) -> None:
+        odd: tuple[dict[str, Any], ...] = (
+            {"state": "retired"},
+            {"state": None},
+            {"born": 1.5},
+            {"born": "1"},
+            {"born": True},
+            {"born": None},
+            {"born": -1},
+            {"born": 0},
+            {"born": FIRST // 1000},
+            {"born": FIRST * 1000},
+            {"slots": 0},
+            {"slots": -3},
+            {"slots": 10**9},
+            {"slots": 2.5},
+            {"slots": "8"},
+            {"zone": 3},
+            {"version": 1},
+            {"sequence": -1},
+            {"sequence": "4"},
+            {"coldRemainingMs": "soon"},
+            {"service": ["engines"]},
+            {"address": "worker.example:80"},
+            {"address": "10.0.0.1"},
+            {"address": "10.0.0.1:0"},
+            {"address": "10.0.0.1:65536"},
+        )
+        for changes in odd:
+            with self.subTest(changes), self.assertRaises(ValueError):
+                self.decode(engine_entry(**changes))
+        with self.assertRaises(ValueError):
+            self.decode(engine_entry(), key="servers/")
+
+    def test_each_field_of_the_pages_must_be_there(self) -> None:
+        names = ("service", "address", "zone", "version", "slots", "state", "coldRemainingMs")
+        for name in (*names, "sequence"):
+            entry = engine_entry()
+            del entry[name]
+            with self.subTest(name), self.assertRaises(ValueError):
+                self.decode(entry)
+
+    def test_bytes_that_cannot_be_read_are_refused(self) -> None:
+        deep = b'{"a":' + b"[" * 200_000
+        for value in (b"", b"\xff\xfe", b"null", b"[]", b"{", b"\x00" * 9, deep):
+            with self.assertRaises(ValueError):
+                PlatformDecoder().upstream("servers/a", value)
+
+    def test_a_configuration_that_nests_too_deeply_is_refused(self) -> None:
+        with self.assertRaises(ValueError):
+            PlatformDecoder().configuration(b'{"a":' + b"[" * 200_000)
+
+
+class OddListTest(unittest.TestCase):
+    """The list of upstreams with entries that can't be used beside good ones."""
+
+    def setUp(self) -> None:
+        self.recorder = Recorder()
+        self.publication = self.recorder.publication
+        self.publication.offer_configuration(configuration_item(1, 1), None)
+        self.good = entry_item("good", 2, engine_entry())
+        self.now = NOW
+
+    def offer(self, *items: PublishedItem) -> list[str]:
+        self.now += 0.7
+        self.publication.offer_list([self.good, *items], self.now, self.now)
+        return self.recorder.listed
+
+    def test_an_odd_entry_takes_the_good_one_at_its_key_out_and_is_told_once(self) -> None:
+        self.assertEqual(self.offer(entry_item("a", 3, engine_entry())), ["good", "a"])
+        odd = entry_item("a", 4, engine_entry(state="retired"))
+        self.assertEqual(self.offer(odd), ["good"])
+        self.assertEqual(self.recorder.gone, ["a"])
+        self.assertEqual(self.offer(odd, entry_item("b", 5, engine_entry())), ["good", "b"])
+        self.assertEqual(len(self.recorder.refused), 1)
+        self.assertEqual(self.offer(entry_item("a", 6, engine_entry())), ["good", "a"])
+
+    def test_an_odd_entry_is_out_at_once_also_while_the_source_comes_back(self) -> None:
+        self.offer(entry_item("a", 3, engine_entry()))
+        self.now += 30
+        odd = PublishedItem("servers/a", 4, b"\xff")
+        self.assertEqual(self.offer(odd), ["good"])
+        self.assertEqual(self.recorder.gone, ["a"])
+
+    def test_a_service_that_no_configuration_names_has_no_upstreams(self) -> None:
+        other = entry_item("a", 3, engine_entry(service="unheard"))
+        self.assertEqual(self.offer(other), ["good"])
+        self.assertEqual(self.offer(other, entry_item("b", 4, engine_entry())), ["good", "b"])
+        self.assertEqual(len(self.recorder.refused), 1)
+        document = msgspec.json.decode(configuration_item(2, 9).value)
+        document["services"].append({"name": "unheard", "healthPath": "/healthz", "maxConns": 9})
+        named = PublishedItem("op/config", 9, msgspec.json.encode(document))
+        self.publication.offer_configuration(named, None)
+        self.assertEqual(self.recorder.listed, ["good", "a", "b"])
+
+    def test_the_list_may_come_before_the_configuration(self) -> None:
+        recorder = Recorder()
+        recorder.publication.offer_list([self.good], NOW, NOW)
+        self.assertEqual(recorder.refused, [])
+        recorder.publication.offer_configuration(configuration_item(1, 1), None)
+        self.assertEqual(recorder.listed, ["good"])
+
+    @given(
+        st.dictionaries(
+            st.sampled_from([*sorted(engine_entry()), "born", "other"]),
+            st.recursive(
+                st.none()
+                | st.booleans()
+                | st.integers(-(2**70), 2**70)
+                | st.floats(allow_nan=False)
+                | st.text(max_size=8)
+                | st.sampled_from(["ready", "draining", "engines", FIRST, ADDRESS]),
+                lambda inner: st.lists(inner, max_size=2),
+                max_leaves=3,
+            ),
+        ),
+        st.sets(st.sampled_from(sorted(engine_entry()))),
+        st.binary(max_size=12),
+        st.booleans(),
+    )
+    def test_whatever_another_writer_writes(
+        self, changes: dict[str, Any], missing: set[str], tail: bytes, spoils: bool
+    ) -> None:
+        recorder = Recorder()
+        publication = recorder.publication
+        publication.offer_configuration(configuration_item(1, 1), None)
+        publication.offer_list([self.good, entry_item("a", 3, engine_entry())], NOW, NOW)
+        entry = {name: item for name, item in engine_entry().items() if name not in missing}
+        value = msgspec.json.encode(entry | changes) + (tail if spoils else b"")
+        publication.offer_list([self.good, PublishedItem("servers/a", 4, value)], NOW + 1, NOW + 1)
+        self.assertIn("good", recorder.listed)
+        if "a" in recorder.listed:
+            self.assertEqual(recorder.refused, [])
+            self.assert_sound(value)
+        else:
+            self.assertEqual((len(recorder.refused), recorder.gone), (1, ["a"]))
+
+    def assert_sound(self, value: bytes) -> None:
+        entry = msgspec.json.decode(value)
+        self.assertIn(entry["state"], ("ready", "draining"))
+        self.assertEqual(entry["service"], ENGINES)
+        self.assertTrue(1 <= entry["slots"] <= 10_000)
+        self.assertIsInstance(entry.get("born", 1), int)
+        self.assertLessEqual({"address", "zone", "version", "sequence"}, entry.keys())
+
+
+class LivesInTheListTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.recorder = Recorder()
+        self.publication = self.recorder.publication
+        self.publication.offer_configuration(configuration_item(1, 1), None)
+        self.now = NOW
+
+    def offer(self, revision: int, born: int | None, **changes: Any) -> int | None:
+        """Offer an entry; the start of the life in force then."""
+        self.now += 0.7
+        said = {} if born is None else {"born": born}
+        item = entry_item("a", revision, engine_entry(**said, **changes))
+        self.publication.offer_list([item], self.now, self.now)
+        return self.recorder.lives.get("a")
+
+    def test_the_greater_start_is_the_later_life_however_late_it_comes(self) -> None:
+        self.assertEqual(self.offer(2, LATER), LATER)
+        self.assertEqual(self.offer(3, FIRST, state="draining"), LATER)
+        self.assertEqual(self.recorder.gone, [])
+        self.assertEqual(len(self.recorder.refused), 1)
+        self.assertEqual(self.offer(4, LATER + 1), LATER + 1)
+
+    def test_an_earlier_life_does_not_come_back_when_the_entry_was_gone(self) -> None:
+        self.offer(2, LATER)
+        self.publication.offer_list([], self.now + 1, self.now + 1)
+        self.assertEqual(self.recorder.gone, ["a"])
+        self.now += 1
+        self.assertIsNone(self.offer(3, FIRST))
+        self.assertEqual(self.offer(4, LATER), LATER)
+
+    def test_an_entry_that_says_no_start_any_more_is_another_writers(self) -> None:
+        self.offer(2, FIRST)
+        self.assertIsNone(self.offer(3, None))
+        self.assertEqual(self.recorder.gone, ["a"])
+
+    def test_a_worker_that_says_its_start_for_the_first_time(self) -> None:
+        self.assertIsNone(self.offer(2, None))
+        self.assertEqual(self.recorder.listed, ["a"])
+        self.assertEqual(self.offer(3, FIRST), FIRST)
+
+
+class LivesInTheTableTest(unittest.TestCase):
+    """Nothing that is known of one life counts for another."""
+
+    def setUp(self) -> None:
+        self.table = UpstreamTable("north")
+        self.table.take_list([listed(FIRST)], [])
+        self.first = self.table.by_id["a"]
+
+    def start_again(self) -> None:
+        news = self.table.take_list([listed(LATER)], [])
+        self.assertEqual([item.later.born for item in news.restarted], [LATER])
+
+    def test_health_work_and_reports_end_with_a_life(self) -> None:
+        self.table.note_failure(self.first, NOW, certain=True)
+        self.first.work_by_key[1] = reading(NOW)
+        self.first.report = EngineReport(8, 8)
+        self.start_again()
+        state = self.table.by_id["a"]
+        self.assertTrue(state.usable(NOW))
+        self.assertEqual((state.in_flight(NOW), state.report), (0, None))
+        self.assertTrue(self.first.ended)
+        # What is still open at the earlier life ends there.
+        self.table.note_failure(self.first, NOW, certain=True)
+        self.first.note_read(1, NOW)
+        self.assertTrue(state.usable(NOW))
+
+    def test_leaving_belongs_to_a_life(self) -> None:
+        self.assertTrue(self.table.mark_leaving(life_of("a", FIRST)))
+        self.start_again()
+        self.assertEqual([item.id for item in self.table.usable(ENGINES, NOW, frozenset())], ["a"])
+        # A peer tells late of the earlier one.
+        self.table.mark_leaving(life_of("a", FIRST))
+        self.assertFalse(self.table.by_id["a"].leaving)
+        # And early of the later one.
+        self.table.mark_leaving(life_of("a", LATER + 1))
+        self.table.take_list([listed(LATER + 1)], [])
+        self.assertTrue(self.table.by_id["a"].leaving)
+
+    def test_an_earlier_life_does_not_come_back(self) -> None:
+        self.start_again()
+        news = self.table.take_list([listed(FIRST, leaving=True)], [])
+        self.assertEqual((news.leaving, news.restarted), ((), ()))
+        self.assertEqual(self.table.by_id["a"].listed.born, LATER)
+        self.assertFalse(self.table.by_id["a"].leaving)
+
+    def test_what_peers_tell_counts_for_the_life_they_mean(self) -> None:
+        self.first.work_by_key[1] = reading(NOW)
+        told = self.first.digest(NOW)
+        assert told is not None
+        self.start_again()
+        self.table.take_peer_work("peer", [told], NOW, NOW + 5)
+        self.table.suspect(life_of("a", FIRST), NOW + 5)
+        state = self.table.by_id["a"]
+        self.assertEqual(state.in_flight(NOW), 0)
+        self.assertTrue(state.usable(NOW))
+        self.table.suspect(life_of("a", LATER), NOW + 5)
+        self.assertFalse(state.usable(NOW))
+
+    def test_a_request_may_go_to_the_later_life_of_one_it_tried(self) -> None:
+        tried = frozenset((self.first.life,))
+        self.assertEqual(self.table.usable(ENGINES, NOW, tried), [])
+        self.start_again()
+        self.assertEqual(len(self.table.usable(ENGINES, NOW, tried)), 1)
+
+
+class Engines:
+    """Counts orders by port."""
+
+    def __init__(self) -> None:
+        self.orders: list[int] = []
+
+    async def reserve(
+        self, host: str, port: int, lease: str, tokens: int, hold: float, timeout: float
+    ) -> LeaseAnswer:
+        self.orders.append(port)
+        return LeaseAnswer.HELD
+
+    async def release(self, host: str, port: int, lease: str, timeout: float) -> bool:
+        self.orders.append(port)
+        return True
+
+
+class OrdersAndReportsTest(unittest.TestCase):
+    def test_a_later_life_gets_no_orders_for_an_earlier_ones_leases(self) -> None:
+        engines = Engines()
+        ended: set[int] = set()
+
+        async def work() -> None:
+            leases = Leases(engines, "x", ListLog(), lambda life: life in ended)
+            places = (
+                PartPlace("a", "10.0.0.1", 80, life=1),
+                PartPlace("b", "10.0.0.1", 81, life=2),
+            )
+            group, _ = await leases.take("r", places, 1000)
+            assert group is not None
+            ended.add(1)
+            engines.orders.clear()
+            keeping = asyncio.ensure_future(leases.keep(group))
+            await asyncio.sleep(1.5 * RENEW_SECONDS)
+            keeping.cancel()
+            leases.release(group)
+            await leases.settle()
+
+        run_async(work())
+        self.assertEqual(engines.orders, [81, 81])
+
+    def test_a_report_of_another_life_is_no_answer(self) -> None:
+        class Port:
+            born: int | None = LATER
+
+            async def read_report(self, host: str, port: int, timeout: float) -> EngineReport:
+                return EngineReport(3, 0, self.born)
+
+        port = Port()
+        clock = FakeClock()
+        table = UpstreamTable("north")
+        table.take_list([listed(FIRST)], [])
+        reports = Reports(port, ListLog(), clock)
+        state = table.by_id["a"]
+
+        async def work() -> None:
+            self.assertFalse(await reports.ask(state))
+            self.assertIsNone(state.report)
+            for born in (FIRST, None):
+                port.born = born
+                clock.advance(1.0)
+                self.assertTrue(await reports.ask(state))
+
+        run_async(work())
+
+
+class RestartTest(RelayTest):
+    """A worker that starts again, seen by callers."""
+
+    engines = 1
+
+    def play(self, work: Any) -> None:
+        async def with_births(platform: LocalPlatform) -> None:
+            for number, worker in enumerate(platform.workers_by_id.values()):
+                worker.born = FIRST + number
+                self.list_again(platform, worker.id)
+            table = platform.entries[0].table
+            await wait_until(lambda: all(item.listed.born for item in table.by_id.values()))
+            await work(platform)
+
+        super().play(with_births)
+
+    def list_again(self, platform: LocalPlatform, name: str, **changes: Any) -> None:
+        worker = platform.workers_by_id[name]
+        assert worker.server.port is not None
+        service = ENGINES if name.startswith("engine") else PLAIN
+        address = f"127.0.0.1:{worker.server.port.getHost().port}"
+        entry = sample_entry(service, address, born=worker.born, **changes)
+        platform.store.put(f"{UPSTREAMS_PREFIX}{name}", entry)
+
+    def test_the_later_life_serves_soon_whatever_became_of_the_earlier_one(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            table = platform.entries[0].table
+            worker = platform.workers_by_id["engine-0"]
+            self.assertEqual((await ask(platform, "stream", "a1", x_token_usage="9,9")).status, 200)
+            self.list_again(platform, worker.id, state="draining")
+            await wait_until(lambda: table.by_id[worker.id].leaving)
+            table.note_failure(table.by_id[worker.id], NOW, certain=True)
+            worker.start_again(LATER)
+            self.list_again(platform, worker.id)
+            await wait_until(lambda: table.by_id[worker.id].listed.born == LATER)
+            self.assertEqual((await ask(platform, "stream", "a2", x_token_usage="9,9")).status, 200)
+
+        self.play(work)
+
+    def test_a_request_of_the_earlier_life_keeps_its_true_end(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            table = platform.entries[0].table
+            workers = [platform.workers_by_id[name] for name in ("plain-0", "plain-1")]
+            for worker in workers:
+                worker.faults = [WorkerFault.HANG]
+            asking = asyncio.ensure_future(ask(platform, "once", "a1"))
+            await wait_until(lambda: any(worker.working for worker in workers))
+            worker = next(item for item in workers if item.working)
+            worker.start_again(LATER)
+            self.list_again(platform, worker.id)
+            await wait_until(lambda: table.by_id[worker.id].listed.born == LATER)
+            answer = await asking
+            self.assertNotIn(answer.status, (408, 421, 429, 503, 200))
+            self.assertEqual(sum(item.runs_by_attempt["a1"] for item in workers), 1)
+
+        self.play(work)
+
+    def test_odd_entries_beside_good_ones(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            entry = platform.entries[0]
+            rng = random.Random(1)
+            for number in range(20):
+                changes = rng.choice(({"state": "retired"}, {"slots": 0}, {"service": "unheard"}))
+                odd = sample_entry(ENGINES, "127.0.0.1:9", **changes)
+                platform.store.put(f"{UPSTREAMS_PREFIX}odd-{number}", odd)
+            tag = entry.publication.list_tag
+            await wait_until(lambda: entry.publication.list_tag != tag)
+            self.assertEqual(len(entry.table.by_id), 3)
+            for number in range(5):
+                answer = await ask(platform, "stream", f"a{number}", x_token_usage="9,9")
+                self.assertEqual(answer.status, 200)
+
+        self.play(work)
+
+
+class OddPageTest(RelayTest):
+    def test_an_item_that_cannot_be_read_hides_no_other(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            platform.store.put(f"{UPSTREAMS_PREFIX}odd &=?name", {"no": "entry"})
+            platform.store.spoiled_keys = {f"{UPSTREAMS_PREFIX}odd &=?name": "no base64!"}
+            platform.store.page_items = 1
+            source = PlatformStore(platform.http, str(platform.source))
+            read = await source.read_upstreams(2.0)
+            values = {item.key.rpartition("/")[2]: bool(item.value) for item in read.items}
+            names = {"engine-0", "engine-1", "plain-0", "plain-1"}
+            self.assertEqual(values, dict.fromkeys(names, True) | {"odd &=?name": False})
+            platform.store.spoiled_keys = {f"{UPSTREAMS_PREFIX}odd &=?name": 3}
+            platform.store.page_items = 100
+            read = await source.read_upstreams(2.0)
+            self.assertEqual({item.key.rpartition("/")[2] for item in read.items}, names)
+
+        self.play(work)
+
+
+class CountTest(RelayTest):
+    def test_each_revision_of_an_odd_entry_counts_once(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            entry = platform.entries[0]
+            for _ in range(5):
+                entry._note_refused(DocumentKind.UPSTREAMS, "servers/a", "odd")
+            text, _ = entry.metrics.render("")
+            line = next(
+                item
+                for item in text.decode().splitlines()
+                if item.startswith("pondpin_upstream_entries_refused_total{")
+            )
+            self.assertTrue(line.endswith(" 5"), line)
+
+        self.play(work)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/pondpin/tests/test_relay_patience.py
+++ b/pondpin/tests/test_relay_patience.py
@@ -13,7 +13,7 @@
 from pondpin.relay.patience import Patience, patience_for
 from pondpin.relay.planner import Plan, RelayPolicy
 from pondpin.relay.retry_window import FEWEST_SHARERS, RetryBounds, RetryWindow
-from pondpin.relay.upstreams import UpstreamState
+from pondpin.relay.upstream_state import UpstreamState
 from pondpin.tests.test_relay_planner import make_call
 from pondpin.tools.virtual_time import run_virtual
 
--- a/pondpin/tests/test_relay_publication.py
+++ b/pondpin/tests/test_relay_publication.py
@@ -8,7 +8,7 @@
 
 from pondpin.http_streams import CallFailedError
 from pondpin.platform.documents import PlatformDecoder
-from pondpin.relay.documents import KEPT_VERSIONS, PublishedItem
+from pondpin.relay.documents import KEPT_VERSIONS, DocumentKind, PublishedItem
 from pondpin.relay.freshness import Proof
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import LogEvent, SourceChanged
@@ -31,7 +31,7 @@
     backoff_seconds,
     is_due,
 )
-from pondpin.standins.local_platform import sample_configuration
+from pondpin.standins.local_platform import sample_configuration, sample_entry
 from pondpin.tests.support import FakeClock, run_async
 
 NOW = 1000.0
@@ -43,7 +43,10 @@
 
 
 def server_item(name: str, revision: int, state: str = "ready") -> PublishedItem:
-    entry = {"service": "engines", "address": "127.0.0.1:80", "state": state}
+    return entry_item(name, revision, sample_entry("engines", "127.0.0.1:80", state=state))
+
+
+def entry_item(name: str, revision: int, entry: object) -> PublishedItem:
     return PublishedItem(f"servers/{name}", revision, msgspec.json.encode(entry))
 
 
@@ -55,6 +58,7 @@
         self.refused: list[str] = []
         self.gone: list[str] = []
         self.listed: list[str] = []
+        self.lives: dict[str, int] = {}
         self.publication = Publication(
             PlatformDecoder(), self.take, self.take_list, self.note_refused
         )
@@ -65,8 +69,9 @@
     def take_list(self, change: ListChange) -> None:
         self.gone += change.missing
         self.listed = [item.id for item in change.listed]
+        self.lives = {item.id: item.born for item in change.listed if item.born is not None}
 
-    def note_refused(self, key: str, reason: str) -> None:
+    def note_refused(self, kind: DocumentKind, key: str, reason: str) -> None:
         self.refused.append(reason)
 
 
@@ -141,6 +146,7 @@
     def setUp(self) -> None:
         self.recorder = Recorder()
         self.publication = self.recorder.publication
+        self.publication.offer_configuration(configuration_item(1, 1), None)
         self.both = [server_item("a", 1), server_item("b", 2)]
         self.publication.offer_list(self.both, NOW, NOW)
 
--- a/pondpin/tests/test_relay_turns.py
+++ b/pondpin/tests/test_relay_turns.py
@@ -10,7 +10,7 @@
 from pondpin.relay.model import ListedUpstream
 from pondpin.relay.planner import Plan
 from pondpin.relay.turns import REPLAN_SECONDS, Turn, Turns, Verdict
-from pondpin.relay.upstreams import UpstreamState
+from pondpin.relay.upstream_state import UpstreamState
 from pondpin.tests.test_relay_planner import NOW, make_call
 
 LEAD = UpstreamState(ListedUpstream("e0", "engines", "10.0.0.1", 80, "north", 8, False))
