--- a/pondpin/platform/store.py
+++ b/pondpin/platform/store.py
@@ -7,8 +7,8 @@
 
 from pondpin.http_client import Answer, HttpClient
 from pondpin.http_streams import CallFailedError
-from pondpin.relay.documents import PublishedItem
 from pondpin.relay.ports import ConfigurationChange, ListRead
+from pondpin.relay.published.documents import PublishedItem
 
 CONFIGURATION_KEY = "op/config"
 UPSTREAMS_PREFIX = "servers/"
--- /dev/null
+++ b/pondpin/relay/attempts/__init__.py
@@ -0,0 +1,1 @@
+"""A request on its way: admission, attempts, the final answer."""
--- a/pondpin/relay/attempts/admission.py
+++ b/pondpin/relay/attempts/admission.py
@@ -7,9 +7,9 @@
 
 from pondpin.codes import Code
 from pondpin.errors import PondpinError
-from pondpin.relay.freshness import Proof
+from pondpin.relay.choosing.routing import find_account, find_route, needs_key
 from pondpin.relay.model import RelayConfiguration, RequestFacts, Route
-from pondpin.relay.routing import find_account, find_route, needs_key
+from pondpin.relay.published.freshness import Proof
 
 # A route or key may be missing here because it is new: 'no' is only final while the version
 # was proved this lately.
--- a/pondpin/relay/attempts/attempt.py
+++ b/pondpin/relay/attempts/attempt.py
@@ -7,11 +7,11 @@
 from pondpin.clocks import Clock
 from pondpin.http_client import ExactCall, HttpClient
 from pondpin.http_streams import CallFailedError, OpenStream, StreamStart
+from pondpin.relay.attempts.events import EventSplitter
 from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall, WholeReply
-from pondpin.relay.events import EventSplitter
+from pondpin.relay.choosing.patience import Patience
+from pondpin.relay.choosing.planner import Plan
 from pondpin.relay.model import AnswerHead
-from pondpin.relay.patience import Patience
-from pondpin.relay.planner import Plan
 from pondpin.relay.ports import Dialect, Forwarded, PartPlace
 
 OK = 200
--- a/pondpin/relay/attempts/attempt_ends.py
+++ b/pondpin/relay/attempts/attempt_ends.py
@@ -4,8 +4,8 @@
 from pondpin.errors import PondpinError
 from pondpin.network import Endpoint
 from pondpin.relay.call import AttemptEnd, Progress, RelayCall
-from pondpin.relay.planner import Plan
-from pondpin.relay.upstream_state import UpstreamState
+from pondpin.relay.choosing.planner import Plan
+from pondpin.relay.upstreams.state import UpstreamState
 
 FIRST_SERVER_ERROR = 500
 
--- a/pondpin/relay/attempts/handler.py
+++ b/pondpin/relay/attempts/handler.py
@@ -10,31 +10,29 @@
 from pondpin.errors import PondpinError
 from pondpin.http_reply import Incoming, Reply
 from pondpin.metrics import Metrics
-from pondpin.relay.admission import Admitted, Beliefs, admit, check_not_behind, check_proof
-from pondpin.relay.attempt import Attempts
-from pondpin.relay.attempt_ends import (
+from pondpin.relay.attempts.admission import Admitted, Beliefs, admit, check_not_behind, check_proof
+from pondpin.relay.attempts.attempt import Attempts
+from pondpin.relay.attempts.attempt_ends import (
     FIRST_SERVER_ERROR,
     helper_at_fault,
     is_retryable_answer,
     keep_true,
 )
+from pondpin.relay.attempts.request_notes import RequestNotes
+from pondpin.relay.attempts.upstream_judge import UpstreamJudge
 from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall
-from pondpin.relay.leases import LeaseGroup, Leases
+from pondpin.relay.choosing.patience import patience_for
+from pondpin.relay.choosing.planner import Plan, Planner, RelayPolicy
+from pondpin.relay.choosing.retry_window import RetryBounds, RetryWindow
+from pondpin.relay.choosing.routing import pick_service
+from pondpin.relay.choosing.turns import Turn, Turns, Verdict
 from pondpin.relay.log import EventLog
-from pondpin.relay.log_events import UpstreamEjected, UpstreamLeaving
 from pondpin.relay.model import AnswerHead, RequestFacts, Route, RouteKind
-from pondpin.relay.patience import patience_for
-from pondpin.relay.planner import Plan, Planner, RelayPolicy
 from pondpin.relay.ports import Dialect
-from pondpin.relay.reports import Reports
-from pondpin.relay.request_notes import RequestNotes
-from pondpin.relay.retry_window import RetryBounds, RetryWindow
-from pondpin.relay.routing import pick_service
-from pondpin.relay.turns import Turn, Turns, Verdict
-from pondpin.relay.upstream_state import UpstreamState
-from pondpin.relay.upstreams import UpstreamTable
-
-MISDIRECTED = 421
+from pondpin.relay.upstreams.leases import LeaseGroup, Leases
+from pondpin.relay.upstreams.reports import Reports
+from pondpin.relay.upstreams.table import UpstreamTable
+
 # Groups of leases asked for before a request is refused for want of memory.
 LEASE_TRIES = 3
 # Upstreams tried for a request, counting those that no byte reached.
@@ -45,8 +43,6 @@
 STOPPING_RETRY_SECONDS = 0.05
 # Forecasts of reading err by a few hundred milliseconds.
 READING_SLACK_SECONDS = 0.4
-# A silence that is shorter says nothing of an upstream.
-SILENT_SECONDS = 0.75
 
 
 @dataclass
@@ -74,6 +70,7 @@
         """Set up the state."""
         self.open_requests = 0
         self.notes = RequestNotes(self.log, self.metrics, self.clock)
+        self._judge = UpstreamJudge(self.table, self.metrics, self.log, self.clock)
         self._windows: dict[str, RetryWindow] = {}
 
     async def handle(self, incoming: Incoming, reply: Reply) -> None:
@@ -187,7 +184,7 @@
             if keeper is not None and group is not None:
                 keeper.cancel()
                 self.leases.release(group)
-        self._judge(plan, end, began)
+        self._judge.judge_end(plan, end, began)
         helper = helper_at_fault(plan, end)
         if helper is not None:
             progress.tried |= {helper.life}
@@ -289,49 +286,9 @@
         code = Code.UPSTREAM_LOST if call.route.idempotent else Code.OUTCOME_UNKNOWN
         return PondpinError(code, detail, ran)
 
-    def _judge(self, plan: Plan, end: AttemptEnd, began: float) -> None:
-        """Note what an attempt's end says of its upstream."""
-        now = self.clock()
-        result = end.kind.value
-        self.metrics.attempts.inc({"upstream": plan.lead.listed.service, "result": result})
-        helper = helper_at_fault(plan, end)
-        if helper is not None:
-            # It may only be leaving; then the list says so in a moment.
-            self._note_failure(helper, now, "named as at fault", True)
-            return
-        if end.kind is EndKind.NOT_EXECUTED:
-            return
-        if end.kind is EndKind.STALLED and now - began < SILENT_SECONDS:
-            # The request's own time was over; that says nothing of the upstream.
-            return
-        if end.kind is EndKind.STALLED and plan.lead.heard_at > began and plan.lead.is_busy(now):
-            # It lives and is known to be busy: placement weighs that already.
-            return
-        failing = end.kind in (EndKind.NOT_SENT, EndKind.STALLED)
-        if failing or end.kind in (EndKind.BROKEN, EndKind.INVALID):
-            silent = plan.lead.heard_at < began
-            certain = failing and silent
-            self._note_failure(plan.lead, now, end.detail, certain)
-        elif end.answer is not None and end.answer.status >= FIRST_SERVER_ERROR:
-            self._note_failure(plan.lead, now, f"status {end.answer.status}", False)
-        else:
-            plan.lead.note_success(now)
-
-    def _note_failure(self, state: UpstreamState, now: float, reason: str, certain: bool) -> None:
-        if self.table.note_failure(state, now, certain):
-            left = round(state.health.ejected_until - now, 2)
-            self.log.write(UpstreamEjected(upstream=state.id, reason=reason, seconds=left))
-
     def note_head(self, plan: Plan, head: AnswerHead) -> None:
-        """The head of an answer came: take what it says of its upstream."""
-        now = self.clock()
-        plan.lead.heard_at = now
-        if head.load is not None:
-            plan.lead.told, plan.lead.told_at = head.load, now
-        # Another upstream has the address; one that names itself is still there.
-        elsewhere = head.status == MISDIRECTED and head.instance != plan.lead.id
-        if elsewhere and self.table.mark_leaving(plan.lead.life):
-            self.log.write(UpstreamLeaving(upstream=plan.lead.id, source="misdirected"))
+        """The head of an answer came."""
+        self._judge.note_head(plan, head)
 
     def _send_whole(self, call: RelayCall, progress: Progress, end: AttemptEnd) -> None:
         answer = end.answer
--- a/pondpin/relay/attempts/request_notes.py
+++ b/pondpin/relay/attempts/request_notes.py
@@ -6,13 +6,13 @@
 from pondpin.codes import Code, Ran
 from pondpin.errors import PondpinError
 from pondpin.metrics import Metrics
-from pondpin.relay.admission import Beliefs
+from pondpin.relay.attempts.admission import Beliefs
 from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall
-from pondpin.relay.leases import LeaseGroup
+from pondpin.relay.choosing.planner import Plan
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import AttemptEnded, CallerGone, Ended, Placed, Refused
 from pondpin.relay.model import RequestFacts, Route
-from pondpin.relay.planner import Plan
+from pondpin.relay.upstreams.leases import LeaseGroup
 
 MILLISECONDS = 1000
 # An age that is not known is told as this many seconds.
--- /dev/null
+++ b/pondpin/relay/attempts/upstream_judge.py
@@ -0,0 +1,70 @@
+"""What the answers and the ends of attempts say of their upstreams."""
+
+from pondpin.clocks import Clock
+from pondpin.metrics import Metrics
+from pondpin.relay.attempts.attempt_ends import FIRST_SERVER_ERROR, helper_at_fault
+from pondpin.relay.call import AttemptEnd, EndKind
+from pondpin.relay.choosing.planner import Plan
+from pondpin.relay.log import EventLog
+from pondpin.relay.log_events import UpstreamEjected, UpstreamLeaving
+from pondpin.relay.model import AnswerHead
+from pondpin.relay.upstreams.state import UpstreamState
+from pondpin.relay.upstreams.table import UpstreamTable
+
+MISDIRECTED = 421
+# A silence that is shorter says nothing of an upstream.
+SILENT_SECONDS = 0.75
+
+
+class UpstreamJudge:
+    """Keeps the health of upstreams by what attempts there came to."""
+
+    def __init__(self, table: UpstreamTable, metrics: Metrics, log: EventLog, clock: Clock) -> None:
+        self._table = table
+        self._metrics = metrics
+        self._log = log
+        self._clock = clock
+
+    def judge_end(self, plan: Plan, end: AttemptEnd, began: float) -> None:
+        """Note what an attempt's end says of its upstream."""
+        now = self._clock()
+        result = end.kind.value
+        self._metrics.attempts.inc({"upstream": plan.lead.listed.service, "result": result})
+        helper = helper_at_fault(plan, end)
+        if helper is not None:
+            # It may only be leaving; then the list says so in a moment.
+            self._note_failure(helper, now, "named as at fault", True)
+            return
+        if end.kind is EndKind.NOT_EXECUTED:
+            return
+        if end.kind is EndKind.STALLED and now - began < SILENT_SECONDS:
+            # The request's own time was over; that says nothing of the upstream.
+            return
+        if end.kind is EndKind.STALLED and plan.lead.heard_at > began and plan.lead.is_busy(now):
+            # It lives and is known to be busy: placement weighs that already.
+            return
+        failing = end.kind in (EndKind.NOT_SENT, EndKind.STALLED)
+        if failing or end.kind in (EndKind.BROKEN, EndKind.INVALID):
+            silent = plan.lead.heard_at < began
+            certain = failing and silent
+            self._note_failure(plan.lead, now, end.detail, certain)
+        elif end.answer is not None and end.answer.status >= FIRST_SERVER_ERROR:
+            self._note_failure(plan.lead, now, f"status {end.answer.status}", False)
+        else:
+            plan.lead.note_success(now)
+
+    def _note_failure(self, state: UpstreamState, now: float, reason: str, certain: bool) -> None:
+        if self._table.note_failure(state, now, certain):
+            left = round(state.health.ejected_until - now, 2)
+            self._log.write(UpstreamEjected(upstream=state.id, reason=reason, seconds=left))
+
+    def note_head(self, plan: Plan, head: AnswerHead) -> None:
+        """The head of an answer came: take what it says of its upstream."""
+        now = self._clock()
+        plan.lead.heard_at = now
+        if head.load is not None:
+            plan.lead.told, plan.lead.told_at = head.load, now
+        # Another upstream has the address; one that names itself is still there.
+        elsewhere = head.status == MISDIRECTED and head.instance != plan.lead.id
+        if elsewhere and self._table.mark_leaving(plan.lead.life):
+            self._log.write(UpstreamLeaving(upstream=plan.lead.id, source="misdirected"))
--- /dev/null
+++ b/pondpin/relay/choosing/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstream takes a request, when, and how long its silence is borne."""
--- a/pondpin/relay/choosing/engine_choice.py
+++ b/pondpin/relay/choosing/engine_choice.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from pondpin.relay.forecast import (
+from pondpin.relay.model import EngineProfile
+from pondpin.relay.upstreams.forecast import (
     EngineLoad,
     delay_of_pending,
     delays_of_pending,
@@ -17,8 +18,7 @@
     pass_seconds,
     read_seconds,
 )
-from pondpin.relay.model import EngineProfile
-from pondpin.relay.work import LONG_READ_SECONDS
+from pondpin.relay.upstreams.work import LONG_READ_SECONDS
 
 # Numbers of engines that are compared for one prompt; an engine lets 16 others help.
 PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
--- a/pondpin/relay/choosing/patience.py
+++ b/pondpin/relay/choosing/patience.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 
 from pondpin.relay.call import RelayCall
+from pondpin.relay.choosing.planner import Plan, RelayPolicy
 from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.model import RouteKind
-from pondpin.relay.planner import Plan, RelayPolicy
 
 # A second try at another upstream begins after this multiple of the forecast, but not before
 # the shortest, and while the caller still has time for it.
--- a/pondpin/relay/choosing/planner.py
+++ b/pondpin/relay/choosing/planner.py
@@ -9,8 +9,7 @@
 from pondpin.clocks import Clock
 from pondpin.policies import PlacementPolicy
 from pondpin.relay.call import Progress, RelayCall
-from pondpin.relay.center_loads import CenterLoadSeen
-from pondpin.relay.engine_choice import (
+from pondpin.relay.choosing.engine_choice import (
     MOST_PARTS,
     ChoiceRules,
     EngineChoice,
@@ -18,15 +17,16 @@
     choose_engines,
     is_light,
 )
-from pondpin.relay.forecast import EngineLoad, read_seconds
-from pondpin.relay.long_reads import TOLD_SECONDS
+from pondpin.relay.choosing.routing import shortest_gap
 from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.model import EngineProfile
 from pondpin.relay.ports import PartPlace
-from pondpin.relay.routing import shortest_gap
-from pondpin.relay.upstream_state import UpstreamState
-from pondpin.relay.upstreams import UpstreamTable
-from pondpin.relay.work import LONG_READ_SECONDS, Work
+from pondpin.relay.upstreams.center_loads import CenterLoadSeen
+from pondpin.relay.upstreams.forecast import EngineLoad, read_seconds
+from pondpin.relay.upstreams.long_reads import TOLD_SECONDS
+from pondpin.relay.upstreams.state import UpstreamState
+from pondpin.relay.upstreams.table import UpstreamTable
+from pondpin.relay.upstreams.work import LONG_READ_SECONDS, Work
 from pondpin.service_choice import ServiceView, choose_service
 
 # A choice that puts this much reading on an engine is told to peers at once, in seconds.
--- a/pondpin/relay/choosing/turns.py
+++ b/pondpin/relay/choosing/turns.py
@@ -6,13 +6,13 @@
 from dataclasses import dataclass
 
 from pondpin.clocks import Clock
-from pondpin.relay.calendar import Calendar, WaitingPrompt
 from pondpin.relay.call import Progress, RelayCall
-from pondpin.relay.engine_choice import is_useful, should_hold
-from pondpin.relay.forecast import read_seconds
+from pondpin.relay.choosing.calendar import Calendar, WaitingPrompt
+from pondpin.relay.choosing.engine_choice import is_useful, should_hold
+from pondpin.relay.choosing.planner import Plan, RelayPolicy, make_job
 from pondpin.relay.mechanisms import Mechanism
-from pondpin.relay.planner import Plan, RelayPolicy, make_job
-from pondpin.relay.work import LONG_READ_SECONDS
+from pondpin.relay.upstreams.forecast import read_seconds
+from pondpin.relay.upstreams.work import LONG_READ_SECONDS
 
 # A prompt is sent when its engines are free within this time: about what a request takes to
 # reach them.
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -20,15 +20,14 @@
 from pondpin.platform.requests import PlatformDialect
 from pondpin.platform.store import PlatformStore
 from pondpin.policies import PlacementPolicy
-from pondpin.relay.admission import Beliefs
-from pondpin.relay.attempt import Attempts
-from pondpin.relay.document_server import DocumentServer
-from pondpin.relay.documents import DocumentKind
-from pondpin.relay.freshness import is_fresh
-from pondpin.relay.gossip import Gossip, GossipAddress, GossipController
-from pondpin.relay.handler import RelayHandler
+from pondpin.relay.attempts.admission import Beliefs
+from pondpin.relay.attempts.attempt import Attempts
+from pondpin.relay.attempts.handler import RelayHandler
+from pondpin.relay.caller_limits import caller_limits
+from pondpin.relay.choosing.planner import Planner, RelayPolicy
+from pondpin.relay.choosing.retry_window import RetryBounds
+from pondpin.relay.choosing.turns import Turns
 from pondpin.relay.housekeeping import HousekeepingController
-from pondpin.relay.leases import Leases
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import (
     ConfigurationTaken,
@@ -43,19 +42,22 @@
 )
 from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.model import RelayConfiguration
-from pondpin.relay.pieces import PIECES_PATH, HttpPieces
-from pondpin.relay.planner import Planner, RelayPolicy
-from pondpin.relay.probe import ProbeController
-from pondpin.relay.publication import ListChange, Publication
-from pondpin.relay.reader import (
+from pondpin.relay.peers.controller import GossipController
+from pondpin.relay.peers.gossip import Gossip, GossipAddress
+from pondpin.relay.published.document_server import DocumentServer
+from pondpin.relay.published.documents import DocumentKind
+from pondpin.relay.published.freshness import is_fresh
+from pondpin.relay.published.pieces import PIECES_PATH, HttpPieces
+from pondpin.relay.published.publication import ListChange, Publication
+from pondpin.relay.published.reader import (
     SHORTEST_CONFIGURATION_MS,
     SHORTEST_KEY_MS,
     ReaderController,
 )
-from pondpin.relay.reports import Reports
-from pondpin.relay.retry_window import RetryBounds
-from pondpin.relay.turns import Turns
-from pondpin.relay.upstreams import Restart, UpstreamTable
+from pondpin.relay.upstreams.leases import Leases
+from pondpin.relay.upstreams.probe import ProbeController
+from pondpin.relay.upstreams.reports import Reports
+from pondpin.relay.upstreams.table import Restart, UpstreamTable
 from pondpin.relay_settings import RelaySettings
 from pondpin.runtime import steady_now, wall_now
 
@@ -72,13 +74,9 @@
 BALANCER_SECONDS = 3.0
 # Everything that is still open is cut this long before the process would be killed.
 STOP_MARGIN_SECONDS = 0.4
-SENDING_SECONDS = 10.0
-BODIES_SHARE = 0.25
 # An instance that has just started knows of no peer's work: two digests of each come in this time.
 SETTLE_SECONDS = 0.5
-MEBIBYTE = 1 << 20
 MILLISECONDS = 1000.0
-IDLE_MARGIN_SECONDS = 2.0
 
 
 class RelayEntry:
@@ -174,7 +172,7 @@
             rng=self.rng,
             refuses_new=self._refuses_new,
         )
-        self.caller_server = WebServer(self.reactor, self._server_limits(None))
+        self.caller_server = WebServer(self.reactor, self._caller_limits(None))
         self.caller_server.route("", self.handler.handle)
         self.ready_server = WebServer(self.reactor)
         self.ready_server.route(READY_PATH, self._show_ready)
@@ -200,7 +198,13 @@
             self.reader,
             GossipController(self.gossip, self.publication, steady_now),
             ProbeController(self.table, self.publication, self.http, self.log, steady_now),
-            HousekeepingController(self),
+            HousekeepingController(
+                self.log,
+                self.metrics,
+                self.note_freshness,
+                lambda: self.handler.open_requests,
+                lambda: len(self.gossip.known.alive(steady_now())),
+            ),
         )
 
     def reading_scale(self) -> float:
@@ -229,18 +233,8 @@
         limits = self.settings.limits
         return RetryBounds(limits.retry_ratio, limits.retry_allowance, limits.retry_window_seconds)
 
-    def _server_limits(self, configuration: RelayConfiguration | None) -> ServerLimits:
-        held = int(self.settings.limits.memory_mebibytes * MEBIBYTE * BODIES_SHARE)
-        if configuration is None:
-            return ServerLimits(bodies_held_bytes=held)
-        bounds = configuration.bounds
-        return ServerLimits(
-            body_bytes=bounds.body_bytes,
-            bodies_held_bytes=held,
-            header_bytes=bounds.header_bytes,
-            send_seconds=bounds.header_seconds + SENDING_SECONDS,
-            idle_seconds=bounds.idle_seconds + IDLE_MARGIN_SECONDS,
-        )
+    def _caller_limits(self, configuration: RelayConfiguration | None) -> ServerLimits:
+        return caller_limits(self.settings.limits.memory_mebibytes, configuration)
 
     def beliefs(self) -> Beliefs:
         """What requests are admitted by now."""
@@ -355,7 +349,7 @@
             self.log.write(FreshnessChanged(fresh=fresh, age=told, revision=revision))
 
     def _take_configuration(self, configuration: RelayConfiguration) -> None:
-        self.caller_server.limits = self._server_limits(configuration)
+        self.caller_server.limits = self._caller_limits(configuration)
         self.caller_server.set_idle(self.caller_server.limits.idle_seconds)
         self.metrics.revision.set({}, configuration.version)
         self.log.write(
--- a/pondpin/relay/housekeeping.py
+++ b/pondpin/relay/housekeeping.py
@@ -1,31 +1,36 @@
 """What an instance does for itself at intervals."""
 
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
 from pondpin.controllers.base import Controller
-from pondpin.relay.fan_out import PERIOD_SECONDS
-from pondpin.runtime import steady_now
-
-if TYPE_CHECKING:
-    from pondpin.relay.entry import RelayEntry
-
-# Steps of all controllers come together, this often or at multiples of it.
-LOG_FLUSH_SECONDS = PERIOD_SECONDS
+from pondpin.metrics import Metrics
+from pondpin.relay.log import EventLog
+from pondpin.relay.periods import PERIOD_SECONDS
 
 
 class HousekeepingController(Controller):
     """Writes the log out and keeps the gauges."""
 
-    period = LOG_FLUSH_SECONDS
+    period = PERIOD_SECONDS
 
-    def __init__(self, entry: "RelayEntry") -> None:
+    def __init__(
+        self,
+        log: EventLog,
+        metrics: Metrics,
+        note_freshness: Callable[[], None],
+        open_requests: Callable[[], int],
+        peers_alive: Callable[[], int],
+    ) -> None:
         super().__init__()
-        self._entry = entry
+        self._log = log
+        self._metrics = metrics
+        self._note_freshness = note_freshness
+        self._open_requests = open_requests
+        self._peers_alive = peers_alive
 
     async def step(self) -> None:
         """One round."""
-        entry = self._entry
-        entry.note_freshness()
-        entry.log.flush()
-        entry.metrics.open_requests.set({}, entry.handler.open_requests)
-        entry.metrics.peers_alive.set({}, len(entry.gossip.known.alive(steady_now())))
+        self._note_freshness()
+        self._log.flush()
+        self._metrics.open_requests.set({}, self._open_requests())
+        self._metrics.peers_alive.set({}, self._peers_alive())
--- /dev/null
+++ b/pondpin/relay/peers/__init__.py
@@ -0,0 +1,1 @@
+"""What instances tell each other."""
--- /dev/null
+++ b/pondpin/relay/peers/controller.py
@@ -0,0 +1,26 @@
+"""Sends digests at intervals."""
+
+from pondpin.clocks import Clock
+from pondpin.controllers.base import Controller
+from pondpin.relay.peers.gossip import Gossip
+from pondpin.relay.periods import PERIOD_SECONDS
+from pondpin.relay.published.publication import Publication
+
+
+class GossipController(Controller):
+    """Sends a digest each period."""
+
+    period = PERIOD_SECONDS
+
+    def __init__(self, gossip: Gossip, publication: Publication, clock: Clock) -> None:
+        super().__init__()
+        self._gossip = gossip
+        self._publication = publication
+        self._clock = clock
+
+    async def step(self) -> None:
+        """One round."""
+        now = self._clock()
+        self._publication.settle(now)
+        self._gossip.note_silence(now)
+        self._gossip.send(now)
--- a/pondpin/relay/peers/digests.py
+++ b/pondpin/relay/peers/digests.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
-from pondpin.relay.calendar import WaitingDigest
-from pondpin.relay.center_loads import CenterLoad
-from pondpin.relay.work import WorkDigest
+from pondpin.relay.choosing.calendar import WaitingDigest
+from pondpin.relay.upstreams.center_loads import CenterLoad
+from pondpin.relay.upstreams.work import WorkDigest
 
 # 6: upstreams are named by the number of their life; instances of an older format are not heard.
 DIGEST_FORMAT = 6
--- a/pondpin/relay/peers/fan_out.py
+++ b/pondpin/relay/peers/fan_out.py
@@ -11,10 +11,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from pondpin.relay.digests import PeerSeen, PeerTable
+from pondpin.relay.peers.digests import PeerSeen, PeerTable
+from pondpin.relay.periods import PERIOD_SECONDS
 
-# Two digests fit between a choice that needs peers' loads and the end of a usual pass.
-PERIOD_SECONDS = 0.2
 # Neighbours of a large fleet hear at least so often that an instance has nothing new.
 HEARTBEAT_SECONDS = 0.6
 # A heartbeat goes to so many neighbours at random: it finds the living and carries proofs, whose
--- a/pondpin/relay/peers/gossip.py
+++ b/pondpin/relay/peers/gossip.py
@@ -9,11 +9,18 @@
 import msgspec
 
 from pondpin.clocks import Clock
-from pondpin.controllers.base import Controller
 from pondpin.datagrams import DatagramPort, DatagramSocket
 from pondpin.network import Endpoint
-from pondpin.relay.calendar import Calendar
-from pondpin.relay.digests import (
+from pondpin.relay.choosing.calendar import Calendar
+from pondpin.relay.log import EventLog
+from pondpin.relay.log_events import (
+    Behind,
+    DataCenterChanged,
+    FetchFailed,
+    PeersChanged,
+    UpstreamLeaving,
+)
+from pondpin.relay.peers.digests import (
     DIGEST_FORMAT,
     MILLISECONDS,
     QUIET_TIMES,
@@ -25,28 +32,20 @@
     decode_digest,
     encode_digest,
 )
-from pondpin.relay.document_fetch import DocumentFetcher
-from pondpin.relay.documents import DocumentKind
-from pondpin.relay.fan_out import PERIOD_SECONDS, FanOut, Round
-from pondpin.relay.freshness import peer_proof
-from pondpin.relay.hosts import HostBook
-from pondpin.relay.log import EventLog
-from pondpin.relay.log_events import (
-    Behind,
-    DataCenterChanged,
-    FetchFailed,
-    PeersChanged,
-    UpstreamLeaving,
-)
-from pondpin.relay.long_reads import (
-    LONG_READS_FORMAT,
-    LongReads,
+from pondpin.relay.peers.fan_out import FanOut, Round
+from pondpin.relay.peers.hosts import HostBook
+from pondpin.relay.peers.long_read_news import LongReadNews
+from pondpin.relay.peers.news import news_of, round_up
+from pondpin.relay.periods import PERIOD_SECONDS
+from pondpin.relay.published.document_fetch import DocumentFetcher
+from pondpin.relay.published.documents import DocumentKind
+from pondpin.relay.published.freshness import peer_proof
+from pondpin.relay.published.pieces import PiecePort
+from pondpin.relay.published.publication import Publication
+from pondpin.relay.upstreams.long_reads import (
     decode_long_reads,
-    encode_long_reads,
 )
-from pondpin.relay.pieces import PiecePort
-from pondpin.relay.publication import Publication
-from pondpin.relay.upstreams import PEER_LOAD_SECONDS, UpstreamTable
+from pondpin.relay.upstreams.table import PEER_LOAD_SECONDS, UpstreamTable
 
 # Out of turn digests are at least so far apart.
 URGENT_SECONDS = 0.03
@@ -69,18 +68,6 @@
     document_port: int
 
 
-@dataclass(frozen=True, slots=True)
-class ToldLast:
-    """The last message of an instance on its long prompts."""
-
-    boot: int
-    sequence: int
-
-    def after(self, boot: int) -> int:
-        """The sequence after which a message of some boot is news."""
-        return self.sequence if boot == self.boot else -1
-
-
 @dataclass
 class Gossip:
     """The task that owns the datagram socket and the table of peers."""
@@ -113,7 +100,7 @@
         self._telling = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._alive: set[str] = set()
-        self._long_reads_by_peer: dict[str, ToldLast] = {}
+        self._long_reads = LongReadNews(self.instance, self.boot, self.table)
         self.transport: DatagramPort | None = None
         self._fetcher = DocumentFetcher(
             host=self.address.host,
@@ -166,17 +153,7 @@
             return
         reads = decode_long_reads(data)
         if reads is not None:
-            self.take_long_reads(reads, self.clock())
-
-    def take_long_reads(self, told: LongReads, now: float) -> None:
-        """Believe what an instance says of its long prompts, unless it said so before."""
-        known = self._long_reads_by_peer.get(told.instance)
-        if told.boot == self.boot or (
-            known is not None and told.sequence <= known.after(told.boot)
-        ):
-            return
-        self._long_reads_by_peer[told.instance] = ToldLast(told.boot, told.sequence)
-        self.table.take_long_reads(told.instance, told.reads, now)
+            self._long_reads.take(reads, self.clock())
 
     def take(self, digest: Digest, now: float) -> None:
         """Believe what a digest says, dated by this process's clock."""
@@ -266,11 +243,8 @@
         """
         if not self.known.is_large or self.transport is None:
             return
-        now = self.clock()
         self.sequence += 1
-        reads = self.table.own_long_reads(now)
-        told = LongReads(LONG_READS_FORMAT, self.instance, self.boot, self.sequence, reads)
-        data = encode_long_reads(told)
+        data = self._long_reads.message(self.sequence, self.clock())
         for host in self.hosts:
             self.bytes_out += len(data)
             self._write(data, host)
@@ -286,11 +260,11 @@
         self._sent_at = now
         self._note_alive(now)
         base = self.describe(now)
-        news = _news_of(base)
+        news = news_of(base)
         turn = self._fan_out.next_round(self.known, now, news != self._told, urgent)
         if turn.near:
             self._told = news
-        near = msgspec.structs.replace(base, quiet=_round_up(turn.quiet))
+        near = msgspec.structs.replace(base, quiet=round_up(turn.quiet))
         for peer in turn.near:
             self._fan_out.note_bytes(self._post(near, peer.host, peer))
         if turn.far:
@@ -298,7 +272,7 @@
         if now - self._hello_at >= HELLO_SECONDS:
             self._hello_at = now
             quiet = turn.far_quiet if self.known.is_large else turn.quiet
-            self._greet(msgspec.structs.replace(base, quiet=_round_up(quiet)), now)
+            self._greet(msgspec.structs.replace(base, quiet=round_up(quiet)), now)
 
     def _ask_far(self, base: Digest, turn: Round, now: float) -> None:
         """Tell peers of other data centres, and ask for theirs."""
@@ -307,7 +281,7 @@
             work=(),
             waiting=(),
             asks=True,
-            quiet=_round_up(turn.far_quiet),
+            quiet=round_up(turn.far_quiet),
             center_loads=self.table.own_center_loads(now),
         )
         for peer in turn.far:
@@ -362,9 +336,9 @@
             echo_boot=0,
             echo=-1,
             revision=publication.revision,
-            proof_age=_round_up(proof_age),
+            proof_age=round_up(proof_age),
             list_tag=publication.list_tag,
-            list_age=-1 if list_at is None else _round_up(now - list_at),
+            list_age=-1 if list_at is None else round_up(now - list_at),
             data_center=self.table.data_center,
             reads_source=self.reads_source(),
             leaving=self.table.newest_leaving(LEAVING_TOLD),
@@ -372,7 +346,7 @@
             work=tuple(work for work in works if work is not None),
             hosts=self._some(near),
             far_hosts=self._some(far),
-            quiet=_round_up(PERIOD_SECONDS),
+            quiet=round_up(PERIOD_SECONDS),
             asks=False,
             waiting=self.calendar.digest(now),
         )
@@ -418,46 +392,3 @@
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _news_of(digest: Digest) -> tuple[object, ...]:
-    """What of a digest peers need to hear without delay; ages grow by themselves."""
-    work = tuple(
-        (
-            item.life,
-            item.in_flight,
-            item.light,
-            item.tokens,
-            len(item.reads),
-            sum(read.is_overdue for read in item.reads),
-            item.writers,
-        )
-        for item in digest.work
-    )
-    told = (digest.revision, digest.list_tag, digest.leaving, len(digest.ejected))
-    waiting = tuple(item.key for item in digest.waiting)
-    return (*told, digest.reads_source, work, waiting)
-
-
-def _round_up(seconds: float) -> int:
-    """Milliseconds that never tell an age too small; -1 for a negative one."""
-    return -1 if seconds < 0 else int(seconds * MILLISECONDS) + 1
-
-
-class GossipController(Controller):
-    """Sends a digest each period."""
-
-    period = PERIOD_SECONDS
-
-    def __init__(self, gossip: Gossip, publication: Publication, clock: Clock) -> None:
-        super().__init__()
-        self._gossip = gossip
-        self._publication = publication
-        self._clock = clock
-
-    async def step(self) -> None:
-        """One round."""
-        now = self._clock()
-        self._publication.settle(now)
-        self._gossip.note_silence(now)
-        self._gossip.send(now)
--- a/pondpin/relay/peers/hosts.py
+++ b/pondpin/relay/peers/hosts.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from pondpin.relay.digests import PeerTable
+from pondpin.relay.peers.digests import PeerTable
 
 # A host that nobody has mentioned for so long is no longer tried; seeds always are.
 HOST_SECONDS = 120.0
--- /dev/null
+++ b/pondpin/relay/peers/long_read_news.py
@@ -0,0 +1,47 @@
+"""What instances tell each other of the long prompts that they have read at the moment."""
+
+from dataclasses import dataclass
+
+from pondpin.relay.upstreams.long_reads import (
+    LONG_READS_FORMAT,
+    LongReads,
+    encode_long_reads,
+)
+from pondpin.relay.upstreams.table import UpstreamTable
+
+
+@dataclass(frozen=True, slots=True)
+class ToldLast:
+    """The last message of an instance on its long prompts."""
+
+    boot: int
+    sequence: int
+
+    def after(self, boot: int) -> int:
+        """The sequence after which a message of some boot is news."""
+        return self.sequence if boot == self.boot else -1
+
+
+class LongReadNews:
+    """Makes the messages of an instance, and takes those of others in their order."""
+
+    def __init__(self, instance: str, boot: int, table: UpstreamTable) -> None:
+        self._instance = instance
+        self._boot = boot
+        self._table = table
+        self._last_by_peer: dict[str, ToldLast] = {}
+
+    def message(self, sequence: int, now: float) -> bytes:
+        """What this instance has read now, as a datagram."""
+        reads = self._table.own_long_reads(now)
+        told = LongReads(LONG_READS_FORMAT, self._instance, self._boot, sequence, reads)
+        return encode_long_reads(told)
+
+    def take(self, told: LongReads, now: float) -> None:
+        """Believe what an instance says, unless it is this one or has said more since."""
+        last = self._last_by_peer.get(told.instance)
+        is_old = last is not None and told.sequence <= last.after(told.boot)
+        if told.boot == self._boot or is_old:
+            return
+        self._last_by_peer[told.instance] = ToldLast(told.boot, told.sequence)
+        self._table.take_long_reads(told.instance, told.reads, now)
--- /dev/null
+++ b/pondpin/relay/peers/news.py
@@ -0,0 +1,27 @@
+"""What of a digest is news, and how ages are told."""
+
+from pondpin.relay.peers.digests import MILLISECONDS, Digest
+
+
+def news_of(digest: Digest) -> tuple[object, ...]:
+    """What of a digest peers need to hear without delay; ages grow by themselves."""
+    work = tuple(
+        (
+            item.life,
+            item.in_flight,
+            item.light,
+            item.tokens,
+            len(item.reads),
+            sum(read.is_overdue for read in item.reads),
+            item.writers,
+        )
+        for item in digest.work
+    )
+    told = (digest.revision, digest.list_tag, digest.leaving, len(digest.ejected))
+    waiting = tuple(item.key for item in digest.waiting)
+    return (*told, digest.reads_source, work, waiting)
+
+
+def round_up(seconds: float) -> int:
+    """Milliseconds that never tell an age too small; -1 for a negative one."""
+    return -1 if seconds < 0 else int(seconds * MILLISECONDS) + 1
--- a/pondpin/relay/ports.py
+++ b/pondpin/relay/ports.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from pondpin.relay.documents import PublishedItem
 from pondpin.relay.model import AnswerHead, EngineReport, RequestFacts
+from pondpin.relay.published.documents import PublishedItem
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
 
--- a/pondpin/relay/published/document_fetch.py
+++ b/pondpin/relay/published/document_fetch.py
@@ -12,12 +12,17 @@
 
 from pondpin.clocks import Clock
 from pondpin.errors import PeerUnreachableError
-from pondpin.relay.documents import DocumentKind, decode_configuration, decode_list, unpack
-from pondpin.relay.freshness import Proof
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import Fetched, FetchFailed
-from pondpin.relay.pieces import FetchPieceReply, FetchPieceRequest, PiecePort
-from pondpin.relay.publication import Publication
+from pondpin.relay.published.documents import (
+    DocumentKind,
+    decode_configuration,
+    decode_list,
+    unpack,
+)
+from pondpin.relay.published.freshness import Proof
+from pondpin.relay.published.pieces import FetchPieceReply, FetchPieceRequest, PiecePort
+from pondpin.relay.published.publication import Publication
 
 # A piece that takes longer is asked of another peer; over a link of 10 Mbit/s that three
 # transfers share it takes 40 ms.
--- a/pondpin/relay/published/document_server.py
+++ b/pondpin/relay/published/document_server.py
@@ -4,14 +4,14 @@
 from pondpin.codes import Code
 from pondpin.errors import PondpinError
 from pondpin.http_reply import Incoming, Reply
-from pondpin.relay.documents import (
+from pondpin.relay.published.documents import (
     PIECE_BYTES,
     DocumentKind,
     DocumentShelf,
     KeptVersions,
     PackedDocument,
 )
-from pondpin.relay.pieces import (
+from pondpin.relay.published.pieces import (
     CONTENT_TYPE,
     HTTP_OK,
     FetchPieceReply,
@@ -19,7 +19,7 @@
     decode_request,
     encode_message,
 )
-from pondpin.relay.publication import Publication
+from pondpin.relay.published.publication import Publication
 
 # So many transfers share a link: each ends soon and its receiver serves others. With all at once
 # none of them would end for long, and callers' streams would wait behind all their pieces.
--- a/pondpin/relay/published/documents.py
+++ b/pondpin/relay/published/documents.py
@@ -13,7 +13,7 @@
 import msgspec
 import xxhash
 
-from pondpin.relay.differences import Step, difference, patch
+from pondpin.relay.published.differences import Step, difference, patch
 
 
 class PublishedItem(msgspec.Struct, frozen=True, array_like=True):
--- a/pondpin/relay/published/publication.py
+++ b/pondpin/relay/published/publication.py
@@ -7,15 +7,15 @@
 
 import xxhash
 
-from pondpin.relay.documents import (
+from pondpin.relay.model import ListedUpstream, RelayConfiguration, starts_before
+from pondpin.relay.published.documents import (
     DocumentKind,
     KeptVersions,
     PublishedItem,
     encode_configuration,
     encode_list,
 )
-from pondpin.relay.freshness import Proof, later
-from pondpin.relay.model import ListedUpstream, RelayConfiguration, starts_before
+from pondpin.relay.published.freshness import Proof, later
 
 # An upstream's entry may lapse while the list's source is away and is written again within
 # about two seconds of its return: only what is missing for longer is gone.
--- a/pondpin/relay/published/reader.py
+++ b/pondpin/relay/published/reader.py
@@ -18,13 +18,13 @@
 from pondpin.clocks import Clock
 from pondpin.controllers.base import Controller
 from pondpin.http_streams import CallFailedError
-from pondpin.relay.documents import PublishedItem
-from pondpin.relay.fan_out import PERIOD_SECONDS
-from pondpin.relay.freshness import Proof
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import SourceChanged, SourceRead
+from pondpin.relay.periods import PERIOD_SECONDS
 from pondpin.relay.ports import ConfigurationChange, PublishedSource
-from pondpin.relay.publication import Publication
+from pondpin.relay.published.documents import PublishedItem
+from pondpin.relay.published.freshness import Proof
+from pondpin.relay.published.publication import Publication
 
 # When to read is looked at together with what else an instance does at intervals.
 CHECK_SECONDS = PERIOD_SECONDS
--- a/pondpin/relay/upstreams/long_reads.py
+++ b/pondpin/relay/upstreams/long_reads.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from pondpin.relay.work import (
+from pondpin.relay.upstreams.work import (
     HUNDREDTHS,
     MILLISECONDS,
     OVERDUE_SLACK_SECONDS,
--- a/pondpin/relay/upstreams/probe.py
+++ b/pondpin/relay/upstreams/probe.py
@@ -6,13 +6,13 @@
 from pondpin.controllers.base import Controller
 from pondpin.http_client import HttpClient
 from pondpin.http_streams import CallFailedError
-from pondpin.relay.fan_out import PERIOD_SECONDS
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import UpstreamBack
 from pondpin.relay.model import RelayConfiguration
-from pondpin.relay.publication import Publication
-from pondpin.relay.upstream_state import UpstreamState
-from pondpin.relay.upstreams import UpstreamTable
+from pondpin.relay.periods import PERIOD_SECONDS
+from pondpin.relay.published.publication import Publication
+from pondpin.relay.upstreams.state import UpstreamState
+from pondpin.relay.upstreams.table import UpstreamTable
 
 # Twice the time between the steps of the other controllers, with which its own coincide.
 CHECK_SECONDS = 2 * PERIOD_SECONDS
--- a/pondpin/relay/upstreams/reports.py
+++ b/pondpin/relay/upstreams/reports.py
@@ -8,7 +8,7 @@
 from pondpin.relay.log_events import UpstreamAsked
 from pondpin.relay.model import EngineReport
 from pondpin.relay.ports import ReportPort
-from pondpin.relay.upstream_state import UpstreamState
+from pondpin.relay.upstreams.state import UpstreamState
 
 # A report takes no slot and is sent at once: a way there and back takes a few ms, a lost
 # packet is sent again after a quarter of a second or so.
--- a/pondpin/relay/upstreams/state.py
+++ b/pondpin/relay/upstreams/state.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass, field, replace
 
 from pondpin.health import Health, note_success
-from pondpin.relay.forecast import EngineLoad, Pending, Writers
-from pondpin.relay.long_reads import HeardRead
 from pondpin.relay.model import EngineReport, ListedUpstream, Load
-from pondpin.relay.work import (
+from pondpin.relay.upstreams.forecast import EngineLoad, Pending, Writers
+from pondpin.relay.upstreams.long_reads import HeardRead
+from pondpin.relay.upstreams.work import (
     HUNDREDTHS,
     MILLISECONDS,
     PeerWork,
--- a/pondpin/relay/upstreams/table.py
+++ b/pondpin/relay/upstreams/table.py
@@ -8,12 +8,12 @@
 import xxhash
 
 from pondpin.health import note_failure
-from pondpin.relay.center_loads import CenterLoad, CenterLoads
-from pondpin.relay.long_reads import LongRead, heard_read, tell_reads
 from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.model import ListedUpstream
-from pondpin.relay.upstream_state import FAILING_RATE, UpstreamState
-from pondpin.relay.work import PeerWork, WorkDigest
+from pondpin.relay.upstreams.center_loads import CenterLoad, CenterLoads
+from pondpin.relay.upstreams.long_reads import LongRead, heard_read, tell_reads
+from pondpin.relay.upstreams.state import FAILING_RATE, UpstreamState
+from pondpin.relay.upstreams.work import PeerWork, WorkDigest
 
 # A peer's word on its work counts for so many seconds; digests come several times a second.
 PEER_LOAD_SECONDS = 1.5
--- a/pondpin/tests/test_relay_calendar.py
+++ b/pondpin/tests/test_relay_calendar.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pondpin.relay.calendar import HOLD_SECONDS, Calendar, WaitingPrompt, order_of
+from pondpin.relay.choosing.calendar import HOLD_SECONDS, Calendar, WaitingPrompt, order_of
 
 NOW = 1000.0
 
--- a/pondpin/tests/test_relay_crowding.py
+++ b/pondpin/tests/test_relay_crowding.py
@@ -6,9 +6,9 @@
 import unittest
 
 from pondpin.relay.call import Progress
+from pondpin.relay.choosing.planner import Plan, Planner
 from pondpin.relay.model import ListedUpstream
-from pondpin.relay.planner import Plan, Planner
-from pondpin.relay.upstreams import UpstreamTable
+from pondpin.relay.upstreams.table import UpstreamTable
 from pondpin.tests.test_relay_planner import PROFILE, make_call
 
 CENTERS = tuple(f"c{number}" for number in range(5))
--- a/pondpin/tests/test_relay_documents.py
+++ b/pondpin/tests/test_relay_documents.py
@@ -14,14 +14,15 @@
 from pondpin.http_streams import CallFailedError
 from pondpin.platform.documents import PlatformDecoder
 from pondpin.platform.store import LONGEST_READ_SECONDS, PlatformStore
-from pondpin.relay.differences import Kept, cut, difference, patch
-from pondpin.relay.document_fetch import BUSY_SECONDS, DocumentFetcher
-from pondpin.relay.document_server import (
+from pondpin.relay.log import EventLog
+from pondpin.relay.published.differences import Kept, cut, difference, patch
+from pondpin.relay.published.document_fetch import BUSY_SECONDS, DocumentFetcher
+from pondpin.relay.published.document_server import (
     MOST_TRANSFERS,
     TRANSFER_IDLE_SECONDS,
     DocumentServer,
 )
-from pondpin.relay.documents import (
+from pondpin.relay.published.documents import (
     KEPT_PACKED,
     PIECE_BYTES,
     DocumentKind,
@@ -34,11 +35,10 @@
     pack,
     unpack,
 )
-from pondpin.relay.freshness import Proof
-from pondpin.relay.log import EventLog
-from pondpin.relay.pieces import FetchPieceReply, FetchPieceRequest
-from pondpin.relay.publication import Publication
-from pondpin.relay.reader import READ_SECONDS
+from pondpin.relay.published.freshness import Proof
+from pondpin.relay.published.pieces import FetchPieceReply, FetchPieceRequest
+from pondpin.relay.published.publication import Publication
+from pondpin.relay.published.reader import READ_SECONDS
 from pondpin.standins.local_platform import sample_configuration
 from pondpin.standins.published_store import CONFIGURATION_KEY
 from pondpin.standins.simulated_store import SimulatedStore
--- a/pondpin/tests/test_relay_engines.py
+++ b/pondpin/tests/test_relay_engines.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pondpin.relay.engine_choice import (
+from pondpin.relay.choosing.engine_choice import (
     ChoiceRules,
     EngineView,
     Job,
@@ -15,7 +15,8 @@
     is_light,
     pool_size,
 )
-from pondpin.relay.forecast import (
+from pondpin.relay.model import EngineProfile, ListedUpstream, life_of
+from pondpin.relay.upstreams.forecast import (
     EngineLoad,
     Pending,
     Writers,
@@ -25,9 +26,8 @@
     pass_seconds,
     read_seconds,
 )
-from pondpin.relay.model import EngineProfile, ListedUpstream, life_of
-from pondpin.relay.upstreams import PEER_LOAD_SECONDS, UpstreamTable
-from pondpin.relay.work import Read, Work, reads_end
+from pondpin.relay.upstreams.table import PEER_LOAD_SECONDS, UpstreamTable
+from pondpin.relay.upstreams.work import Read, Work, reads_end
 
 NOW = 1000.0
 PROFILE = EngineProfile(
--- a/pondpin/tests/test_relay_gossip.py
+++ b/pondpin/tests/test_relay_gossip.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pondpin.relay.digests import (
+from pondpin.relay.peers.digests import (
     ALIVE_SECONDS,
     DIGEST_FORMAT,
     FORGET_SECONDS,
@@ -21,7 +21,7 @@
     decode_digest,
     encode_digest,
 )
-from pondpin.relay.fan_out import (
+from pondpin.relay.peers.fan_out import (
     FAR_SECONDS,
     FEWEST_TOLD,
     HEARTBEAT_FAN_OUT,
--- a/pondpin/tests/test_relay_leases.py
+++ b/pondpin/tests/test_relay_leases.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from pondpin.http_streams import CallFailedError
-from pondpin.relay.leases import HOLD_SECONDS, RENEW_SECONDS, Leases
 from pondpin.relay.ports import LeaseAnswer, PartPlace
+from pondpin.relay.upstreams.leases import HOLD_SECONDS, RENEW_SECONDS, Leases
 from pondpin.tests.support import run_async
 from pondpin.tests.test_relay_publication import ListLog
 
--- a/pondpin/tests/test_relay_lifecycle.py
+++ b/pondpin/tests/test_relay_lifecycle.py
@@ -11,11 +11,11 @@
 from pondpin.http_reply import Incoming
 from pondpin.http_streams import CallFailedError
 from pondpin.relay.call import Progress, RelayCall
+from pondpin.relay.choosing.planner import Plan
 from pondpin.relay.entry import RelayEntry
-from pondpin.relay.freshness import Proof
 from pondpin.relay.model import RequestFacts, life_of
-from pondpin.relay.planner import Plan
-from pondpin.relay.reader import SHORTEST_KEY_MS
+from pondpin.relay.published.freshness import Proof
+from pondpin.relay.published.reader import SHORTEST_KEY_MS
 from pondpin.relay_settings import RelayLimits
 from pondpin.standins.local_platform import (
     HOST,
--- a/pondpin/tests/test_relay_lives.py
+++ b/pondpin/tests/test_relay_lives.py
@@ -11,13 +11,13 @@
 
 from pondpin.platform.documents import PlatformDecoder
 from pondpin.platform.store import PlatformStore
-from pondpin.relay.documents import DocumentKind, PublishedItem
-from pondpin.relay.leases import RENEW_SECONDS, Leases
 from pondpin.relay.model import EngineReport, ListedUpstream, life_of
 from pondpin.relay.ports import LeaseAnswer, PartPlace
-from pondpin.relay.reports import Reports
-from pondpin.relay.upstreams import UpstreamTable
-from pondpin.relay.work import Work
+from pondpin.relay.published.documents import DocumentKind, PublishedItem
+from pondpin.relay.upstreams.leases import RENEW_SECONDS, Leases
+from pondpin.relay.upstreams.reports import Reports
+from pondpin.relay.upstreams.table import UpstreamTable
+from pondpin.relay.upstreams.work import Work
 from pondpin.standins.local_platform import (
     ENGINES,
     PLAIN,
--- a/pondpin/tests/test_relay_patience.py
+++ b/pondpin/tests/test_relay_patience.py
@@ -5,15 +5,15 @@
 from dataclasses import replace
 from typing import Any
 
-from pondpin.relay.attempt import Attempts, EventSink
+from pondpin.relay.attempts.attempt import Attempts, EventSink
 from pondpin.relay.call import Progress
-from pondpin.relay.engine_choice import EngineChoice
+from pondpin.relay.choosing.engine_choice import EngineChoice
+from pondpin.relay.choosing.patience import Patience, patience_for
+from pondpin.relay.choosing.planner import Plan, RelayPolicy
+from pondpin.relay.choosing.retry_window import FEWEST_SHARERS, RetryBounds, RetryWindow
 from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.model import AnswerHead, ListedUpstream
-from pondpin.relay.patience import Patience, patience_for
-from pondpin.relay.planner import Plan, RelayPolicy
-from pondpin.relay.retry_window import FEWEST_SHARERS, RetryBounds, RetryWindow
-from pondpin.relay.upstream_state import UpstreamState
+from pondpin.relay.upstreams.state import UpstreamState
 from pondpin.tests.test_relay_planner import make_call
 from pondpin.tools.virtual_time import run_virtual
 
--- a/pondpin/tests/test_relay_planner.py
+++ b/pondpin/tests/test_relay_planner.py
@@ -6,7 +6,13 @@
 from typing import Any
 
 from pondpin.relay.call import Progress, RelayCall
-from pondpin.relay.center_loads import CenterLoad
+from pondpin.relay.choosing.planner import (
+    FEWEST_CONNECTIONS,
+    FEWEST_NEAR,
+    Plan,
+    Planner,
+    connection_share,
+)
 from pondpin.relay.model import (
     EngineProfile,
     ListedUpstream,
@@ -17,15 +23,9 @@
     Service,
     ServiceShare,
 )
-from pondpin.relay.planner import (
-    FEWEST_CONNECTIONS,
-    FEWEST_NEAR,
-    Plan,
-    Planner,
-    connection_share,
-)
-from pondpin.relay.upstreams import UpstreamTable
-from pondpin.relay.work import Work
+from pondpin.relay.upstreams.center_loads import CenterLoad
+from pondpin.relay.upstreams.table import UpstreamTable
+from pondpin.relay.upstreams.work import Work
 
 NOW = 1000.0
 PROFILE = EngineProfile(8, 450_000, 46, 0.000925, 5e-6, 2.5e-6, 256_000.0, 9.17e-11, 2048, 0.0001)
--- a/pondpin/tests/test_relay_publication.py
+++ b/pondpin/tests/test_relay_publication.py
@@ -8,20 +8,20 @@
 
 from pondpin.http_streams import CallFailedError
 from pondpin.platform.documents import PlatformDecoder
-from pondpin.relay.documents import KEPT_VERSIONS, DocumentKind, PublishedItem
-from pondpin.relay.freshness import Proof
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import LogEvent, SourceChanged
 from pondpin.relay.model import RelayConfiguration
 from pondpin.relay.ports import ConfigurationChange, ListRead
-from pondpin.relay.publication import (
+from pondpin.relay.published.documents import KEPT_VERSIONS, DocumentKind, PublishedItem
+from pondpin.relay.published.freshness import Proof
+from pondpin.relay.published.publication import (
     ABSENCE_SECONDS,
     NEWER_COUNTS_SECONDS,
     RELIST_SECONDS,
     ListChange,
     Publication,
 )
-from pondpin.relay.reader import (
+from pondpin.relay.published.reader import (
     FIRST_AGE_SECONDS,
     LAST_RANK,
     LONGEST_BACKOFF_SECONDS,
--- a/pondpin/tests/test_relay_reports.py
+++ b/pondpin/tests/test_relay_reports.py
@@ -7,9 +7,9 @@
 from pondpin.http_streams import CallFailedError
 from pondpin.relay.log import EventLog
 from pondpin.relay.model import EngineReport, ListedUpstream
-from pondpin.relay.reports import KEPT_SECONDS, Reports
-from pondpin.relay.upstream_state import UpstreamState
-from pondpin.relay.work import Work
+from pondpin.relay.upstreams.reports import KEPT_SECONDS, Reports
+from pondpin.relay.upstreams.state import UpstreamState
+from pondpin.relay.upstreams.work import Work
 from pondpin.tests.support import FakeClock, run_async
 
 
--- a/pondpin/tests/test_relay_rules.py
+++ b/pondpin/tests/test_relay_rules.py
@@ -7,7 +7,7 @@
 
 from pondpin.codes import Code, Ran
 from pondpin.errors import PondpinError
-from pondpin.relay.admission import (
+from pondpin.relay.attempts.admission import (
     OUTAGE_RETRY_SECONDS,
     RETRY_SECONDS,
     SURE_SECONDS,
@@ -15,8 +15,9 @@
     admit,
     check_not_behind,
 )
-from pondpin.relay.events import EventSplitter
-from pondpin.relay.freshness import Proof, is_fresh, later, peer_proof
+from pondpin.relay.attempts.events import EventSplitter
+from pondpin.relay.choosing.retry_window import FEWEST_SHARERS, RetryBounds, RetryWindow
+from pondpin.relay.choosing.routing import find_route, pick_service, shortest_gap
 from pondpin.relay.model import (
     ClientAccount,
     RelayConfiguration,
@@ -25,8 +26,7 @@
     RouteKind,
     ServiceShare,
 )
-from pondpin.relay.retry_window import FEWEST_SHARERS, RetryBounds, RetryWindow
-from pondpin.relay.routing import find_route, pick_service, shortest_gap
+from pondpin.relay.published.freshness import Proof, is_fresh, later, peer_proof
 
 NOW = 1000.0
 
--- a/pondpin/tests/test_relay_serving.py
+++ b/pondpin/tests/test_relay_serving.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from pondpin.relay.retry_window import RetryBounds
+from pondpin.relay.choosing.retry_window import RetryBounds
 from pondpin.standins.local_platform import PLAIN, LocalPlatform, sample_route
 from pondpin.standins.worker import WorkerFault
 from pondpin.tests.support import (
--- a/pondpin/tests/test_relay_streams.py
+++ b/pondpin/tests/test_relay_streams.py
@@ -8,7 +8,7 @@
 
 from pondpin.http_streams import CallFailedError
 from pondpin.relay.call import AttemptEnd, RelayCall
-from pondpin.relay.retry_window import RetryWindow
+from pondpin.relay.choosing.retry_window import RetryWindow
 from pondpin.standins.local_platform import HOST as RELAY_HOST
 from pondpin.standins.local_platform import KEY as RELAY_KEY
 from pondpin.standins.local_platform import PLAIN, LocalPlatform, sample_route
--- a/pondpin/tests/test_relay_turns.py
+++ b/pondpin/tests/test_relay_turns.py
@@ -4,13 +4,13 @@
 import unittest
 from dataclasses import replace
 
-from pondpin.relay.calendar import Calendar, WaitingPrompt
 from pondpin.relay.call import Progress, RelayCall
-from pondpin.relay.engine_choice import EngineChoice
+from pondpin.relay.choosing.calendar import Calendar, WaitingPrompt
+from pondpin.relay.choosing.engine_choice import EngineChoice
+from pondpin.relay.choosing.planner import Plan
+from pondpin.relay.choosing.turns import REPLAN_SECONDS, Turn, Turns, Verdict
 from pondpin.relay.model import ListedUpstream
-from pondpin.relay.planner import Plan
-from pondpin.relay.turns import REPLAN_SECONDS, Turn, Turns, Verdict
-from pondpin.relay.upstream_state import UpstreamState
+from pondpin.relay.upstreams.state import UpstreamState
 from pondpin.tests.test_relay_planner import NOW, make_call
 
 LEAD = UpstreamState(ListedUpstream("e0", "engines", "10.0.0.1", 80, "north", 8, False))
--- a/pondpin/tools/document_fleet.py
+++ b/pondpin/tools/document_fleet.py
@@ -19,15 +19,16 @@
 from pondpin.http_streams import StreamStart
 from pondpin.platform.documents import PlatformDecoder
 from pondpin.platform.store import PlatformStore
-from pondpin.relay.document_server import DocumentServer
-from pondpin.relay.fan_out import PACKET_BYTES
-from pondpin.relay.gossip import Gossip, GossipAddress, GossipController
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import FetchFailed, LogEvent
-from pondpin.relay.pieces import FetchPieceReply, FetchPieceRequest, encode_message
-from pondpin.relay.publication import Publication
-from pondpin.relay.reader import ReaderController
-from pondpin.relay.upstreams import UpstreamTable
+from pondpin.relay.peers.controller import GossipController
+from pondpin.relay.peers.fan_out import PACKET_BYTES
+from pondpin.relay.peers.gossip import Gossip, GossipAddress
+from pondpin.relay.published.document_server import DocumentServer
+from pondpin.relay.published.pieces import FetchPieceReply, FetchPieceRequest, encode_message
+from pondpin.relay.published.publication import Publication
+from pondpin.relay.published.reader import ReaderController
+from pondpin.relay.upstreams.table import UpstreamTable
 from pondpin.standins.local_platform import ENGINES, PLAIN, sample_configuration, sample_route
 from pondpin.standins.published_store import CONFIGURATION_KEY
 from pondpin.standins.simulated_store import SimulatedStore
--- a/pondpin/tools/gossip_fleet.py
+++ b/pondpin/tools/gossip_fleet.py
@@ -12,15 +12,17 @@
 
 from pondpin.errors import PeerUnreachableError
 from pondpin.platform.documents import PlatformDecoder
-from pondpin.relay.documents import PublishedItem
-from pondpin.relay.fan_out import PACKET_BYTES, PERIOD_SECONDS
-from pondpin.relay.freshness import Proof
-from pondpin.relay.gossip import Gossip, GossipAddress
 from pondpin.relay.log import EventLog
-from pondpin.relay.pieces import FetchPieceReply, FetchPieceRequest
-from pondpin.relay.publication import Publication
-from pondpin.relay.reader import is_due
-from pondpin.relay.upstreams import UpstreamTable
+from pondpin.relay.mechanisms import Mechanism
+from pondpin.relay.peers.fan_out import PACKET_BYTES
+from pondpin.relay.peers.gossip import Gossip, GossipAddress
+from pondpin.relay.periods import PERIOD_SECONDS
+from pondpin.relay.published.documents import PublishedItem
+from pondpin.relay.published.freshness import Proof
+from pondpin.relay.published.pieces import FetchPieceReply, FetchPieceRequest
+from pondpin.relay.published.publication import Publication
+from pondpin.relay.published.reader import is_due
+from pondpin.relay.upstreams.table import UpstreamTable
 from pondpin.standins.local_platform import sample_configuration
 
 # One way, as between data centres of one region.
@@ -57,8 +59,16 @@
 class GossipFleet:
     """Instances over some data centres; all begin with the same configuration in force."""
 
-    def __init__(self, centers: int, instances: int, seed: int, scale: float = 1.0) -> None:
+    def __init__(
+        self,
+        centers: int,
+        instances: int,
+        seed: int,
+        scale: float = 1.0,
+        without: frozenset[Mechanism] = frozenset(),
+    ) -> None:
         self._scale = scale
+        self._without = without
         self.rng = random.Random(seed)
         self.now = 1000.0
         self.cut: set[str] = set()
@@ -99,7 +109,7 @@
             address=GossipAddress(f"10.0.{number // 250}.{number % 250}", 1, 2),
             seeds=tuple(f"10.0.0.{seed}" for seed in range(centers)),
             publication=publication,
-            table=UpstreamTable(center),
+            table=UpstreamTable(center, self._without),
             peers=_NoPieces(),
             log=log,
             clock=self._clock,
