An entry of a service that isn't named takes the good one out; a key must be an id under one prefix

Cause, found in reading the diff: an entry that named another service than before, one that no configuration names, was kept aside, but the upstream that had been listed at its key stayed in the table. And `servers/x/a` was read as the id `a`, so another writer's key could mark the worker `a` as leaving, and take it away with its own end.

Change: the first withdraws what was listed; the second is refused by its key.

--- a/pondpin/platform/documents.py
+++ b/pondpin/platform/documents.py
@@ -160,14 +160,14 @@
         )
 
     def upstream(self, key: str, value: bytes) -> ListedUpstream:
-        """Decode a worker's entry, whose id is the last part of its key; raises ValueError.
+        """Decode a worker's entry, whose key is its id under one prefix; raises ValueError.
 
         The list has other writers too: what isn't just as a worker writes it names none to use.
         """
         wire = _decode(_SERVER, value)
         endpoint = parse_endpoint(wire.address)
-        name = key.rpartition("/")[2]
-        if not name or not endpoint.port:
+        _, _, name = key.partition("/")
+        if not name or "/" in name or not endpoint.port:
             raise ValueError("no id, or no port")
         return ListedUpstream(
             id=name,
--- a/pondpin/relay/published/publication.py
+++ b/pondpin/relay/published/publication.py
@@ -224,16 +224,23 @@
             if entry.born is None and born is not None:
                 raise ValueError("it doesn't say when its life began, as it did before")
         except ValueError:
-            withdrawn = self._listed_by_key.pop(item.key, None)
-            if withdrawn is not None:
-                self._withdrawn.append(withdrawn.id)
+            self._withdraw(item.key)
             raise
         if starts_before(entry.born, born):
             raise ValueError(f"an earlier life: {entry.born}, and {born} is known")
+        if entry.service not in self._named_services:
+            # It waits for a configuration that names its service.
+            self._withdraw(item.key)
         self._listed_by_key[item.key] = entry
         if entry.born is not None:
             self._note_born(item.key, entry.born)
 
+    def _withdraw(self, key: str) -> None:
+        """What was listed under a key is no upstream to use any more."""
+        withdrawn = self._listed_by_key.pop(key, None)
+        if withdrawn is not None:
+            self._withdrawn.append(withdrawn.id)
+
     def _note_born(self, key: str, born: int) -> None:
         self._born_by_key[key] = born
         self._born_by_key.move_to_end(key)
--- a/pondpin/tests/test_relay_lives.py
+++ b/pondpin/tests/test_relay_lives.py
@@ -89,8 +89,9 @@
         for changes in odd:
             with self.subTest(changes), self.assertRaises(ValueError):
                 self.decode(engine_entry(**changes))
-        with self.assertRaises(ValueError):
-            self.decode(engine_entry(), key="servers/")
+        for key in ("servers/", "servers/x/a", "servers//a", "a"):
+            with self.subTest(key), self.assertRaises(ValueError):
+                self.decode(engine_entry(), key=key)
 
     def test_each_field_of_the_pages_must_be_there(self) -> None:
         names = ("service", "address", "zone", "version", "slots", "state", "coldRemainingMs")
@@ -153,6 +154,20 @@
         self.publication.offer_configuration(named, None)
         self.assertEqual(self.recorder.listed, ["good", "a", "b"])
 
+    def test_a_service_that_is_not_named_takes_the_good_entry_out(self) -> None:
+        self.offer(entry_item("a", 3, engine_entry()))
+        self.assertEqual(self.offer(entry_item("a", 4, engine_entry(service="unheard"))), ["good"])
+        self.assertEqual(self.recorder.gone, ["a"])
+        self.assertEqual(len(self.recorder.refused), 1)
+        self.assertEqual(self.offer(entry_item("a", 5, engine_entry())), ["good", "a"])
+
+    def test_an_odd_key_does_not_touch_the_upstream_of_its_last_part(self) -> None:
+        self.offer(entry_item("a", 3, engine_entry()))
+        odd = entry_item("x/a", 4, engine_entry(state="draining"))
+        self.assertEqual(self.offer(entry_item("a", 3, engine_entry()), odd), ["good", "a"])
+        self.assertEqual(self.offer(entry_item("a", 3, engine_entry())), ["good", "a"])
+        self.assertEqual(self.recorder.gone, [])
+
     def test_the_list_may_come_before_the_configuration(self) -> None:
         recorder = Recorder()
         recorder.publication.offer_list([self.good], NOW, NOW)
