--- a/pondpin/http_client.py
+++ b/pondpin/http_client.py
@@ -1,6 +1,7 @@
 """HTTP client on twisted.web's Agent that tells whether a call can have been sent."""
 
 import asyncio
+import enum
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -12,6 +13,7 @@
     TCP6ClientEndpoint,
     wrapClientTLS,
 )
+from twisted.internet.protocol import Factory, Protocol
 from twisted.web.client import URI, Agent
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import UNKNOWN_LENGTH, IAgentEndpointFactory, IBodyProducer
@@ -30,6 +32,21 @@
 )
 
 
+class Reach(enum.Enum):
+    """What became of an attempt to connect."""
+
+    LISTENS = "listens"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
+class _KnockFactory(Factory):
+    """Builds connections that are closed unused."""
+
+    noisy = False
+    protocol = Protocol
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """A whole answer; header names are lower case."""
@@ -190,7 +207,8 @@
         try:
             response = await answered
         except NEVER_CONNECTED as error:
-            raise CallFailedError(type(error).__name__, sent=False) from None
+            refused = isinstance(error, net_error.ConnectionRefusedError)
+            raise CallFailedError(type(error).__name__, sent=False, refused=refused) from None
         except asyncio.CancelledError:
             drop_if_answered(answered)
             raise
@@ -202,6 +220,21 @@
         }
         return StreamStart(response.code, names, response)
 
+    async def reach(self, host: str, port: int) -> Reach:
+        """Whether anybody listens at a place: connects and closes."""
+        endpoint = TCP4ClientEndpoint(self._reactor, host, port, timeout=self._connect_timeout)
+        knock: Any = _KnockFactory()
+        connecting: Any = endpoint.connect(knock)
+        try:
+            connection = await connecting.asFuture(asyncio.get_running_loop())
+        except net_error.ConnectionRefusedError:
+            return Reach.REFUSED
+        except net_error.ConnectError:
+            # No answer in time, or no way there.
+            return Reach.SILENT
+        connection.transport.abortConnection()
+        return Reach.LISTENS
+
     def _check_cut(self, url: str, sent: bool) -> None:
         if self._is_cut or (self.blocked and url.split("/")[2] in self.blocked):
             raise CallFailedError("cut off", sent)
--- a/pondpin/http_streams.py
+++ b/pondpin/http_streams.py
@@ -14,11 +14,15 @@
 
 
 class CallFailedError(Exception):
-    """A call got no whole answer; sent says whether any byte of it can have left."""
+    """A call got no whole answer; sent says whether any byte of it can have left.
 
-    def __init__(self, cause: str, sent: bool) -> None:
+    refused: nobody listened at its place.
+    """
+
+    def __init__(self, cause: str, sent: bool, refused: bool = False) -> None:
         super().__init__(cause)
         self.sent = sent
+        self.refused = refused
 
 
 class StreamSink(Protocol):
--- a/pondpin/relay/attempts/attempt.py
+++ b/pondpin/relay/attempts/attempt.py
@@ -133,7 +133,7 @@
             start = await self._wait_for_head(call, exact, patience, watcher, began)
         except CallFailedError as error:
             kind = EndKind.BROKEN if error.sent else EndKind.NOT_SENT
-            return AttemptEnd(kind, str(error))
+            return AttemptEnd(kind, str(error), refused=error.refused)
         if start is None:
             return AttemptEnd(EndKind.STALLED, "no answer in time")
         head = self._dialect.read_head(start.status, start.raw_headers)
--- a/pondpin/relay/attempts/handler.py
+++ b/pondpin/relay/attempts/handler.py
@@ -10,7 +10,14 @@
 from pondpin.errors import PondpinError
 from pondpin.http_reply import Incoming, Reply
 from pondpin.metrics import Metrics
-from pondpin.relay.attempts.admission import Admitted, Beliefs, admit, check_not_behind, check_proof
+from pondpin.relay.attempts.admission import (
+    Admitted,
+    Beliefs,
+    admit,
+    check_not_behind,
+    check_proof,
+    identity_of,
+)
 from pondpin.relay.attempts.attempt import Attempts
 from pondpin.relay.attempts.attempt_ends import (
     FIRST_SERVER_ERROR,
@@ -18,6 +25,7 @@
     is_retryable_answer,
     keep_true,
 )
+from pondpin.relay.attempts.life_watch import LifeWatch, Run
 from pondpin.relay.attempts.request_notes import RequestNotes
 from pondpin.relay.attempts.upstream_judge import UpstreamJudge
 from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall
@@ -56,6 +64,7 @@
     table: UpstreamTable
     leases: Leases
     reports: Reports
+    lives: LifeWatch
     policy: RelayPolicy
     beliefs: Callable[[], Beliefs]
     sharers: Callable[[], int]
@@ -114,6 +123,7 @@
             configuration=admitted.configuration,
             arrived=arrived,
             deadline=arrived + admitted.seconds,
+            identity=identity_of(incoming, facts, admitted),
         )
 
     async def _serve_unless_gone(self, call: RelayCall) -> None:
@@ -166,6 +176,7 @@
         keeper = self._keep_leases(group, plan, progress)
         progress.upstream, progress.life = plan.lead.id, plan.lead.life
         began = self.clock()
+        run = self.lives.begin(call.identity, (plan.lead, *plan.helpers))
         try:
             beliefs = self.beliefs()
             self._check_still_allowed(call, beliefs)
@@ -177,19 +188,37 @@
                 group.places if group is not None else plan.places,
                 progress,
                 patience_for(call, plan, self.policy, self.may_go_elsewhere(call, progress)),
-                _Watcher(self, call, progress, plan, key),
+                _Watcher(self, call, progress, plan, key, run),
             )
+        except BaseException:
+            self.lives.leave(run)
+            raise
         finally:
             self.planner.end(plan, key)
             if keeper is not None and group is not None:
                 keeper.cancel()
                 self.leases.release(group)
         self._judge.judge_end(plan, end, began)
+        await self._look_after(plan, end, run)
         helper = helper_at_fault(plan, end)
         if helper is not None:
             progress.tried |= {helper.life}
         return end
 
+    async def _look_after(self, plan: Plan, end: AttemptEnd, run: Run) -> None:
+        """Find out whether an upstream's life ended with an attempt."""
+        helper = helper_at_fault(plan, end)
+        if end.kind is EndKind.BROKEN:
+            await self.lives.look(run, plan.lead)
+        elif helper is not None:
+            await self.lives.look(run, helper)
+        elif end.kind is EndKind.STALLED:
+            self.lives.leave(run)
+        else:
+            self.lives.complete(run)
+            if end.kind is EndKind.NOT_SENT and end.refused:
+                self.lives.note_refused(plan.lead)
+
     def _keep_leases(
         self, group: LeaseGroup | None, plan: Plan, progress: Progress
     ) -> "asyncio.Future[None] | None":
@@ -329,6 +358,7 @@
     progress: Progress
     plan: Plan
     key: int
+    run: Run
 
     def head(self, head: AnswerHead) -> None:
         """See Watcher."""
@@ -336,6 +366,7 @@
 
     def first_event(self) -> None:
         """See Watcher."""
+        self.run.answered_at = self.handler.clock()
         self.handler.planner.note_first(self.plan, self.key)
 
     def heard(self, now: float) -> None:
--- /dev/null
+++ b/pondpin/relay/attempts/life_watch.py
@@ -0,0 +1,174 @@
+"""Which requests ran on an upstream when its life ended.
+
+A connection that breaks proves nothing: it may have been reset or cut, and the upstream lives on. So
+whoever loses one connects there again. Only a place that refuses has nobody listening; that, or a
+later life in the list, ends the earlier one.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
+
+from pondpin.clocks import Clock
+from pondpin.http_client import Reach
+from pondpin.relay.log import EventLog
+from pondpin.relay.log_events import UpstreamEnded
+from pondpin.relay.upstreams.state import UpstreamState
+from pondpin.request_identity import RequestIdentity
+
+# A request that has been answered for so long did not end its upstream by beginning to run: a
+# worker that is ended by one is gone 0.1 s after it began.
+ANSWERED_SECONDS = 0.3
+# An end within this of a caller's leaving, or of an attempt that was given up, may be due to the
+# request: the worker may have begun it before it read that its connection is closed.
+LEFT_SECONDS = 1.0
+# An upstream that a request has left is connected to after this, unless it was heard meanwhile.
+LOOK_SECONDS = 0.3
+# A worker that ended is listed as a later life, or is gone from the list, within this: three
+# heartbeats and the way of the news.
+LISTED_SECONDS = 6.0
+MILLISECONDS = 1000
+
+
+@dataclass(eq=False)
+class Run:
+    """A request on the upstreams of one attempt; times are by the steady clock."""
+
+    identity: RequestIdentity
+    began: float
+    places: tuple[UpstreamState, ...]
+    answered_at: float | None = None
+    left_at: float | None = None
+    broke: bool = False
+
+    def was_answered(self, at: float) -> bool:
+        """Whether it had been answered for a while at a moment."""
+        return self.answered_at is not None and at - self.answered_at >= ANSWERED_SECONDS
+
+    def was_there(self, at: float, seconds: float) -> bool:
+        """Whether it ran at a moment, or had left at most some seconds before."""
+        return self.left_at is None or at - self.left_at <= seconds
+
+
+@dataclass(frozen=True, slots=True)
+class EndSeen:
+    """The life of an upstream ended while these requests of this instance were there."""
+
+    state: UpstreamState
+    at: float
+    runs: tuple[Run, ...]
+
+
+@dataclass
+class LifeWatch:
+    """The requests of this instance by the life of the upstream that they run on."""
+
+    reach: Callable[[str, int], Awaitable[Reach]]
+    on_end: Callable[[EndSeen], None]
+    log: EventLog
+    clock: Clock
+    runs_by_life: dict[int, list[Run]] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Set up the tasks."""
+        self._looks_by_life: dict[int, asyncio.Task[bool]] = {}
+        self._timers: set[asyncio.TimerHandle] = set()
+
+    def begin(self, identity: RequestIdentity, places: Iterable[UpstreamState]) -> Run:
+        """A request is about to be sent."""
+        run = Run(identity, self.clock(), tuple(places))
+        for state in run.places:
+            self.runs_by_life.setdefault(state.life, []).append(run)
+        return run
+
+    def complete(self, run: Run) -> None:
+        """A request got its whole answer, or was not run."""
+        for state in run.places:
+            self._drop(state.life, run)
+
+    def leave(self, run: Run) -> None:
+        """A request was given up: its upstreams are looked at in a moment if they are silent."""
+        run.left_at = self.clock()
+        loop = asyncio.get_running_loop()
+        for state in run.places:
+            loop.call_later(LOOK_SECONDS, self._look_if_silent, run, state)
+
+    def _look_if_silent(self, run: Run, state: UpstreamState) -> None:
+        left_at = run.left_at
+        if left_at is None or state.heard_at > left_at or run not in self._runs(state):
+            return
+        self._begin_look(state)
+
+    async def look(self, run: Run, state: UpstreamState) -> bool:
+        """A request broke off: whether its upstream's life has ended."""
+        run.broke, run.left_at = True, self.clock()
+        return await asyncio.shield(self._begin_look(state))
+
+    def _begin_look(self, state: UpstreamState) -> "asyncio.Task[bool]":
+        """Connect to an upstream; requests that broke off together share the answer."""
+        task = self._looks_by_life.get(state.life)
+        if task is None:
+            task = asyncio.get_running_loop().create_task(self._look(state))
+            self._looks_by_life[state.life] = task
+            task.add_done_callback(lambda _: self._looks_by_life.pop(state.life, None))
+        return task
+
+    async def _look(self, state: UpstreamState) -> bool:
+        began = self.clock()
+        answer = await self.reach(state.listed.host, state.listed.port)
+        runs = self._runs(state)
+        self.log.write(
+            UpstreamEnded(
+                upstream=state.id,
+                answer=answer.value,
+                after_ms=round((self.clock() - began) * MILLISECONDS),
+                ran=tuple(_tell(run, began) for run in runs),
+            )
+        )
+        if answer is not Reach.REFUSED:
+            return False
+        self.note_refused(state)
+        return True
+
+    def note_refused(self, state: UpstreamState) -> None:
+        """Nobody listens at an upstream's place: those that were there a moment ago are noted."""
+        self._end(state, LEFT_SECONDS, lambda run: True)
+
+    def note_replaced(self, state: UpstreamState) -> None:
+        """A life is listed no more, or a later one is in its place."""
+        self._end(state, LISTED_SECONDS, lambda run: run.broke)
+
+    def _end(self, state: UpstreamState, seconds: float, counts: Callable[[Run], bool]) -> None:
+        now = self.clock()
+        found = tuple(
+            run
+            for run in self.runs_by_life.pop(state.life, ())
+            if run.was_there(now, seconds) and counts(run)
+        )
+        # A planned end says nothing of the requests that it cuts off.
+        if found and not state.leaving:
+            self.on_end(EndSeen(state, now, found))
+
+    def prune(self, now: float) -> None:
+        """Forget requests that left too long ago to matter."""
+        for life, runs in list(self.runs_by_life.items()):
+            kept = [run for run in runs if run.was_there(now, LISTED_SECONDS)]
+            if kept:
+                self.runs_by_life[life] = kept
+            else:
+                del self.runs_by_life[life]
+
+    def _runs(self, state: UpstreamState) -> list[Run]:
+        return self.runs_by_life.get(state.life, [])
+
+    def _drop(self, life: int, run: Run) -> None:
+        runs = self.runs_by_life.get(life, [])
+        if run in runs:
+            runs.remove(run)
+        if not runs:
+            self.runs_by_life.pop(life, None)
+
+
+def _tell(run: Run, now: float) -> str:
+    since = round((now - run.began) * MILLISECONDS)
+    return f"{run.identity} {since} ms{' answered' if run.was_answered(now) else ''}"
--- a/pondpin/relay/attempts/request_notes.py
+++ b/pondpin/relay/attempts/request_notes.py
@@ -132,6 +132,7 @@
                 helpers=tuple(state.id for state in plan.helpers),
                 leases=len(group.places) if group is not None else 0,
                 resume_after=str(progress.last_number) if progress.events else "",
+                identity=str(call.identity),
             )
         )
 
--- a/pondpin/relay/call.py
+++ b/pondpin/relay/call.py
@@ -6,6 +6,7 @@
 from pondpin.http_reply import Incoming, Reply
 from pondpin.network import Endpoint
 from pondpin.relay.model import RelayConfiguration, RequestFacts, Route
+from pondpin.request_identity import RequestIdentity
 
 # Callers give a stream up after the longest of these, also before its first event.
 PATIENCE_SECONDS = 2.0
@@ -27,6 +28,7 @@
     configuration: RelayConfiguration
     arrived: float
     deadline: float
+    identity: RequestIdentity = RequestIdentity()
 
     @property
     def id(self) -> str:
@@ -70,12 +72,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnd:
-    """The end of an attempt; at_fault is where the upstream is that made it fail."""
+    """The end of an attempt; at_fault is where the upstream is that made it fail.
+
+    refused: nobody listened at the upstream's place.
+    """
 
     kind: EndKind
     detail: str = ""
     answer: WholeReply | None = None
     at_fault: Endpoint | None = None
+    refused: bool = False
 
     @property
     def may_have_run(self) -> bool:
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -23,6 +23,7 @@
 from pondpin.relay.attempts.admission import Beliefs
 from pondpin.relay.attempts.attempt import Attempts
 from pondpin.relay.attempts.handler import RelayHandler
+from pondpin.relay.attempts.life_watch import LifeWatch
 from pondpin.relay.caller_limits import caller_limits
 from pondpin.relay.choosing.planner import Planner, RelayPolicy
 from pondpin.relay.choosing.retry_window import RetryBounds
@@ -153,6 +154,7 @@
         )
         prefix = f"{settings.instance}-{self.boot:x}"
         self.leases = Leases(PlatformLeases(self.http), prefix, self.log, self.table.has_ended)
+        self.lives = LifeWatch(self.http.reach, lambda _: None, self.log, steady_now)
         dialect = PlatformDialect()
         self.handler = RelayHandler(
             dialect=dialect,
@@ -163,6 +165,7 @@
             leases=self.leases,
             policy=policy,
             reports=Reports(PlatformReports(self.http), self.log, steady_now),
+            lives=self.lives,
             beliefs=self.beliefs,
             sharers=self._sharers,
             retry_bounds=self._retry_bounds,
--- a/pondpin/relay/log_events.py
+++ b/pondpin/relay/log_events.py
@@ -171,6 +171,7 @@
     helpers: tuple[str, ...] = ()
     leases: int = 0
     resume_after: str = ""
+    identity: str = ""
 
 
 class AttemptEnded(LogEvent, frozen=True, kw_only=True, tag="attempt_ended"):
@@ -230,6 +231,19 @@
     target_ms: int = 0
 
 
+class UpstreamEnded(LogEvent, frozen=True, kw_only=True, tag="upstream_ended"):
+    """A request broke off at an upstream or left it, and what a connection there then met.
+
+    ran: identities of this instance's requests that were there, each with ms since it was sent and
+    whether it had been answered for a while.
+    """
+
+    upstream: str
+    answer: str
+    after_ms: int
+    ran: tuple[str, ...] = ()
+
+
 class UpstreamAsked(LogEvent, frozen=True, kw_only=True, tag="upstream_asked"):
     """A silent engine was asked for its report."""
 
--- a/pondpin/tools/log_story.py
+++ b/pondpin/tools/log_story.py
@@ -115,6 +115,9 @@
     "caller_gone": "the caller closed its connection after {after_ms} ms",
     "upstream_leaving": "{upstream} gets no new work: {source}",
     "upstream_ejected": "{upstream} is left alone for {seconds} s: {reason}",
+    "upstream_ended": (
+        "a connection to {upstream} after {after_ms} ms: {answer}; requests there: {ran}"
+    ),
     "upstream_asked": (
         "silent {upstream} answers its report: {answers} {reason} "
         "({running} running, {waiting} waiting)"
--- /dev/null
+++ b/pondpin/tools/measure_identity.py
@@ -0,0 +1,31 @@
+"""Measures what the identity of a request costs, in microseconds by the size of its body."""
+
+import time
+
+from pondpin.request_identity import identify
+from pondpin.runtime import Ready, run_command
+
+SIZES = (256, 4096, 65_536)
+ROUNDS = 2000
+MICROSECONDS = 1e6
+KEYS = ("first-key-of-the-account", "second-key-of-the-account")
+
+
+def measure() -> Ready:
+    """Print a line for each size."""
+
+    def start() -> int:
+        for size in SIZES:
+            body = b"x" * size
+            began = time.perf_counter()
+            for _ in range(ROUNDS):
+                identify("host.example", b"/path/x?y=1", body, KEYS[0], KEYS)
+            seconds = (time.perf_counter() - began) / ROUNDS
+            print(f"{size} bytes: {seconds * MICROSECONDS:.1f} us")
+        return 0
+
+    return Ready(start)
+
+
+if __name__ == "__main__":
+    run_command(measure, "measure_identity")
