--- a/pondpin/standins/worker.py
+++ b/pondpin/standins/worker.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -13,6 +14,8 @@
 from pondpin.network import Endpoint
 
 HANG_SECONDS = 30.0
+# The users' workers are gone 0.04 to 0.1 s after they began such a request.
+CRASH_SECONDS = 0.04
 HALF = 2
 
 
@@ -79,6 +82,10 @@
     refused_leases: int = 0
     probes: int = 0
     reports: int = 0
+    # Bodies of requests that end the worker a moment after it has begun to run them.
+    deadly: frozenset[bytes] = frozenset()
+    crashes: int = 0
+    on_crash: Callable[[], None] = lambda: None
     dark: bool = False
     spoils_reports: bool = False
     working: int = 0
@@ -95,6 +102,15 @@
         """Listen; returns the endpoint with its port."""
         return self.server.listen(self.reactor, endpoint)
 
+    def crash(self) -> None:
+        """End as a crashing process does: all connections break and nobody listens any more."""
+        if self.server.port is None:
+            return
+        self.crashes += 1
+        self.server.cut()
+        self.server.spawn(self.server.close())
+        self.on_crash()
+
     def start_again(self, born: int) -> None:
         """Crash and start again under the same id; what the audit counted is kept."""
         self.server.cut()
@@ -187,6 +203,9 @@
             reply.write_raw(b"\x00\x01 no answer\r\n\r\n" * 3)
             return
         headers = {"x-attempt-id": attempt, "x-instance-signature": f"{self.id}.{attempt}"}
+        if incoming.body in self.deadly:
+            await self._crash_soon(incoming, reply, headers)
+            return
         if fault is WorkerFault.FOREIGN:
             headers["x-attempt-id"] = "somebody-else"
         if fault is WorkerFault.UNSIGNED:
@@ -198,6 +217,12 @@
         else:
             self._answer(reply, headers, attempt, fault)
 
+    async def _crash_soon(self, incoming: Incoming, reply: Reply, headers: dict[str, str]) -> None:
+        if "x-token-usage" in incoming.headers:
+            reply.start(200, headers | {"content-type": "text/event-stream"})
+        await asyncio.sleep(CRASH_SECONDS)
+        self.crash()
+
     async def _hang(self, reply: Reply) -> None:
         for _ in range(int(HANG_SECONDS * 100)):
             if reply.gone:
