--- a/pondpin/relay/attempts/life_watch.py
+++ b/pondpin/relay/attempts/life_watch.py
@@ -1,8 +1,8 @@
 """Which requests ran on an upstream when its life ended.
 
-A connection that breaks proves nothing: it may have been reset or cut, and the upstream lives on. So
-whoever loses one connects there again. Only a place that refuses has nobody listening; that, or a
-later life in the list, ends the earlier one.
+A connection that breaks proves nothing: it may have been reset or cut, and the upstream lives on.
+So whoever loses one connects there again. Only a place that refuses has nobody listening; that, or
+a later life in the list, ends the earlier one.
 """
 
 import asyncio
--- a/pondpin/relay/call.py
+++ b/pondpin/relay/call.py
@@ -6,7 +6,7 @@
 from pondpin.http_reply import Incoming, Reply
 from pondpin.network import Endpoint
 from pondpin.relay.model import RelayConfiguration, RequestFacts, Route
-from pondpin.request_identity import RequestIdentity
+from pondpin.request_identity import NO_IDENTITY, RequestIdentity
 
 # Callers give a stream up after the longest of these, also before its first event.
 PATIENCE_SECONDS = 2.0
@@ -28,7 +28,7 @@
     configuration: RelayConfiguration
     arrived: float
     deadline: float
-    identity: RequestIdentity = RequestIdentity()
+    identity: RequestIdentity = NO_IDENTITY
 
     @property
     def id(self) -> str:
--- a/pondpin/request_identity.py
+++ b/pondpin/request_identity.py
@@ -34,6 +34,9 @@
         return show(self.own)
 
 
+NO_IDENTITY = RequestIdentity()
+
+
 def show(identity: int) -> str:
     """An identity as 16 hexadecimal digits."""
     return f"{identity:016x}"
--- a/pondpin/tests/test_relay_quarantine.py
+++ b/pondpin/tests/test_relay_quarantine.py
@@ -1,10 +1,10 @@
 """A request that ends the workers that run it.
 
-Users saw: repeats of one request kept reaching workers, each ending two of them, 19 and 35 in all on
-two occasions; streams beside it lost their worker, went to the next one and lost that too.
-Order: a prompt reaches a worker, which ends 0.1 s later; the instance sends it to a second one, which
-ends; the caller gets 502 and asks again, at any instance; and so on, while ended workers come back
-after three seconds.
+Users saw: repeats of one request kept reaching workers, each ending two of them, 19 and 35 in all
+on two occasions; streams beside it lost their worker, went to the next one and lost that too.
+Order: a prompt reaches a worker, which ends 0.1 s later; the instance sends it to a second one,
+which ends; the caller gets 502 and asks again, at any instance; and so on, while ended workers come
+back after three seconds.
 Cause: nothing was remembered of a request beyond its own attempts, and nobody told the others.
 Proof: of 40 ended workers that the logs named, 37 had exactly one request that had not begun to be
 answered, and it was the same request at both workers of a pair.
