--- /dev/null
+++ b/pondpin/tests/test_quarantine.py
@@ -0,0 +1,561 @@
+"""Which requests are held back: verdicts, joins of what is known, and fleets in virtual time."""
+
+import heapq
+import itertools
+import random
+import unittest
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pondpin.quarantine import (
+    CROWD_LIVES,
+    ENDS_TO_QUARANTINE,
+    GOOD_SECONDS,
+    LONGEST_QUARANTINE_SECONDS,
+    MOST_ENDS,
+    MOST_SUSPECTS,
+    QUARANTINE_SECONDS,
+    RUN_SECONDS,
+    SUSPICION_SECONDS,
+    TURN_SECONDS,
+    VOID_SECONDS,
+    LifeEnd,
+    NamedEnd,
+    Quarantine,
+    Surroundings,
+    Verdict,
+    quarantine_seconds,
+    turn_of,
+)
+from pondpin.relay.peers.quarantine_news import QuarantineNews
+
+NOW = 1000.0
+DEADLY = 1
+OTHER = 2
+MANY = Surroundings(lives=18)
+
+
+def with_ends(
+    *lives: int, identity: int = DEADLY, gap: float = 3.0, release: int = 7
+) -> Quarantine:
+    """Ends of a request, one after the other, the last at NOW."""
+    quarantine = Quarantine()
+    for index, life in enumerate(reversed(lives)):
+        quarantine.note_end(identity, LifeEnd(life, NOW - gap * index, release))
+    return quarantine
+
+
+class VerdictTest(unittest.TestCase):
+    def verdict(self, quarantine: Quarantine, now: float = NOW, identity: int = DEADLY) -> Verdict:
+        return quarantine.judge((identity,), now, MANY).verdict
+
+    def test_one_end_makes_suspect_and_three_quarantine(self) -> None:
+        self.assertIs(self.verdict(Quarantine()), Verdict.FREE)
+        self.assertIs(self.verdict(with_ends(1)), Verdict.SUSPECTED)
+        self.assertIs(self.verdict(with_ends(1, 2)), Verdict.SUSPECTED)
+        self.assertIs(self.verdict(with_ends(1, 2, 3)), Verdict.QUARANTINED)
+        self.assertIs(self.verdict(with_ends(1, 2, 3), identity=OTHER), Verdict.FREE)
+
+    def test_a_life_counts_once_whoever_saw_its_end(self) -> None:
+        quarantine = with_ends(1, 2)
+        for source in ("a", "b", "c"):
+            quarantine.note_end(DEADLY, LifeEnd(2, NOW + 0.1, source=source))
+        self.assertEqual(len(quarantine.judge((DEADLY,), NOW, MANY).ends), 2)
+
+    def test_a_second_try_follows_the_first_end_only(self) -> None:
+        self.assertTrue(with_ends(1).judge((DEADLY,), NOW, MANY).may_try_again)
+        self.assertFalse(with_ends(1, 2).judge((DEADLY,), NOW, MANY).may_try_again)
+
+    def test_ends_under_several_keys_of_an_account_count_together(self) -> None:
+        quarantine = with_ends(1, 2)
+        quarantine.note_end(OTHER, LifeEnd(3, NOW))
+        quarantine.note_end(OTHER, LifeEnd(2, NOW))
+        judgement = quarantine.judge((DEADLY, OTHER), NOW, MANY)
+        self.assertEqual((judgement.verdict, len(judgement.ends)), (Verdict.QUARANTINED, 3))
+
+    def test_who_had_been_answered_is_not_suspect_beside_who_had_not(self) -> None:
+        quarantine = with_ends(1, 2, 3)
+        for life in (1, 2, 3):
+            quarantine.note_end(OTHER, LifeEnd(life, NOW, answered=True))
+        self.assertIs(self.verdict(quarantine, identity=OTHER), Verdict.FREE)
+        self.assertIs(self.verdict(quarantine), Verdict.QUARANTINED)
+
+    def test_who_had_been_answered_alone_is_suspect(self) -> None:
+        quarantine = Quarantine()
+        for life in (1, 2, 3):
+            quarantine.note_end(OTHER, LifeEnd(life, NOW + life, answered=True))
+        self.assertIs(self.verdict(quarantine, NOW + 3, OTHER), Verdict.QUARANTINED)
+
+    def test_the_only_request_common_to_the_ends_explains_the_others(self) -> None:
+        quarantine = with_ends(1, 2, 3, 4)
+        for other, lives in ((OTHER, (1, 2, 3)), (3, (2, 4)), (4, (3,))):
+            for life in lives:
+                quarantine.note_end(other, LifeEnd(life, NOW))
+        found = [self.verdict(quarantine, identity=identity) for identity in (DEADLY, OTHER, 3, 4)]
+        self.assertEqual(found, [Verdict.QUARANTINED, *[Verdict.FREE] * 3])
+
+    def test_what_ends_whole_is_free_before_and_after(self) -> None:
+        quarantine = with_ends(1, 2, 3)
+        cleared = quarantine.note_good((DEADLY,), NOW)
+        self.assertEqual(len(cleared), 3)
+        self.assertIs(self.verdict(quarantine), Verdict.FREE)
+        self.assertFalse(quarantine.note_end(DEADLY, LifeEnd(4, NOW + GOOD_SECONDS - 1)))
+        self.assertTrue(quarantine.note_end(DEADLY, LifeEnd(5, NOW + GOOD_SECONDS + 1)))
+
+    def test_lives_that_go_together_speak_against_nobody(self) -> None:
+        """A rack, a zone or a service's power: many lives at once, under different requests."""
+        quarantine = Quarantine()
+        for life in range(15):
+            for request in range(3):
+                quarantine.note_end(100 + 3 * life + request, LifeEnd(life, NOW + 0.02 * life))
+        # One of them was sent on twice, and lost these workers too.
+        for life in (3, 9):
+            quarantine.note_end(100, LifeEnd(life, NOW + 0.02 * life))
+        found = {self.verdict(quarantine, identity=100 + n) for n in range(45)}
+        self.assertEqual(found, {Verdict.FREE})
+
+    def test_a_few_that_go_together_make_suspect(self) -> None:
+        quarantine = Quarantine()
+        for life in range(1 + CROWD_LIVES):
+            quarantine.note_end(100 + life, LifeEnd(life, NOW))
+        self.assertIs(self.verdict(quarantine, identity=100), Verdict.SUSPECTED)
+
+    def test_several_deadly_requests_do_not_hide_one_another(self) -> None:
+        quarantine = Quarantine()
+        lives = itertools.count()
+        for _ in range(ENDS_TO_QUARANTINE):
+            for identity in range(8):
+                quarantine.note_end(identity, LifeEnd(next(lives), NOW))
+        found = {self.verdict(quarantine, identity=identity) for identity in range(8)}
+        self.assertEqual(found, {Verdict.QUARANTINED})
+
+    def test_all_workers_of_a_small_service_count(self) -> None:
+        quarantine = with_ends(1, 2, 3, gap=0.1)
+        around = Surroundings(lives=3)
+        self.assertIs(quarantine.judge((DEADLY,), NOW, around).verdict, Verdict.QUARANTINED)
+
+
+class LapseTest(unittest.TestCase):
+    def test_suspicion_lapses(self) -> None:
+        quarantine = with_ends(1, 2)
+        later = NOW + SUSPICION_SECONDS
+        self.assertIs(quarantine.judge((DEADLY,), later, MANY).verdict, Verdict.FREE)
+        quarantine.prune(later)
+        self.assertFalse(quarantine.ends_by_identity)
+
+    def test_quarantine_lapses_to_one_try_at_a_time_each_later_than_the_last(self) -> None:
+        quarantine = with_ends(1, 2, 3)
+        now = NOW
+        waits = []
+        for life in range(4, 8):
+            judgement = quarantine.judge((DEADLY,), now + 1.0, MANY)
+            self.assertIs(judgement.verdict, Verdict.QUARANTINED)
+            waits.append(judgement.until - now)
+            now = judgement.until
+            judgement = quarantine.judge((DEADLY,), now, MANY)
+            self.assertIs(judgement.verdict, Verdict.SUSPECTED)
+            self.assertFalse(judgement.may_try_again)
+            quarantine.note_end(DEADLY, LifeEnd(life, now))
+            quarantine.prune(now)
+        self.assertEqual(waits, [QUARANTINE_SECONDS * 2**n for n in range(4)])
+        self.assertEqual(quarantine_seconds(40), LONGEST_QUARANTINE_SECONDS)
+
+    def test_instances_take_their_turn_when_it_is_over(self) -> None:
+        quarantine = with_ends(1, 2, 3)
+        over = NOW + QUARANTINE_SECONDS
+        later = Surroundings(lives=18, turn=2)
+        for now, expected in (
+            (over + 2 * TURN_SECONDS - 0.1, Verdict.QUARANTINED),
+            (over + 2 * TURN_SECONDS, Verdict.SUSPECTED),
+        ):
+            self.assertIs(quarantine.judge((DEADLY,), now, later).verdict, expected)
+
+    def test_each_instance_has_another_turn_and_not_always_the_same(self) -> None:
+        names = [f"i{n}" for n in range(8)]
+        firsts = set()
+        for identity in range(50):
+            turns = [turn_of(identity, name, set(names) - {name}) for name in names]
+            self.assertEqual(sorted(turns), list(range(8)))
+            firsts.add(turns.index(0))
+        self.assertEqual(len(firsts), 8)
+
+    def test_new_software_is_tried_once_by_one_instance(self) -> None:
+        quarantine = with_ends(1, 2, 3, release=7)
+        first = Surroundings(lives=18, releases=frozenset({7, 8}), turn=0)
+        judgement = quarantine.judge((DEADLY,), NOW, first)
+        self.assertIs(judgement.verdict, Verdict.SUSPECTED)
+        self.assertEqual(judgement.spent_releases, {7})
+        second = Surroundings(lives=18, releases=frozenset({7, 8}), turn=1)
+        self.assertIs(quarantine.judge((DEADLY,), NOW, second).verdict, Verdict.QUARANTINED)
+        quarantine.note_end(DEADLY, LifeEnd(4, NOW, 8))
+        self.assertIs(quarantine.judge((DEADLY,), NOW, first).verdict, Verdict.QUARANTINED)
+
+    def test_a_run_that_was_told_and_never_ended_lapses(self) -> None:
+        quarantine = Quarantine()
+        quarantine.begin_run(DEADLY, "a", NOW)
+        self.assertTrue(quarantine.is_running((DEADLY,), NOW + RUN_SECONDS - 0.1))
+        self.assertFalse(quarantine.is_running((DEADLY,), NOW + RUN_SECONDS))
+        quarantine.prune(NOW + RUN_SECONDS)
+        self.assertFalse(quarantine.runs_by_identity)
+
+    def test_what_is_remembered_is_bounded_and_the_proved_stay(self) -> None:
+        quarantine = with_ends(1, 2, 3)
+        for number in range(MOST_SUSPECTS + 50):
+            quarantine.note_end(100 + number, LifeEnd(100 + number, NOW + number))
+        for life in range(10, 40):
+            quarantine.note_end(DEADLY, LifeEnd(life, NOW + life))
+        self.assertEqual(len(quarantine.ends_by_identity), MOST_SUSPECTS)
+        self.assertEqual(len(quarantine.ends_by_identity[DEADLY]), MOST_ENDS)
+        judgement = quarantine.judge((DEADLY,), NOW + 40, MANY)
+        self.assertIs(judgement.verdict, Verdict.QUARANTINED)
+
+
+ENDS = st.builds(
+    LifeEnd,
+    life=st.integers(1, 4),
+    at=st.floats(NOW, NOW + 50),
+    release=st.integers(0, 2),
+    answered=st.booleans(),
+    void=st.booleans(),
+    settled=st.booleans(),
+)
+NAMED = st.lists(st.builds(NamedEnd, identity=st.integers(1, 4), end=ENDS), max_size=25)
+
+
+def believed(quarantine: Quarantine) -> dict[int, dict[int, tuple[float, bool, bool]]]:
+    return {
+        identity: {life: (end.at, end.answered, end.void) for life, end in ends.items()}
+        for identity, ends in quarantine.ends_by_identity.items()
+        if ends
+    }
+
+
+class JoinTest(unittest.TestCase):
+    @given(NAMED, st.randoms())
+    def test_order_and_repeats_of_what_is_told_change_nothing(
+        self, told: list[NamedEnd], rng: random.Random
+    ) -> None:
+        one, other = Quarantine(), Quarantine()
+        one.take(told, NOW + 50)
+        again = [*told, *rng.sample(told, len(told) // 2)]
+        rng.shuffle(again)
+        other.take(again, NOW + 50)
+        self.assertEqual(believed(one), believed(other))
+        self.assertEqual(one.tag, other.tag)
+
+    @given(NAMED, NAMED)
+    def test_two_sides_that_tell_each_other_believe_the_same(
+        self, here: list[NamedEnd], there: list[NamedEnd]
+    ) -> None:
+        one, other = Quarantine(), Quarantine()
+        one.take(here, NOW + 50)
+        other.take(there, NOW + 50)
+        for _ in range(2):
+            told = one.most_telling(1000), other.most_telling(1000)
+            other.take(one.take(told[1], NOW + 50), NOW + 50)
+            one.take(other.take(told[0], NOW + 50), NOW + 50)
+        self.assertEqual(one.tag, other.tag)
+
+    def test_a_void_end_is_not_brought_back_by_an_older_word(self) -> None:
+        quarantine = with_ends(1)
+        word = NamedEnd(DEADLY, quarantine.ends_by_identity[DEADLY][1])
+        quarantine.clear(DEADLY)
+        better = quarantine.take([word], NOW + 1)
+        self.assertTrue(better[0].end.void)
+        self.assertIs(quarantine.judge((DEADLY,), NOW + 1, MANY).verdict, Verdict.FREE)
+        quarantine.prune(NOW + VOID_SECONDS)
+        self.assertFalse(quarantine.ends_by_identity)
+
+
+DELAY_SECONDS = 0.002
+CRASH_SECONDS = 0.1
+STREAM_SECONDS = 0.6
+RETURN_SECONDS = 3.0
+# A broken connection leads to an end this much later: a way there and back.
+PROOF_SECONDS = 0.003
+
+
+@dataclass
+class Member:
+    """An instance of the fleet; its host is its name."""
+
+    name: str
+    quarantine: Quarantine
+    news: QuarantineNews
+
+
+@dataclass(eq=False)
+class Attempt:
+    """A request on a worker."""
+
+    member: Member
+    identity: int
+    worker: int
+    began: float
+    tries: int
+    open: bool = True
+
+
+@dataclass
+class Fleet:
+    """Instances and workers in virtual time: requests, ends, cuts, restarts."""
+
+    seed: int
+    instances: int = 3
+    workers: int = 15
+    deadly: frozenset[int] = frozenset({DEADLY})
+    now: float = NOW
+    sides: dict[str, int] = field(default_factory=dict)
+    ended: dict[int, list[float]] = field(default_factory=dict)
+    refused: dict[int, int] = field(default_factory=dict)
+    served: dict[int, int] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._lives = itertools.count(1)
+        self.life_by_worker: dict[int, int | None] = {
+            worker: next(self._lives) for worker in range(self.workers)
+        }
+        self.open_by_worker: dict[int, list[Attempt]] = {n: [] for n in range(self.workers)}
+        self.members = [self.start(f"i{n}") for n in range(self.instances)]
+
+    def start(self, name: str) -> Member:
+        quarantine = Quarantine()
+        news = QuarantineNews(
+            name,
+            self.rng.getrandbits(40),
+            quarantine,
+            lambda data, host: self.carry(name, data, host),
+            lambda: [member.name for member in self.members if member.name != name],
+            lambda: self.now,
+        )
+        return Member(name, quarantine, news)
+
+    def restart(self, index: int) -> None:
+        """An instance dies and starts again; peers that hear it send what they know."""
+        name = self.members[index].name
+        self.members[index] = self.start(name)
+        for member in self.members:
+            if member.name != name and self.sides.get(member.name) == self.sides.get(name):
+                self.sync(member, name)
+
+    def sync(self, member: Member, host: str) -> None:
+        for data in member.news._messages(member.quarantine.most_telling(100)):
+            self.carry(member.name, data, host)
+
+    def join_sides(self) -> None:
+        """A cut is over: digests tell that the sides believe different things."""
+        self.sides.clear()
+        for member in self.members:
+            for other in self.members:
+                if other is not member:
+                    self.sync(member, other.name)
+
+    def carry(self, source: str, data: bytes, host: str) -> None:
+        if self.sides.get(source) != self.sides.get(host):
+            return
+        self.later(DELAY_SECONDS, lambda: self.deliver(data, host))
+
+    def deliver(self, data: bytes, host: str) -> None:
+        for member in self.members:
+            if member.name == host:
+                member.news.receive(data, self.now)
+
+    def later(self, seconds: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (self.now + seconds, next(self._order), action))
+
+    def play(self, until: float) -> None:
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        self.now = until
+
+    def ask(self, identity: int, index: int, tries: int = 1) -> None:
+        """A request at an instance: as the relay does it."""
+        member = self.members[index]
+        peers = [other.name for other in self.members if other is not member]
+        around = Surroundings(self.workers, turn=turn_of(identity, member.name, peers))
+        judgement = member.quarantine.judge((identity,), self.now, around)
+        suspected = judgement.verdict is Verdict.SUSPECTED
+        held = suspected and member.quarantine.is_running((identity,), self.now)
+        if judgement.verdict is Verdict.QUARANTINED or held:
+            self.refused[identity] = self.refused.get(identity, 0) + 1
+            return
+        living = [worker for worker, life in self.life_by_worker.items() if life is not None]
+        if not living:
+            return
+        worker = self.rng.choice(living)
+        if suspected:
+            worker = min(living, key=lambda item: len(self.open_by_worker[item]))
+            member.quarantine.begin_run(identity, member.name, self.now)
+            member.news.running.add(identity)
+            member.news.tell()
+        attempt = Attempt(member, identity, worker, self.now, tries)
+        self.open_by_worker[worker].append(attempt)
+        is_deadly = identity in self.deadly
+        seconds = CRASH_SECONDS if is_deadly else STREAM_SECONDS
+        life = self.life_by_worker[worker]
+        self.later(seconds, lambda: self.finish(attempt, life, is_deadly))
+
+    def finish(self, attempt: Attempt, life: int | None, is_deadly: bool) -> None:
+        if not attempt.open or self.life_by_worker[attempt.worker] != life:
+            return
+        if is_deadly:
+            self.crash(attempt.worker, attempt.identity)
+            return
+        self.close(attempt)
+        self.open_by_worker[attempt.worker].remove(attempt)
+        self.served[attempt.identity] = self.served.get(attempt.identity, 0) + 1
+        cleared = attempt.member.quarantine.note_good((attempt.identity,), self.now)
+        if cleared:
+            attempt.member.news.tell(cleared)
+
+    def close(self, attempt: Attempt) -> None:
+        attempt.open = False
+        attempt.member.quarantine.end_run(attempt.identity, attempt.member.name)
+        if attempt.identity in attempt.member.news.running:
+            attempt.member.news.running.discard(attempt.identity)
+            attempt.member.news.tell()
+
+    def crash(self, worker: int, cause: int = 0) -> None:
+        """A worker's life ends; it is back after a while."""
+        life = self.life_by_worker[worker]
+        if life is None:
+            return
+        self.ended.setdefault(cause, []).append(self.now)
+        self.life_by_worker[worker] = None
+        broken, self.open_by_worker[worker] = self.open_by_worker[worker], []
+        ended_at = self.now
+        for attempt in broken:
+            attempt.open = False
+        self.later(PROOF_SECONDS, lambda: self.prove(broken, life, ended_at))
+        self.later(RETURN_SECONDS, lambda: self.come_back(worker))
+
+    def come_back(self, worker: int) -> None:
+        self.life_by_worker[worker] = next(self._lives)
+
+    def prove(self, broken: list[Attempt], life: int, at: float) -> None:
+        for attempt in broken:
+            answered = attempt.identity not in self.deadly and at - attempt.began > 0.35
+            end = LifeEnd(life, at, answered=answered)
+            if attempt.member.quarantine.note_end(attempt.identity, end):
+                attempt.member.news.tell([NamedEnd(attempt.identity, end)])
+        for attempt in broken:
+            self.close(attempt)
+            judgement = attempt.member.quarantine.judge(
+                (attempt.identity,), self.now, Surroundings(self.workers, turn=1)
+            )
+            free = judgement.verdict is Verdict.FREE
+            again = free or (judgement.verdict is Verdict.SUSPECTED and judgement.may_try_again)
+            alive = attempt.member in self.members
+            if attempt.tries < 2 and again and alive:
+                index = self.members.index(attempt.member)
+                self.ask(attempt.identity, index, attempt.tries + 1)
+
+
+class FleetTest(unittest.TestCase):
+    """Seeded lives, cuts and restarts; a deadly copy each 0.2 s, others each 0.05 s."""
+
+    SEEDS = range(20)
+
+    def load(self, fleet: Fleet, seconds: float, deadly: tuple[int, ...] = (DEADLY,)) -> None:
+        others = itertools.count(1000)
+        for step in range(int(seconds / 0.05)):
+            self.at(fleet, 0.05 * step, next(others))
+            if step % 4 == 0:
+                for identity in deadly:
+                    self.at(fleet, 0.05 * step + fleet.rng.random() * 0.1, identity)
+
+    def at(self, fleet: Fleet, seconds: float, identity: int) -> None:
+        index = fleet.rng.randrange(len(fleet.members))
+        fleet.later(seconds, lambda: fleet.ask(identity, index))
+
+    def innocent_refused(self, fleet: Fleet) -> dict[int, int]:
+        return {item: n for item, n in fleet.refused.items() if item not in fleet.deadly}
+
+    def test_few_workers_end_and_nobody_innocent_is_refused(self) -> None:
+        for seed in self.SEEDS:
+            with self.subTest(seed):
+                fleet = Fleet(seed)
+                self.load(fleet, 12.0)
+                fleet.play(NOW + 14.0)
+                self.assertLessEqual(len(fleet.ended[DEADLY]), 4)
+                self.assertEqual(self.innocent_refused(fleet), {})
+                self.assertGreater(sum(fleet.served.values()), 0.99 * 240)
+
+    def test_five_deadly_requests_at_once(self) -> None:
+        deadly = (1, 2, 3, 4, 5)
+        for seed in self.SEEDS:
+            with self.subTest(seed):
+                fleet = Fleet(seed, deadly=frozenset(deadly))
+                self.load(fleet, 12.0, deadly)
+                fleet.play(NOW + 14.0)
+                # Two of them may end one worker together.
+                for identity in deadly:
+                    times = sorted(fleet.ended.get(identity, ()))
+                    late = [at for at in times[3:] if at > times[2] + 3.0]
+                    # They hide one another for a moment; the platform bears three.
+                    self.assertLessEqual(len(late), 1)
+                self.assertLessEqual(sum(len(ends) for ends in fleet.ended.values()), 4 * 5)
+                self.assertEqual(self.innocent_refused(fleet), {})
+
+    def test_an_instance_that_starts_again_knows_it(self) -> None:
+        for seed in self.SEEDS:
+            with self.subTest(seed):
+                fleet = Fleet(seed)
+                self.load(fleet, 12.0)
+                for second in range(2, 12, 2):
+                    index = fleet.rng.randrange(3)
+                    fleet.later(float(second), partial(fleet.restart, index))
+                fleet.play(NOW + 14.0)
+                self.assertLessEqual(len(fleet.ended[DEADLY]), 4)
+
+    def test_both_sides_of_a_cut_count_for_themselves_and_join(self) -> None:
+        for seed in self.SEEDS:
+            with self.subTest(seed):
+                fleet = Fleet(seed, instances=4)
+                fleet.sides = {"i0": 1, "i1": 1}
+                self.load(fleet, 20.0)
+                fleet.later(8.0, fleet.join_sides)
+                fleet.play(NOW + 8.0)
+                self.assertLessEqual(len(fleet.ended[DEADLY]), 8)
+                before = len(fleet.ended[DEADLY])
+                fleet.play(NOW + 22.0)
+                self.assertEqual(len(fleet.ended[DEADLY]), before)
+                ends = [len(item.quarantine._standing(DEADLY)) for item in fleet.members]
+                self.assertEqual(ends, [before] * 4)
+
+    def test_workers_that_end_by_themselves_refuse_nobody(self) -> None:
+        """A frequent request among the others: one body in three of them."""
+        for seed in self.SEEDS:
+            with self.subTest(seed):
+                fleet = Fleet(seed, deadly=frozenset())
+                self.load(fleet, 12.0, (OTHER, OTHER, OTHER))
+                for second in (2.0, 5.5, 9.0):
+                    fleet.later(second, partial(self.crash_some, fleet, 4))
+                fleet.play(NOW + 14.0)
+                self.assertEqual(fleet.refused, {})
+
+    def test_a_rack_and_then_all_workers_refuse_nobody(self) -> None:
+        for seed in self.SEEDS:
+            with self.subTest(seed):
+                fleet = Fleet(seed, deadly=frozenset())
+                self.load(fleet, 12.0, (OTHER,))
+                fleet.later(3.0, partial(self.crash_some, fleet, 5))
+                fleet.later(7.0, partial(self.crash_some, fleet, 15))
+                fleet.play(NOW + 14.0)
+                self.assertEqual(fleet.refused, {})
+
+    def crash_some(self, fleet: Fleet, count: int) -> None:
+        for worker in fleet.rng.sample(range(fleet.workers), count):
+            fleet.later(fleet.rng.random() * 0.3, partial(fleet.crash, worker))
+
+
+if __name__ == "__main__":
+    unittest.main()
