--- a/pondpin/quarantine.py
+++ b/pondpin/quarantine.py
@@ -6,11 +6,14 @@
 
 Most requests that were there are innocent, so an end does not count against a request
 
-- that had been answered there for a while, when another had not;
+- that had been answered there for a while or was still being read, when another had just begun;
 - that shares the end with a request which is known from more ends: those explain it;
 - when many other lives ended at the same time, as in the loss of a rack or of a service's power;
 - that has ended whole at some upstream lately, or does so later.
 
+Ends of requests that had not just begun make nobody suspect, whoever else was there; three of them
+quarantine all the same.
+
 What is known is a set of ends, each named by request and life, which only ever gains marks. So
 instances can join their sets in any order, and no end counts twice. All times are by the steady
 clock; every decision takes the present time.
@@ -43,6 +46,8 @@
 GOOD_SECONDS = 30.0
 # A run of a suspect that was told and whose end was not: its instance is gone.
 RUN_SECONDS = 2.0
+# Others keep off a suspect's upstream for so long: a deadly one ends it within 0.2 s of being sent.
+SHUN_SECONDS = 0.5
 # An end that proved to say nothing is remembered, so that a peer's older word doesn't bring it
 # back.
 VOID_SECONDS = 60.0
@@ -65,15 +70,15 @@
 class LifeEnd:
     """A life of an upstream ended while a request was there.
 
-    release: a number for the software that ran there, 0 when not known. answered: the request had
-    been answered there for a while. void: it says nothing after all. settled: the list agrees that
-    the life has ended. source: who saw it.
+    release: a number for the software that ran there, 0 when not known. unlikely: the request had
+    not just begun to run: it had been answered there for a while, or was still being read. void: it
+    says nothing after all. settled: the list agrees that the life has ended. source: who saw it.
     """
 
     life: int
     at: float
     release: int = 0
-    answered: bool = False
+    unlikely: bool = False
     void: bool = False
     settled: bool = False
     source: str = ""
@@ -84,7 +89,7 @@
             self,
             at=min(self.at, other.at),
             release=self.release or other.release,
-            answered=self.answered and other.answered,
+            unlikely=self.unlikely and other.unlikely,
             void=self.void or other.void,
             settled=self.settled or other.settled,
         )
@@ -130,6 +135,14 @@
     return float(min(LONGEST_QUARANTINE_SECONDS, QUARANTINE_SECONDS * 2**further))
 
 
+@dataclass(frozen=True, slots=True)
+class SuspectRun:
+    """An instance runs a suspect on the life of an upstream since a moment."""
+
+    life: int
+    began: float
+
+
 @dataclass(frozen=True, slots=True)
 class NamedEnd:
     """An end with the request that it counts against."""
@@ -145,7 +158,7 @@
     ends_by_identity: dict[int, dict[int, LifeEnd]] = field(default_factory=dict)
     identities_by_life: dict[int, set[int]] = field(default_factory=dict)
     good_at_by_identity: OrderedDict[int, float] = field(default_factory=OrderedDict)
-    runs_by_identity: dict[int, dict[str, float]] = field(default_factory=dict)
+    runs_by_identity: dict[int, dict[str, SuspectRun]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Set up the tag, which is worked out when it is asked for."""
@@ -236,8 +249,9 @@
         if not ends:
             return FREE
         if len(ends) < ENDS_TO_QUARANTINE:
+            likely = [end for end in ends if not end.unlikely]
             is_fresh = now - ends[-1].at < SUSPICION_SECONDS
-            return Judgement(Verdict.SUSPECTED, ends) if is_fresh else FREE
+            return Judgement(Verdict.SUSPECTED, ends) if likely and is_fresh else FREE
         return _judge_proved(ends, now, around)
 
     def _counted(self, identities: frozenset[int], lives: int) -> tuple[LifeEnd, ...]:
@@ -261,9 +275,9 @@
             theirs = self.ends_by_identity[other].get(end.life)
             if theirs is None or theirs.void:
                 continue
-            if end.answered and not theirs.answered:
+            if end.unlikely and not theirs.unlikely:
                 return True
-            if not theirs.answered and len(self._standing(other)) > own_ends:
+            if not theirs.unlikely and len(self._standing(other)) > own_ends:
                 return True
         return False
 
@@ -290,9 +304,12 @@
         ends = self.ends_by_identity.get(identity, {})
         return [end for end in ends.values() if not end.void]
 
-    def begin_run(self, identity: int, instance: str, now: float) -> None:
-        """An instance runs a suspect."""
-        self.runs_by_identity.setdefault(identity, {})[instance] = now + RUN_SECONDS
+    def begin_run(self, identity: int, instance: str, life: int, now: float) -> None:
+        """An instance runs a suspect; being told so again changes nothing."""
+        runs = self.runs_by_identity.setdefault(identity, {})
+        known = runs.get(instance)
+        if known is None or known.life != life:
+            runs[instance] = SuspectRun(life, now)
 
     def end_run(self, identity: int, instance: str) -> None:
         """Its run is over."""
@@ -304,9 +321,18 @@
     def is_running(self, identities: Iterable[int], now: float) -> bool:
         """Whether a suspect runs anywhere."""
         return any(
-            until > now
+            now - run.began < RUN_SECONDS
             for identity in identities
-            for until in self.runs_by_identity.get(identity, {}).values()
+            for run in self.runs_by_identity.get(identity, {}).values()
+        )
+
+    def shunned(self, now: float) -> frozenset[int]:
+        """Lives of upstreams that may end in a moment: a suspect has just been sent there."""
+        return frozenset(
+            run.life
+            for runs in self.runs_by_identity.values()
+            for run in runs.values()
+            if now - run.began < SHUN_SECONDS
         )
 
     def prune(self, now: float) -> None:
@@ -317,8 +343,8 @@
             if now >= _forget_at(standing, latest):
                 self._forget(identity)
         for identity, runs in list(self.runs_by_identity.items()):
-            for instance, until in list(runs.items()):
-                if until <= now:
+            for instance, run in list(runs.items()):
+                if now - run.began >= RUN_SECONDS:
                     self.end_run(identity, instance)
 
     def _forget(self, identity: int) -> None:
--- a/pondpin/relay/attempts/crash_guard.py
+++ b/pondpin/relay/attempts/crash_guard.py
@@ -120,14 +120,22 @@
             return True
         return self.quarantine.is_running(call.identity.all, self.clock())
 
+    def shunned(self) -> frozenset[int]:
+        """Lives of upstreams that others had better keep off for a moment."""
+        if not self.policy.has(Mechanism.QUARANTINE):
+            return frozenset()
+        return self.quarantine.shunned(self.clock())
+
     def begin(self, call: RelayCall, progress: Progress, plan: Plan) -> Run:
         """A request is about to be sent."""
         if progress.suspected:
             self.metrics.suspected.inc({"service": call.service})
-            self.quarantine.begin_run(call.identity.own, self.news.instance, self.clock())
-            self.news.running.add(call.identity.own)
+            identity, life = call.identity.own, plan.lead.life
+            self.quarantine.begin_run(identity, self.news.instance, life, self.clock())
+            self.news.running[identity] = life
             self.news.tell()
-        return self.lives.begin(call.identity, (plan.lead, *plan.helpers))
+        first_event = plan.choice.first_event if plan.choice is not None else 0.0
+        return self.lives.begin(call.identity, (plan.lead, *plan.helpers), first_event)
 
     def _end(self, call: RelayCall, progress: Progress) -> None:
         """A suspect's run is over, and what it led to was told."""
@@ -135,7 +143,7 @@
         if not progress.suspected or identity not in self.news.running:
             return
         self.quarantine.end_run(identity, self.news.instance)
-        self.news.running.discard(identity)
+        del self.news.running[identity]
         self.news.tell()
 
     def leave(self, call: RelayCall, progress: Progress, run: Run) -> None:
@@ -181,7 +189,7 @@
                 seen.state.life,
                 seen.at if run.left_at is None else min(seen.at, run.left_at),
                 release,
-                run.was_answered(seen.at),
+                not run.was_begun_then(seen.at),
                 source=self.news.instance,
             )
             if self.quarantine.note_end(run.identity.own, end):
--- a/pondpin/relay/attempts/handler.py
+++ b/pondpin/relay/attempts/handler.py
@@ -236,9 +236,14 @@
                 self.leases.release(group)
 
     async def _plan(self, call: RelayCall, progress: Progress) -> tuple[Plan, LeaseGroup | None]:
-        avoid: frozenset[int] = frozenset()
+        shunned = self.guard.shunned()
+        avoid = shunned
         for _ in range(LEASE_TRIES):
             plan = await self._plan_when_free(call, progress, avoid)
+            if plan is None and shunned:
+                # Beside a suspect is better than nowhere.
+                avoid, shunned = avoid - shunned, frozenset()
+                plan = await self._plan_when_free(call, progress, avoid)
             if plan is None:
                 break
             if plan.choice is None or not plan.choice.lease_tokens:
--- a/pondpin/relay/attempts/life_watch.py
+++ b/pondpin/relay/attempts/life_watch.py
@@ -16,6 +16,10 @@
 from pondpin.relay.upstreams.state import UpstreamState
 from pondpin.request_identity import RequestIdentity
 
+# A prompt whose first event is forecast for later than this is being read until then; forecasts of
+# long prompts err by a tenth. A worker begins to run a request once it is read.
+READ_SECONDS = 0.4
+READ_SHARE = 0.7
 # A request that has been answered for so long did not end its upstream by beginning to run: a
 # worker that is ended by one is gone 0.1 s after it began.
 ANSWERED_SECONDS = 0.3
@@ -34,11 +38,15 @@
 
 @dataclass(eq=False)
 class Run:
-    """A request on the upstreams of one attempt; times are by the steady clock."""
+    """A request on the upstreams of one attempt; times are by the steady clock.
+
+    first_event: the forecast of it in seconds, 0 without one.
+    """
 
     identity: RequestIdentity
     began: float
     places: tuple[UpstreamState, ...]
+    first_event: float = 0.0
     answered_at: float | None = None
     left_at: float | None = None
     broke: bool = False
@@ -47,6 +55,13 @@
         """Whether it had been answered for a while at a moment."""
         return self.answered_at is not None and at - self.answered_at >= ANSWERED_SECONDS
 
+    def was_begun_then(self, at: float) -> bool:
+        """Whether it may have just begun to run at a moment."""
+        is_read = self.first_event < READ_SECONDS or (
+            at - self.began >= READ_SHARE * self.first_event
+        )
+        return is_read and not self.was_answered(at)
+
     def was_there(self, at: float, seconds: float) -> bool:
         """Whether it ran at a moment, or had left at most some seconds before."""
         return self.left_at is None or at - self.left_at <= seconds
@@ -76,9 +91,11 @@
         """Set up the tasks."""
         self._looks_by_life: dict[int, asyncio.Task[None]] = {}
 
-    def begin(self, identity: RequestIdentity, places: Iterable[UpstreamState]) -> Run:
+    def begin(
+        self, identity: RequestIdentity, places: Iterable[UpstreamState], first_event: float
+    ) -> Run:
         """A request is about to be sent."""
-        run = Run(identity, self.clock(), tuple(places))
+        run = Run(identity, self.clock(), tuple(places), first_event)
         for state in run.places:
             self.runs_by_life.setdefault(state.life, []).append(run)
         return run
@@ -181,4 +198,4 @@
 
 def _tell(run: Run, now: float) -> str:
     since = round((now - run.began) * MILLISECONDS)
-    return f"{run.identity} {since} ms{' answered' if run.was_answered(now) else ''}"
+    return f"{run.identity} {since} ms{' just begun' if run.was_begun_then(now) else ''}"
--- a/pondpin/relay/choosing/planner.py
+++ b/pondpin/relay/choosing/planner.py
@@ -144,7 +144,10 @@
             share = connection_share(service.connections, self._sharers())
             states = [state for state in states if state.open_here < share]
         if progress.suspected:
-            states = apart(states, progress.spent_releases, now)
+            states = apart(self._near(states, True), progress.spent_releases, now)
+            # Light streams that lost their engine go to the first ones of an order that all share;
+            # suspects of several instances take different ones.
+            states = [self._rng.choice(states[len(states) // 2 :])] if states else []
         if not states:
             return None
         if profile is None or call.facts.prompt_tokens <= 0:
--- a/pondpin/relay/log_events.py
+++ b/pondpin/relay/log_events.py
@@ -237,7 +237,7 @@
     """A request broke off at an upstream or left it, and what a connection there then met.
 
     ran: identities of this instance's requests that were there, each with ms since it was sent and
-    whether it had been answered for a while.
+    whether it may have just begun to run.
     """
 
     upstream: str
--- a/pondpin/relay/peers/quarantine_news.py
+++ b/pondpin/relay/peers/quarantine_news.py
@@ -32,20 +32,23 @@
     life: int
     age: int
     release: int
-    answered: bool
+    unlikely: bool
     void: bool
     settled: bool
 
 
 class QuarantineTold(msgspec.Struct, frozen=True, array_like=True):
-    """Ends, and the suspects that the sender runs now; sequence rises within a boot."""
+    """Ends, and the suspects that the sender runs now, each with the life that it runs on.
+
+    sequence rises within a boot.
+    """
 
     format: int
     instance: str
     boot: int
     sequence: int
     ends: tuple[EndTold, ...]
-    running: tuple[int, ...]
+    running: tuple[tuple[int, int], ...]
 
 
 _DECODER = msgspec.msgpack.Decoder(QuarantineTold)
@@ -69,7 +72,7 @@
         end.life,
         round_up(max(0.0, now - end.at)),
         end.release,
-        end.answered,
+        end.unlikely,
         end.void,
         end.settled,
     )
@@ -81,7 +84,7 @@
         told.life,
         now - told.age / MILLISECONDS,
         told.release,
-        told.answered,
+        told.unlikely,
         told.void,
         told.settled,
         source,
@@ -103,7 +106,7 @@
     hosts: Callable[[], Iterable[str]]
     clock: Clock
     on_heard: Callable[[str, Sequence[NamedEnd]], None] = lambda source, ends: None
-    running: set[int] = field(default_factory=set)
+    running: dict[int, int] = field(default_factory=dict)
     sequence: int = 0
     bytes_out: int = 0
 
@@ -131,7 +134,7 @@
                     self.boot,
                     self.sequence,
                     tuple(tell_end(item, now) for item in part),
-                    tuple(self.running),
+                    tuple(self.running.items()),
                 )
             )
 
@@ -161,12 +164,12 @@
             self.tell(better)
 
     def _take_running(self, told: QuarantineTold, now: float) -> None:
-        running = set(told.running)
+        running = dict(told.running)
         for identity, runs in list(self.quarantine.runs_by_identity.items()):
             if told.instance in runs and identity not in running:
                 self.quarantine.end_run(identity, told.instance)
-        for identity in running:
-            self.quarantine.begin_run(identity, told.instance, now)
+        for identity, life in told.running:
+            self.quarantine.begin_run(identity, told.instance, life, now)
 
     def compare(self, digest: Digest, now: float) -> None:
         """A peer's digest came: send it what it seems to lack, at once if it has just started."""
--- a/pondpin/tools/ctl.py
+++ b/pondpin/tools/ctl.py
@@ -4,7 +4,6 @@
 import datetime
 import ipaddress
 import sys
-from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 from urllib.parse import urlencode
@@ -17,36 +16,22 @@
 from pondpin.filters.rule import find_class, find_rule
 from pondpin.fleet import label_upstream
 from pondpin.reading import read_or_exit
-from pondpin.runtime import USAGE_STATUS, Ready, run, run_command
+from pondpin.runtime import USAGE_STATUS, Ready, run_command
 from pondpin.selectors import SelectorError, parse_selector
 from pondpin.settings import read_settings, settings_schema
 from pondpin.tools.authority import make_authority, make_certificate
 from pondpin.tools.differences import tell_differences
 from pondpin.tools.log_commands import FAULT_STATUS, NOTHING_STATUS, PROGRAM, losses, trace
-from pondpin.tools.operator_client import OperatorClient, OperatorError, make_client
+from pondpin.tools.operator_client import (
+    UNREACHABLE_STATUS,
+    OperatorClient,
+    ask_instances,
+)
+from pondpin.tools.quarantine_commands import lift, quarantine
 from pondpin.tools.tables import make_console, print_json, print_rows
 
-UNREACHABLE_STATUS = 3
 DEFAULT_AT = "127.0.0.1:8081"
 
-Asking = Callable[[OperatorClient, Console], Coroutine[Any, Any, int]]
-
-
-def _ask(asking: Asking) -> Ready:
-    """A command that asks instances."""
-
-    async def work(reactor: Any) -> int:
-        client = make_client(reactor)
-        try:
-            return await asking(OperatorClient(client), make_console())
-        except OperatorError as error:
-            print(f"pondpinctl: {error}", file=sys.stderr)
-            return UNREACHABLE_STATUS
-        finally:
-            await client.close()
-
-    return Ready(lambda: run(work))
-
 
 def _read_configuration(path: str) -> Configuration:
     return read_or_exit(PROGRAM, path, read_configuration, FAULT_STATUS)
@@ -135,7 +120,7 @@
         print_rows(console, "Peers, as this instance hears them", rows)
         return 0
 
-    return _ask(asking)
+    return ask_instances(asking)
 
 
 def _find_lag(peer: dict[str, Any], revision: int) -> str:
@@ -161,7 +146,7 @@
         print_rows(console, "Upstreams", [{name: row[name] for name in shown} for row in rows])
         return 0
 
-    return _ask(asking)
+    return ask_instances(asking)
 
 
 def rules(at: str = DEFAULT_AT, json: bool = False) -> Ready:
@@ -186,7 +171,7 @@
             print_rows(console, "Labels", taken)
         return 0
 
-    return _ask(asking)
+    return ask_instances(asking)
 
 
 def _show_part(at: str, as_json: bool, part: str) -> Ready:
@@ -204,7 +189,7 @@
             print_rows(console, part.capitalize(), rows)
         return 0
 
-    return _ask(asking)
+    return ask_instances(asking)
 
 
 def why(
@@ -236,7 +221,7 @@
             print("pondpinctl: no such decision is kept", file=sys.stderr)
         return 0 if decisions else NOTHING_STATUS
 
-    return _ask(asking)
+    return ask_instances(asking)
 
 
 def instances(at: str = DEFAULT_AT, json: bool = False) -> Ready:
@@ -265,7 +250,7 @@
         unreached = any("NOT REACHED" in str(row["state"]) for row in rows)
         return UNREACHABLE_STATUS if unreached else 0
 
-    return _ask(asking)
+    return ask_instances(asking)
 
 
 def drain(at: str) -> Ready:
@@ -283,7 +268,7 @@
         print((await client.post(at, path)).decode())
         return 0
 
-    return _ask(asking)
+    return ask_instances(asking)
 
 
 def schema(of: str = "configuration") -> Ready:
@@ -335,8 +320,10 @@
     "drain": drain,
     "instances": instances,
     "labels": labels,
+    "lift": lift,
     "losses": losses,
     "match": match,
+    "quarantine": quarantine,
     "rules": rules,
     "schema": schema,
     "status": status,
--- a/pondpin/tools/operator_client.py
+++ b/pondpin/tools/operator_client.py
@@ -2,14 +2,20 @@
 
 import json
 import os
+import sys
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
 
 import msgspec
+from rich.console import Console
 
 from pondpin.http_client import HttpClient
 from pondpin.http_reply import ErrorAnswer
 from pondpin.http_streams import CallFailedError
+from pondpin.runtime import Ready, run
+from pondpin.tools.log_commands import PROGRAM
+from pondpin.tools.tables import make_console
 
 TOKEN_VARIABLE = "PONDPIN_OPERATOR_TOKEN"
 # A PEM file: with it, operators' addresses are spoken to over TLS.
@@ -17,6 +23,7 @@
 SECONDS = 5.0
 CONNECT_SECONDS = 2.0
 OK = 200
+UNREACHABLE_STATUS = 3
 
 
 class OperatorError(Exception):
@@ -46,6 +53,10 @@
         """Act on a path; raises OperatorError."""
         return await self._call("POST", address, path)
 
+    async def delete(self, address: str, path: str) -> bytes:
+        """Take something away; raises OperatorError."""
+        return await self._call("DELETE", address, path)
+
     async def get_json(self, address: str, path: str) -> Any:
         """Read a JSON document; raises OperatorError."""
         return json.loads(await self.get(address, path))
@@ -66,3 +77,22 @@
         except msgspec.MsgspecError:
             detail = f"status {answer.status}"
         raise OperatorError(f"{address} refused: {detail}")
+
+
+Asking = Callable[[OperatorClient, Console], Coroutine[Any, Any, int]]
+
+
+def ask_instances(asking: Asking) -> Ready:
+    """A command that asks instances."""
+
+    async def work(reactor: Any) -> int:
+        client = make_client(reactor)
+        try:
+            return await asking(OperatorClient(client), make_console())
+        except OperatorError as error:
+            print(f"{PROGRAM}: {error}", file=sys.stderr)
+            return UNREACHABLE_STATUS
+        finally:
+            await client.close()
+
+    return Ready(lambda: run(work))
--- /dev/null
+++ b/pondpin/tools/quarantine_commands.py
@@ -0,0 +1,43 @@
+"""The commands of pondpinctl that show and lift what relaying instances hold back."""
+
+from rich.console import Console
+
+from pondpin.runtime import Ready
+from pondpin.tools.log_commands import NOTHING_STATUS
+from pondpin.tools.operator_client import OperatorClient, ask_instances
+from pondpin.tools.tables import print_json, print_rows
+
+# The metrics address of an instance on the machine itself.
+DEFAULT_METRICS_AT = "127.0.0.1:9464"
+PATH = "/quarantine"
+
+
+def quarantine(at: str = DEFAULT_METRICS_AT, json: bool = False) -> Ready:
+    """Show the requests that a relaying instance suspects or holds back.
+
+    at is its metrics address.
+    """
+
+    async def asking(client: OperatorClient, console: Console) -> int:
+        rows = (await client.get_json(at, PATH))["requests"]
+        if json:
+            print_json(rows)
+        else:
+            print_rows(console, "Requests that upstreams ended under", rows)
+        return 0
+
+    return ask_instances(asking)
+
+
+def lift(identity: str, at: str = DEFAULT_METRICS_AT) -> Ready:
+    """Let a request run again that instances hold back; they tell each other.
+
+    identity: 16 hexadecimal digits, as `quarantine` and the logs show them.
+    """
+
+    async def asking(client: OperatorClient, console: Console) -> int:
+        answer = await client.delete(at, f"{PATH}/{identity}")
+        print(answer.decode())
+        return 0 if b'"ends":0' not in answer else NOTHING_STATUS
+
+    return ask_instances(asking)
