--- /dev/null
+++ b/pondpin/tests/test_suspended.py
@@ -0,0 +1,256 @@
+"""What an instance believes after its machine was suspended for seconds.
+
+Story: a suspended machine's steady clock stands still, and so did every age here: a key that was
+taken away, a peer, a lease, an idle connection were as young as before. Cause: `steady_now` and the
+event loop read CLOCK_MONOTONIC. Proof: each test below fails with that clock. Two clocks part here
+by some seconds; the first decision afterwards, before any timer has fired, must know it.
+"""
+
+import asyncio
+import time
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+from unittest import mock
+
+from pondpin.health import Health, note_failure
+from pondpin.http_client import HttpClient
+from pondpin.http_reply import Incoming, Reply
+from pondpin.http_server import WebServer
+from pondpin.network import Endpoint
+from pondpin.quarantine import LifeEnd, Quarantine, Surroundings, Verdict, quarantine_seconds
+from pondpin.relay.attempts.attempt import Attempts
+from pondpin.relay.call import Progress
+from pondpin.relay.choosing.planner import Plan
+from pondpin.relay.choosing.retry_window import RetryBounds, RetryWindow
+from pondpin.relay.log import EventLog
+from pondpin.relay.model import EngineReport, ListedUpstream
+from pondpin.relay.peers.digests import PeerSeen, PeerTable
+from pondpin.relay.ports import LeaseAnswer, PartPlace
+from pondpin.relay.upstreams.leases import UNUSED_SECONDS, LeaseGroup, Leases
+from pondpin.relay.upstreams.reports import Reports
+from pondpin.relay.upstreams.state import UpstreamState
+from pondpin.runtime import steady_now
+from pondpin.standins.local_platform import LocalPlatform
+from pondpin.tests.support import RelayTest, ask, run_async, the_loop
+from pondpin.tests.test_relay_planner import make_call
+
+AWAY_SECONDS = 10.0
+NO_DESCRIPTOR = -1
+
+
+class TwoClocks:
+    """CLOCK_BOOTTIME goes on while CLOCK_MONOTONIC stands still."""
+
+    def __init__(self) -> None:
+        self.away = 0.0
+        self._read = time.clock_gettime
+
+    def __call__(self, clock: int) -> float:
+        found = self._read(clock)
+        return found + self.away if clock == time.CLOCK_BOOTTIME else found
+
+
+class SuspendedCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clocks = TwoClocks()
+        self.enterContext(mock.patch.object(time, "clock_gettime", self.clocks))
+
+    def suspend(self, seconds: float = AWAY_SECONDS) -> None:
+        self.clocks.away += seconds
+
+
+class AgesTest(SuspendedCase):
+    """Ages that are looked at when something is decided."""
+
+    def test_a_peer_that_was_heard_before_is_not_alive(self) -> None:
+        table = PeerTable(1)
+        seen = PeerSeen("a", 2, "10.0.0.1", 1, 1, steady_now(), "north", True)
+        table.by_host[seen.host] = seen
+        table._note_alive(seen, None)
+        self.assertEqual(len(table.alive(steady_now())), 1)
+        self.suspend()
+        self.assertEqual(table.alive(steady_now()), [])
+
+    def test_an_ejection_is_over(self) -> None:
+        health = note_failure(Health(), steady_now(), certain=True)
+        self.assertTrue(health.is_ejected(steady_now()))
+        self.suspend()
+        self.assertFalse(health.is_ejected(steady_now()))
+
+    def test_retries_of_before_have_left_the_window(self) -> None:
+        window = RetryWindow(RetryBounds(ratio=0.0, allowance=8.0, window=AWAY_SECONDS))
+        while window.spend(steady_now(), 1):
+            pass
+        self.suspend(AWAY_SECONDS + 0.1)
+        self.assertTrue(window.has_left(steady_now(), 1))
+
+    def test_a_quarantine_has_lapsed(self) -> None:
+        quarantine = Quarantine()
+        for life in range(3):
+            quarantine.note_end(1, LifeEnd(life, steady_now()))
+        around = Surroundings(lives=18)
+        verdict = quarantine.judge((1,), steady_now(), around).verdict
+        self.assertIs(verdict, Verdict.QUARANTINED)
+        self.suspend(quarantine_seconds(3))
+        verdict = quarantine.judge((1,), steady_now(), around).verdict
+        self.assertIs(verdict, Verdict.SUSPECTED)
+
+    def test_the_time_that_is_left_goes_to_the_upstream(self) -> None:
+        listed = ListedUpstream("e0", "engines", "10.0.0.1", 80, "north", 8, False)
+        call = make_call(2000)
+        nothing: Any = None
+        handed_on = []
+
+        class Dialect:
+            def forward_headers(self, headers: Any, sent: Any) -> list[Any]:
+                handed_on.append(sent.seconds_left)
+                return []
+
+        dialect: Any = Dialect()
+        attempts = Attempts(nothing, dialect, steady_now)
+        plan = Plan(UpstreamState(listed), (), None, 1)
+        deadline = steady_now() + 15.0
+        late = mock.Mock(wraps=call, deadline=deadline)
+        for _ in range(2):
+            attempts._exact_call(late, plan, (), Progress(), steady_now())
+            self.suspend()
+        self.assertAlmostEqual(handed_on[0] - handed_on[1], AWAY_SECONDS, delta=1.0)
+
+
+class AsyncAgesTest(SuspendedCase):
+    """Ages that tasks and connections go by."""
+
+    def play(self, work: Callable[[], Awaitable[None]]) -> None:
+        async def whole() -> None:
+            await work()
+
+        run_async(whole())
+
+    def test_timers_are_due_at_once(self) -> None:
+        async def work() -> None:
+            reactor = the_loop()[1]
+            fired = asyncio.Event()
+            reactor.callLater(AWAY_SECONDS - 1.0, fired.set)
+            began = time.monotonic()
+            with self.assertRaises(TimeoutError):
+                async with asyncio.timeout(AWAY_SECONDS - 1.0):
+                    self.suspend()
+                    await asyncio.Event().wait()
+            await fired.wait()
+            self.assertLess(time.monotonic() - began, AWAY_SECONDS / 2)
+
+        self.play(work)
+
+    def test_a_report_of_before_is_no_sign_of_life(self) -> None:
+        class Port:
+            asked = 0
+
+            async def read_report(self, host: str, port: int, timeout: float) -> EngineReport:
+                self.asked += 1
+                return EngineReport(0, 0)
+
+        async def work() -> None:
+            port = Port()
+            reports = Reports(port, EventLog("a", steady_now, time.time, NO_DESCRIPTOR), steady_now)
+            listed = ListedUpstream("e0", "engines", "10.0.0.1", 80, "north", 8, False)
+            state = UpstreamState(listed)
+            await reports.ask(state)
+            await reports.ask(state)
+            self.assertEqual(port.asked, 1)
+            self.suspend()
+            await reports.ask(state)
+            self.assertEqual(port.asked, 2)
+
+        self.play(work)
+
+    def test_memory_that_nothing_used_is_not_renewed(self) -> None:
+        class Port:
+            renewed = 0
+
+            async def reserve(self, *arguments: Any) -> LeaseAnswer:
+                self.renewed += 1
+                return LeaseAnswer.HELD
+
+            async def release(self, *arguments: Any) -> bool:
+                return True
+
+        async def work() -> None:
+            port = Port()
+            log = EventLog("a", steady_now, time.time, NO_DESCRIPTOR)
+            leases = Leases(port, "a", log)
+            group = LeaseGroup("r", (PartPlace("e0", "10.0.0.1", 80, "l"),), 1000)
+            keeping = asyncio.ensure_future(leases.keep(group, 0.1, lambda: False))
+            await asyncio.sleep(0)
+            self.suspend(UNUSED_SECONDS + 1.0)
+            await keeping
+            self.assertEqual(port.renewed, 0)
+
+        self.play(work)
+
+    def test_an_idle_connection_is_not_used_again(self) -> None:
+        async def work() -> None:
+            reactor = the_loop()[1]
+            server = WebServer(reactor)
+
+            async def answer(incoming: Incoming, reply: Reply) -> None:
+                reply.send(200, {}, b"")
+
+            server.route("", answer)
+            place = server.listen(reactor, Endpoint("127.0.0.1", 0))
+            client = HttpClient(reactor, 1.0, idle_seconds=AWAY_SECONDS / 2)
+            used = []
+            real_put = client._pool._putConnection
+
+            def put(key: Any, connection: Any) -> None:
+                used.append(connection)
+                real_put(key, connection)
+
+            with mock.patch.object(client._pool, "_putConnection", put):
+                await client.call("GET", f"http://{place}/")
+                await client.call("GET", f"http://{place}/")
+                self.suspend()
+                await client.call("GET", f"http://{place}/")
+            self.assertIs(used[0], used[1])
+            self.assertIsNot(used[1], used[2])
+            await client.close()
+            await server.close()
+            server.cut()
+
+        self.play(work)
+
+
+class InstanceTest(RelayTest):
+    """A whole instance: its first decision after waking."""
+
+    def setUp(self) -> None:
+        self.clocks = TwoClocks()
+        self.enterContext(mock.patch.object(time, "clock_gettime", self.clocks))
+
+    def test_keys_are_refused_whose_proof_is_older_than_it_seems(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            entry = platform.entries[0]
+            self.assertTrue(entry.beliefs().accepts_keys(steady_now()))
+            self.clocks.away += AWAY_SECONDS
+            self.assertFalse(entry.beliefs().accepts_keys(steady_now()))
+            self.assertFalse(entry.ready)
+            # It reads the source again and serves.
+            await platform.until(lambda: entry.ready)
+            self.assertEqual((await ask(platform, "again")).status, 200)
+
+        self.play(work)
+
+    def test_a_newer_configuration_is_known_for_longer_than_it_seems(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            publication = platform.entries[0].publication
+            publication.note_newer(publication.revision + 5, steady_now())
+            self.clocks.away += 2.0
+            self.assertGreaterEqual(publication.behind_seconds(steady_now()), 2.0)
+            beliefs = platform.entries[0].beliefs()
+            self.assertGreaterEqual(beliefs.behind, beliefs.behind_bound)
+
+        self.play(work)
+
+
+if __name__ == "__main__":
+    unittest.main()
