--- a/pondpin/soak/deployment.py
+++ b/pondpin/soak/deployment.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -14,7 +15,7 @@
 from pondpin.soak.processes import Managed
 from pondpin.soak.promises import Findings
 from pondpin.soak.proxy import Proxy
-from pondpin.soak.standin import Put
+from pondpin.soak.standin import Audit, Put, Steer
 from pondpin.standins.local_platform import (
     CENTERS,
     ENGINES,
@@ -77,6 +78,8 @@
         # The start of their life, of workers that say it.
         self.born_by_worker: dict[str, int] = {}
         self.keys = ["key-1"]
+        self.deadly_bodies: tuple[str, ...] = ()
+        self._relisting: set[asyncio.Task[None]] = set()
         self.store = self._program(
             "store", "pondpin.soak.standin", "store", f"{place.standins}:{STORE_PORT}"
         )
@@ -134,9 +137,10 @@
             program.start()
         for link in (*self.store_links, *self.worker_links.values()):
             await link.start()
-        await self._retry(lambda: self.publish())
-        for name in self.worker_links:
+        await self.retry(self.publish)
+        for name, link in self.worker_links.items():
             await self.list_worker(name)
+            link.on_back = partial(self._relist_soon, name)
         for instance in self.instances:
             instance.start()
         await self.until_ready()
@@ -167,7 +171,8 @@
         except CallFailedError:
             return False
 
-    async def _retry(self, work: Callable[[], Awaitable[None]]) -> None:
+    async def retry(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Do something with a stand-in, again until it is up."""
         for _ in range(100):
             try:
                 await work()
@@ -182,6 +187,38 @@
         answer = await self.http.call("POST", url, body=msgspec.json.encode(value), timeout=3.0)
         return answer.body
 
+    async def make_deadly(self, bodies: tuple[str, ...]) -> None:
+        """Let workers end when they run a request with one of these bodies."""
+        self.deadly_bodies = bodies
+        for name in self.workers:
+            await self.steer(name)
+
+    async def steer(self, name: str, faults: tuple[str, ...] = ()) -> None:
+        """Give a worker faults for its next requests, or none."""
+        order = Steer(faults, deadly=self.deadly_bodies)
+        await self.post(self.port_by_worker[name], "/soak/steer", order)
+
+    def _relist_soon(self, name: str) -> None:
+        task = asyncio.ensure_future(self._relist(name))
+        self._relisting.add(task)
+        task.add_done_callback(self._relisting.discard)
+
+    async def _relist(self, name: str) -> None:
+        """A worker is back: its entry tells the start of its life."""
+        try:
+            body = await self.post(self.port_by_worker[name], "/soak/audit", {})
+            born = msgspec.json.decode(body, type=Audit).born
+            if born is not None:
+                self.born_by_worker[name] = born
+                await self.list_worker(name)
+        except CallFailedError:
+            # It ended again, and will be back.
+            return
+
+    def is_anybody_up(self) -> bool:
+        """Whether an instance runs that is not paused."""
+        return any(instance.is_running and not instance.paused for instance in self.instances)
+
     async def publish(self) -> None:
         """Publish the present keys as a new version."""
         tenants = [{"name": "riders", "apiKeys": self.keys, "priority": 1}]
--- a/pondpin/soak/processes.py
+++ b/pondpin/soak/processes.py
@@ -19,12 +19,14 @@
         self._process: subprocess.Popen[bytes] | None = None
         self.starts = 0
         self.expected_end = False
+        self.paused = False
 
     def start(self) -> None:
         """Start it, unless it runs."""
         if self.is_running:
             return
         self.expected_end = False
+        self.paused = False
         self.starts += 1
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
@@ -47,6 +49,8 @@
             return
         if number in (signal.SIGTERM, signal.SIGKILL):
             self.expected_end = True
+        if number in (signal.SIGSTOP, signal.SIGCONT):
+            self.paused = number is signal.SIGSTOP
         self._process.send_signal(number)
 
     async def end(self) -> None:
--- a/pondpin/soak/proxy.py
+++ b/pondpin/soak/proxy.py
@@ -32,6 +32,9 @@
         self.link = Link.OPEN
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
+        self._waiting: asyncio.Task[None] | None = None
+        # Called when the target is back after it had stopped to listen.
+        self.on_back: Callable[[], None] = lambda: None
 
     async def start(self) -> None:
         """Listen."""
@@ -39,10 +42,37 @@
 
     async def stop(self) -> None:
         """Close everything."""
+        if self._waiting is not None:
+            self._waiting.cancel()
         if self._server is not None:
             self._server.close()
         self.reset()
 
+    async def _follow_target(self) -> None:
+        """The target broke connections: refuse too while it refuses."""
+        if await self._target_listens():
+            self._waiting = None
+            return
+        if self._server is not None:
+            self._server.close()
+        while not await self._target_listens():
+            await asyncio.sleep(POLL_SECONDS)
+        await self.start()
+        self._waiting = None
+        self.on_back()
+
+    async def _target_listens(self) -> bool:
+        try:
+            _, writer = await asyncio.open_connection(*self._target)
+        except OSError:
+            return False
+        writer.close()
+        return True
+
+    def _note_broken(self) -> None:
+        if self._waiting is None:
+            self._waiting = asyncio.ensure_future(self._follow_target())
+
     def reset(self) -> None:
         """Reset all open connections."""
         for writer in list(self._writers):
@@ -62,8 +92,11 @@
                 other_reader, writer, lambda: self.link in (Link.SILENT, Link.NO_ANSWERS)
             )
             await asyncio.gather(forth, back)
+            if other.is_closing():
+                self._note_broken()
         except OSError:
             _reset(writer)
+            self._note_broken()
         finally:
             for item in (writer, other):
                 if item is not None:
--- a/pondpin/soak/run.py
+++ b/pondpin/soak/run.py
@@ -6,7 +6,9 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +16,7 @@
 
 from pondpin.http_streams import CallFailedError
 from pondpin.runtime import Ready, run, run_command
+from pondpin.soak.deadly import ROUTE_BY_BODY, DeadlyLoad
 from pondpin.soak.deployment import (
     CALLER_PORT,
     EVENTS,
@@ -24,7 +27,7 @@
 )
 from pondpin.soak.promises import Seen, check_attempts, count_statuses
 from pondpin.soak.proxy import Link, Proxy
-from pondpin.soak.standin import Audit, Steer
+from pondpin.soak.standin import Audit, Death, Steer
 from pondpin.standins.local_platform import (
     HOST,
 )
@@ -39,6 +42,7 @@
 WORKER_FAULTS = tuple(fault.value for fault in WorkerFault if fault is not WorkerFault.NONE)
 PROMPT_TOKENS = (2000, 5000, 60_000, 300_000, 700_000)
 CALM_TOKENS = (2000, 5000)
+DEADLY_TOKENS = 5000
 # The list is written by others this often: restarts of workers, odd entries beside and over theirs.
 LIST_GAP_SECONDS = 1.5
 RESTART_SHARE = 0.5
@@ -56,11 +60,30 @@
 ROUTES = ("stream", "stream", "once", "again")
 
 
+@dataclass(frozen=True, slots=True)
+class Question:
+    """A caller's request; tokens are those of a stream's prompt."""
+
+    attempt: str
+    route: str
+    host: str
+    key: str
+    tokens: int
+    body: bytes = b"q"
+
+
 class Soak(Deployment):
     """One seeded run."""
 
     def __init__(
-        self, reactor: Any, seed: int, seconds: float, size: Size, place: Place, folder: Path
+        self,
+        reactor: Any,
+        seed: int,
+        seconds: float,
+        size: Size,
+        place: Place,
+        folder: Path,
+        deadly: bool = True,
     ) -> None:
         super().__init__(reactor, size, place, folder)
         self.rng = random.Random(seed)
@@ -71,17 +94,28 @@
         self.ended_at_by_key: dict[str, float] = {}
         self.faults: list[str] = []
         self._tasks: set[asyncio.Task[None]] = set()
+        self.deadly = DeadlyLoad(seed, self._ask_deadly, self.is_anybody_up) if deadly else None
+        self.deaths: list[Death] = []
 
     async def play(self) -> None:
         """Start all, load and break it, let it rest, check."""
         try:
             await self.start()
             end = time.monotonic() + self.seconds
-            await asyncio.gather(self._load(end), self._break(end), self._rewrite_list(end))
+            if self.deadly is not None:
+                await self.make_deadly(tuple(ROUTE_BY_BODY))
+                deadly = [self.deadly.play(end)]
+            else:
+                deadly = []
+            await asyncio.gather(
+                self._load(end), self._break(end), self._rewrite_list(end), *deadly
+            )
             await self._recover()
             await asyncio.gather(*self._tasks)
             await self._audit()
             check_attempts(self.seen, self.runs, EVENTS, self.findings)
+            if self.deadly is not None:
+                self.deadly.check(self.deaths, self.seen, self.findings)
         finally:
             await self.end()
 
@@ -89,11 +123,21 @@
         number = 0
         while time.monotonic() < end:
             number += 1
-            task = asyncio.create_task(self._ask(f"a{number}"))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._spawn(self._ask(f"a{number}"))
             await asyncio.sleep(self.rng.expovariate(REQUESTS_PER_SECOND))
 
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> "asyncio.Task[None]":
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _ask_deadly(self, attempt: str, route: str, body: str) -> "asyncio.Task[None]":
+        rng = random.Random(f"{self.seed} {attempt}")
+        host = self.place.instance(rng.randrange(len(self.instances)))
+        call = Question(attempt, route, host, self.keys[0], DEADLY_TOKENS, body.encode())
+        return self._spawn(self._send(call, False))
+
     async def _ask(self, attempt: str, sizes: tuple[int, ...] = PROMPT_TOKENS) -> None:
         route = self.rng.choice(ROUTES)
         host = self.place.instance(self.rng.randrange(len(self.instances)))
@@ -101,22 +145,27 @@
         key = self.rng.choice(known)
         ended_at = self.ended_at_by_key.get(key)
         key_ended = ended_at is not None and time.monotonic() > ended_at + KEY_SECONDS
+        tokens = self.rng.choice(sizes) if route == "stream" else 0
+        await self._send(Question(attempt, route, host, key, tokens), key_ended)
+
+    async def _send(self, call: "Question", key_ended: bool) -> None:
         headers = {
             "host": HOST,
-            "x-attempt-id": attempt,
+            "x-attempt-id": call.attempt,
             "x-deadline-ms": str(int(REQUEST_SECONDS * 1000)),
-            "authorization": f"Bearer {key}",
+            "authorization": f"Bearer {call.key}",
         }
-        if route == "stream":
-            tokens = self.rng.choice(sizes)
-            headers["x-token-usage"] = f"{tokens},300"
-        url = f"http://{host}:{CALLER_PORT}/{route}/x"
+        if call.route == "stream":
+            headers["x-token-usage"] = f"{call.tokens},300"
+        url = f"http://{call.host}:{CALLER_PORT}/{call.route}/x"
         try:
-            answer = await self.http.call("POST", url, headers, b"q", timeout=REQUEST_SECONDS + 4)
+            answer = await self.http.call(
+                "POST", url, headers, call.body, timeout=REQUEST_SECONDS + 4
+            )
             status, body = answer.status, answer.body
         except CallFailedError:
             status, body = 0, b""
-        self.seen.append(Seen(attempt, route, status, body, key_ended))
+        self.seen.append(Seen(call.attempt, call.route, status, body, key_ended))
 
     async def _break(self, end: float) -> None:
         kinds: tuple[Callable[[], Awaitable[str]], ...] = (
@@ -178,7 +227,7 @@
     async def _fault_worker(self) -> str:
         name = self.rng.choice(list(self.workers))
         faults = tuple(self.rng.choices(WORKER_FAULTS, k=self.rng.randint(1, 5)))
-        await self.post(self.port_by_worker[name], "/soak/steer", Steer(faults))
+        await self.steer(name, faults)
         return f"{name} {','.join(faults)}"
 
     async def _link_worker(self) -> str:
@@ -234,8 +283,9 @@
         """End all faults; then everything must serve again."""
         for link in (*self.store_links, *self.worker_links.values()):
             link.link = Link.OPEN
+        # A worker that has just ended is back in a moment.
         for name in self.workers:
-            await self.post(self.port_by_worker[name], "/soak/steer", Steer())
+            await self.retry(partial(self.steer, name))
         await asyncio.sleep(QUIET_SECONDS + 4.0)
         for instance in self.instances:
             instance.send(signal.SIGCONT)
@@ -257,6 +307,7 @@
             body = await self.post(self.port_by_worker[name], "/soak/audit", {})
             audit = msgspec.json.decode(body, type=Audit)
             self.runs.update(audit.runs)
+            self.deaths += audit.deaths
             if audit.leases:
                 self.findings.add("no memory stays leased", f"{name}: {audit.leases}")
             if any(other.startswith(ODD_NAME) for other in audit.misdirected):
@@ -266,12 +317,18 @@
 
 
 async def play_seed(
-    reactor: Any, seed: int, seconds: float, size: Size, place: Place, keep: Path
+    reactor: Any,
+    seed: int,
+    seconds: float,
+    size: Size,
+    place: Place,
+    keep: Path,
+    deadly: bool = True,
 ) -> bool:
     """Play one seed; tells and returns whether every promise held."""
     folder = keep / f"seed-{seed}"
     folder.mkdir(parents=True, exist_ok=True)
-    soak = Soak(reactor, seed, seconds, size, place, folder)
+    soak = Soak(reactor, seed, seconds, size, place, folder, deadly)
     await soak.play()
     held = not soak.findings.lines
     (folder / "faults.txt").write_text("\n".join(soak.faults) + "\n")
--- a/pondpin/standins/worker.py
+++ b/pondpin/standins/worker.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import time
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -86,7 +87,9 @@
     deadly: frozenset[bytes] = frozenset()
     crash_seconds: float = CRASH_SECONDS
     crashes: int = 0
-    on_crash: Callable[[], None] = lambda: None
+    # The bodies that it began to run, with the time of day.
+    deadly_runs: list[tuple[bytes, float]] = field(default_factory=list)
+    on_crash: Callable[[], object] = lambda: None
     dark: bool = False
     spoils_reports: bool = False
     working: int = 0
@@ -221,6 +224,7 @@
     async def _crash_soon(self, incoming: Incoming, reply: Reply, headers: dict[str, str]) -> None:
         if "x-token-usage" in incoming.headers:
             reply.start(200, headers | {"content-type": "text/event-stream"})
+        self.deadly_runs.append((incoming.body, time.time()))
         await asyncio.sleep(self.crash_seconds)
         self.crash()
 
