--- a/pondpin/quarantine.py
+++ b/pondpin/quarantine.py
@@ -46,6 +46,9 @@
 GOOD_SECONDS = 30.0
 # A run of a suspect that was told and whose end was not: its instance is gone.
 RUN_SECONDS = 2.0
+# A suspect's next run waits until this long after its last end: by then every instance has told
+# where it sent what it had there.
+SETTLE_SECONDS = 0.06
 # Others keep off a suspect's upstream for so long: a deadly one ends it within 0.2 s of being sent.
 SHUN_SECONDS = 0.5
 # An end that proved to say nothing is remembered, so that a peer's older word doesn't bring it
@@ -107,6 +110,11 @@
     until: float = 0.0
     spent_releases: frozenset[int] = frozenset()
 
+    @property
+    def run_from(self) -> float:
+        """From when on a suspect may run."""
+        return self.ends[-1].at + SETTLE_SECONDS if self.ends else 0.0
+
     @property
     def may_try_again(self) -> bool:
         """Whether a second upstream may follow one that ended: only after the first end of all."""
@@ -207,16 +215,13 @@
         latest = max(end.at for end in self.ends_by_identity[identity].values())
         return len(self._standing(identity)), latest
 
-    def note_good(self, identities: Iterable[int], now: float) -> tuple[NamedEnd, ...]:
+    def note_good(self, identity: int, now: float) -> tuple[NamedEnd, ...]:
         """A request ended whole: its ends say nothing; returns those that were believed to."""
-        cleared: list[NamedEnd] = []
-        for identity in identities:
-            self.good_at_by_identity[identity] = now
-            self.good_at_by_identity.move_to_end(identity)
-            cleared += self.clear(identity)
-        while len(self.good_at_by_identity) > MOST_GOOD:
+        self.good_at_by_identity[identity] = now
+        self.good_at_by_identity.move_to_end(identity)
+        if len(self.good_at_by_identity) > MOST_GOOD:
             self.good_at_by_identity.popitem(last=False)
-        return tuple(cleared)
+        return self.clear(identity)
 
     def clear(self, identity: int) -> tuple[NamedEnd, ...]:
         """All ends of a request say nothing; returns those that were believed to."""
@@ -240,12 +245,9 @@
             if not end.settled and not end.void
         )
 
-    def judge(self, identities: Iterable[int], now: float, around: Surroundings) -> Judgement:
-        """Whether a request, known under any of some numbers, may run now."""
-        known = [identity for identity in identities if identity in self.ends_by_identity]
-        if not known:
-            return FREE
-        ends = self._counted(frozenset(known), around.lives)
+    def judge(self, identity: int, now: float, around: Surroundings) -> Judgement:
+        """Whether a request may run now."""
+        ends = self._counted(identity, around.lives)
         if not ends:
             return FREE
         if len(ends) < ENDS_TO_QUARANTINE:
@@ -254,24 +256,21 @@
             return Judgement(Verdict.SUSPECTED, ends) if likely and is_fresh else FREE
         return _judge_proved(ends, now, around)
 
-    def _counted(self, identities: frozenset[int], lives: int) -> tuple[LifeEnd, ...]:
+    def _counted(self, identity: int, lives: int) -> tuple[LifeEnd, ...]:
         """The ends that count against a request, by their time."""
-        by_life: dict[int, LifeEnd] = {}
-        for identity in identities:
-            for end in self._standing(identity):
-                known = by_life.get(end.life)
-                by_life[end.life] = end if known is None else known.join(end)
+        standing = self._standing(identity)
+        own = {end.life for end in standing}
         counted = [
             end
-            for end in by_life.values()
-            if not self._is_explained(identities, end, len(by_life))
-            and not self._is_in_crowd(end, by_life, lives)
+            for end in standing
+            if not self._is_explained(identity, end, len(standing))
+            and not self._is_in_crowd(end, own, lives)
         ]
         return tuple(sorted(counted, key=lambda end: end.at))
 
-    def _is_explained(self, identities: frozenset[int], end: LifeEnd, own_ends: int) -> bool:
+    def _is_explained(self, identity: int, end: LifeEnd, own_ends: int) -> bool:
         """Whether another request that was there is the better suspect."""
-        for other in self.identities_by_life.get(end.life, set()) - identities:
+        for other in self.identities_by_life.get(end.life, set()) - {identity}:
             theirs = self.ends_by_identity[other].get(end.life)
             if theirs is None or theirs.void:
                 continue
@@ -281,7 +280,7 @@
                 return True
         return False
 
-    def _is_in_crowd(self, end: LifeEnd, own: Iterable[int], lives: int) -> bool:
+    def _is_in_crowd(self, end: LifeEnd, own: set[int], lives: int) -> bool:
         """Whether many lives that the request did not run on ended at the same time."""
         limit = max(CROWD_LIVES, CROWD_SHARE * lives)
         others = 0
@@ -318,13 +317,10 @@
         if not runs:
             self.runs_by_identity.pop(identity, None)
 
-    def is_running(self, identities: Iterable[int], now: float) -> bool:
+    def is_running(self, identity: int, now: float) -> bool:
         """Whether a suspect runs anywhere."""
-        return any(
-            now - run.began < RUN_SECONDS
-            for identity in identities
-            for run in self.runs_by_identity.get(identity, {}).values()
-        )
+        runs = self.runs_by_identity.get(identity, {}).values()
+        return any(now - run.began < RUN_SECONDS for run in runs)
 
     def shunned(self, now: float) -> frozenset[int]:
         """Lives of upstreams that may end in a moment: a suspect has just been sent there."""
--- a/pondpin/relay/attempts/admission.py
+++ b/pondpin/relay/attempts/admission.py
@@ -7,11 +7,9 @@
 
 from pondpin.codes import Code
 from pondpin.errors import PondpinError
-from pondpin.http_reply import Incoming
 from pondpin.relay.choosing.routing import find_account, find_route, needs_key
 from pondpin.relay.model import RelayConfiguration, RequestFacts, Route
 from pondpin.relay.published.freshness import Proof
-from pondpin.request_identity import RequestIdentity, identify
 
 # A route or key may be missing here because it is new: 'no' is only final while the version
 # was proved this lately.
@@ -94,14 +92,6 @@
     return Admitted(configuration, route, account, max(0, min(9, rank)), seconds)
 
 
-def identity_of(incoming: Incoming, facts: RequestFacts, admitted: Admitted) -> RequestIdentity:
-    """What a request has in common with the same one sent again."""
-    if not admitted.account:
-        return identify(facts.host, incoming.target, incoming.body, "", ())
-    keys = admitted.configuration.keys_by_account[admitted.account]
-    return identify(facts.host, incoming.target, incoming.body, facts.key, keys)
-
-
 def check_proof(beliefs: Beliefs, facts: RequestFacts, now: float) -> None:
     """Raise PondpinError when the last proof is too old to serve a key by."""
     if not beliefs.accepts_keys(now):
--- a/pondpin/relay/attempts/crash_guard.py
+++ b/pondpin/relay/attempts/crash_guard.py
@@ -87,8 +87,11 @@
             progress.spent_releases = judgement.spent_releases
             if judgement.verdict is Verdict.QUARANTINED:
                 raise self._refusal(call, judgement)
+            if not progress.suspected:
+                return
             now = self.clock()
-            if not progress.suspected or not self.quarantine.is_running(call.identity.all, now):
+            is_running = self.quarantine.is_running(call.identity, now)
+            if now >= judgement.run_from and not is_running:
                 return
             if now >= limit:
                 raise PondpinError(Code.SUSPECTED, _tell(judgement), retry_after=RETRY_SECONDS)
@@ -102,9 +105,9 @@
         around = Surroundings(
             lives=len(states),
             releases=frozenset(release_of(state) for state in states if not state.leaving),
-            turn=self.turn(call.identity.own),
+            turn=self.turn(call.identity),
         )
-        return self.quarantine.judge(call.identity.all, self.clock(), around)
+        return self.quarantine.judge(call.identity, self.clock(), around)
 
     def _refusal(self, call: RelayCall, judgement: Judgement) -> PondpinError:
         self.metrics.quarantined.inc({"service": call.service})
@@ -118,7 +121,7 @@
             return False
         if judgement.verdict is Verdict.QUARANTINED or not progress.suspected:
             return True
-        return self.quarantine.is_running(call.identity.all, self.clock())
+        return self.quarantine.is_running(call.identity, self.clock())
 
     def shunned(self) -> frozenset[int]:
         """Lives of upstreams that others had better keep off for a moment."""
@@ -130,7 +133,7 @@
         """A request is about to be sent."""
         if progress.suspected:
             self.metrics.suspected.inc({"service": call.service})
-            identity, life = call.identity.own, plan.lead.life
+            identity, life = call.identity, plan.lead.life
             self.quarantine.begin_run(identity, self.news.instance, life, self.clock())
             self.news.running[identity] = life
             self.news.tell()
@@ -139,7 +142,7 @@
 
     def _end(self, call: RelayCall, progress: Progress) -> None:
         """A suspect's run is over, and what it led to was told."""
-        identity = call.identity.own
+        identity = call.identity
         if not progress.suspected or identity not in self.news.running:
             return
         self.quarantine.end_run(identity, self.news.instance)
@@ -167,7 +170,7 @@
         if end.kind is EndKind.NOT_SENT and end.refused:
             self.lives.note_refused(plan.lead)
         if end.kind in (EndKind.DONE, EndKind.ANSWERED):
-            self._untold += self.quarantine.note_good(call.identity.all, self.clock())
+            self._untold += self.quarantine.note_good(call.identity, self.clock())
         self._end(call, progress)
 
     def may_try_again(self, call: RelayCall, end: AttemptEnd) -> bool:
@@ -192,8 +195,8 @@
                 not run.was_begun_then(seen.at),
                 source=self.news.instance,
             )
-            if self.quarantine.note_end(run.identity.own, end):
-                news.append(NamedEnd(run.identity.own, end))
+            if self.quarantine.note_end(run.identity, end):
+                news.append(NamedEnd(run.identity, end))
         if news:
             self.news.tell(news)
             self._log_verdicts(item.identity for item in news)
@@ -238,7 +241,7 @@
 
     def lift(self, identity: int) -> int:
         """An operator clears a request; returns how many ends were believed."""
-        cleared = self.quarantine.note_good((identity,), self.clock())
+        cleared = self.quarantine.note_good(identity, self.clock())
         if cleared:
             self.news.tell(cleared)
             self._log_verdicts((identity,))
@@ -257,7 +260,7 @@
         """The verdict on an identity, whatever its service, its evidence and its rest."""
         now = self.clock()
         around = Surroundings(lives=len(self.table.by_id), turn=1)
-        judgement = self.quarantine.judge((identity,), now, around)
+        judgement = self.quarantine.judge(identity, now, around)
         told = tuple(self._tell_end(end, now) for end in judgement.ends)
         return judgement, told, round(max(0.0, judgement.until - now), 2)
 
--- a/pondpin/relay/attempts/handler.py
+++ b/pondpin/relay/attempts/handler.py
@@ -16,7 +16,6 @@
     admit,
     check_not_behind,
     check_proof,
-    identity_of,
 )
 from pondpin.relay.attempts.attempt import Attempts
 from pondpin.relay.attempts.attempt_ends import (
@@ -44,6 +43,7 @@
 from pondpin.relay.upstreams.leases import LeaseGroup, Leases
 from pondpin.relay.upstreams.reports import Reports
 from pondpin.relay.upstreams.table import UpstreamTable
+from pondpin.request_identity import identify
 
 # Groups of leases asked for before a request is refused for want of memory.
 LEASE_TRIES = 3
@@ -67,6 +67,7 @@
     leases: Leases
     reports: Reports
     guard: CrashGuard
+    identity_key: bytes
     policy: RelayPolicy
     beliefs: Callable[[], Beliefs]
     sharers: Callable[[], int]
@@ -125,7 +126,9 @@
             configuration=admitted.configuration,
             arrived=arrived,
             deadline=arrived + admitted.seconds,
-            identity=identity_of(incoming, facts, admitted),
+            identity=identify(
+                self.identity_key, admitted.account, facts.host, incoming.target, incoming.body
+            ),
         )
 
     async def _serve_unless_gone(self, call: RelayCall) -> None:
--- a/pondpin/relay/attempts/life_watch.py
+++ b/pondpin/relay/attempts/life_watch.py
@@ -14,7 +14,7 @@
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import UpstreamEnded
 from pondpin.relay.upstreams.state import UpstreamState
-from pondpin.request_identity import RequestIdentity
+from pondpin.request_identity import show
 
 # A prompt whose first event is forecast for later than this is being read until then; forecasts of
 # long prompts err by a tenth. A worker begins to run a request once it is read.
@@ -43,7 +43,7 @@
     first_event: the forecast of it in seconds, 0 without one.
     """
 
-    identity: RequestIdentity
+    identity: int
     began: float
     places: tuple[UpstreamState, ...]
     first_event: float = 0.0
@@ -91,9 +91,7 @@
         """Set up the tasks."""
         self._looks_by_life: dict[int, asyncio.Task[None]] = {}
 
-    def begin(
-        self, identity: RequestIdentity, places: Iterable[UpstreamState], first_event: float
-    ) -> Run:
+    def begin(self, identity: int, places: Iterable[UpstreamState], first_event: float) -> Run:
         """A request is about to be sent."""
         run = Run(identity, self.clock(), tuple(places), first_event)
         for state in run.places:
@@ -198,4 +196,4 @@
 
 def _tell(run: Run, now: float) -> str:
     since = round((now - run.began) * MILLISECONDS)
-    return f"{run.identity} {since} ms{' just begun' if run.was_begun_then(now) else ''}"
+    return f"{show(run.identity)} {since} ms{' just begun' if run.was_begun_then(now) else ''}"
--- a/pondpin/relay/attempts/request_notes.py
+++ b/pondpin/relay/attempts/request_notes.py
@@ -13,6 +13,7 @@
 from pondpin.relay.log_events import AttemptEnded, CallerGone, Ended, Placed, Refused
 from pondpin.relay.model import RequestFacts, Route
 from pondpin.relay.upstreams.leases import LeaseGroup
+from pondpin.request_identity import show
 
 MILLISECONDS = 1000
 # An age that is not known is told as this many seconds.
@@ -132,7 +133,7 @@
                 helpers=tuple(state.id for state in plan.helpers),
                 leases=len(group.places) if group is not None else 0,
                 resume_after=str(progress.last_number) if progress.events else "",
-                identity=str(call.identity),
+                identity=show(call.identity),
             )
         )
 
--- a/pondpin/relay/call.py
+++ b/pondpin/relay/call.py
@@ -6,7 +6,6 @@
 from pondpin.http_reply import Incoming, Reply
 from pondpin.network import Endpoint
 from pondpin.relay.model import RelayConfiguration, RequestFacts, Route
-from pondpin.request_identity import NO_IDENTITY, RequestIdentity
 
 # Callers give a stream up after the longest of these, also before its first event.
 PATIENCE_SECONDS = 2.0
@@ -16,7 +15,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayCall:
-    """An admitted request; arrived and deadline are by the steady clock."""
+    """An admitted request; arrived and deadline are by the steady clock.
+
+    identity: see `pondpin.request_identity`.
+    """
 
     incoming: Incoming
     reply: Reply
@@ -28,7 +30,7 @@
     configuration: RelayConfiguration
     arrived: float
     deadline: float
-    identity: RequestIdentity = NO_IDENTITY
+    identity: int = 0
 
     @property
     def id(self) -> str:
--- a/pondpin/relay/choosing/planner.py
+++ b/pondpin/relay/choosing/planner.py
@@ -337,7 +337,8 @@
         plan.lead.work_by_key[key] = work
         for helper in plan.helpers:
             helper.work_by_key[key] = replace(work, tokens=choice.lease_tokens, writes=False)
-        if choice.part_seconds >= TELL_SECONDS:
+        if choice.part_seconds >= TELL_SECONDS or progress.attempts:
+            # Also where a second try goes: a suspect that lost the same engine keeps off it.
             self._tell_soon()
         self._tell_long_reads_of(plan)
         return key
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -63,6 +63,7 @@
 from pondpin.relay.upstreams.reports import Reports
 from pondpin.relay.upstreams.table import Restart, UpstreamTable
 from pondpin.relay_settings import RelaySettings
+from pondpin.request_identity import make_key
 from pondpin.runtime import steady_now, wall_now
 
 # A way to an upstream takes a few ms; a lost opening packet is sent again after a second.
@@ -177,6 +178,7 @@
             policy=policy,
             reports=Reports(PlatformReports(self.http), self.log, steady_now),
             guard=self.guard,
+            identity_key=make_key(settings.identity_key),
             beliefs=self.beliefs,
             sharers=self._sharers,
             retry_bounds=self._retry_bounds,
--- a/pondpin/relay_settings.py
+++ b/pondpin/relay_settings.py
@@ -54,6 +54,8 @@
     """All settings of an instance that relays opaque requests on a platform.
 
     ready: where the balancer asks whether to send connections. metrics_port 0 serves none.
+    identity_key: a secret that all instances share; requests that end workers are known by digests
+    under it.
     placement: predicted, or a baseline: least_outstanding, random. without: mechanisms that are
     switched off, to measure what they are worth.
     """
@@ -66,6 +68,7 @@
     peers: RelayPeers
     limits: RelayLimits = field(default_factory=lambda: RelayLimits())
     metrics_port: Annotated[int, Meta(ge=0, le=65535)] = 0
+    identity_key: Annotated[str, Meta(max_length=200)] = ""
     placement: Annotated[str, Meta(pattern=PLACEMENTS)] = "predicted"
     without: tuple[Mechanism, ...] = ()
 
--- a/pondpin/soak/deployment.py
+++ b/pondpin/soak/deployment.py
@@ -125,6 +125,7 @@
                 "known": [f"{self.place.instance(0)}:{DOCUMENT_PORT}"],
                 "ports": [DATAGRAM_PORT, DATAGRAM_PORT],
             },
+            "identity_key": "soak",
             "limits": {"key_ms": KEY_MS, "grace_seconds": 4.0, "retry_allowance": 1000},
         }
         path = self.folder / f"relay-{number}.json"
--- a/pondpin/standins/local_platform.py
+++ b/pondpin/standins/local_platform.py
@@ -21,6 +21,7 @@
 HOST = "relay.example"
 KEY = "caller-key"
 TENANT = "riders"
+IDENTITY_KEY = "known to all instances"
 CENTERS = ("north", "south", "east")
 # Fixed ports below the ephemeral range; each instance has an address of its own.
 DOCUMENT_PORT = 8229
@@ -199,6 +200,7 @@
                 ports=(DATAGRAM_PORT, DATAGRAM_PORT + 15),
             ),
             limits=self.limits,
+            identity_key=IDENTITY_KEY,
         )
         sink = os.open(os.devnull, os.O_WRONLY)
         entry = RelayEntry(self.reactor, settings, sink)
--- a/pondpin/tools/units.py
+++ b/pondpin/tools/units.py
@@ -144,6 +144,7 @@
     "limits.grace_seconds": "s from SIGTERM to the end",
     "limits.memory_mebibytes": "MiB; a quarter of it may hold bodies",
     "metrics_port": "port of `/metrics`; 0 serves none",
+    "identity_key": "secret that all instances share; requests are known by digests made with it",
     "placement": "`predicted`, or a baseline: `least_outstanding`, `random`",
     "without": "mechanisms to switch off, to measure them: docs/DECISIONS.md names them",
 }
