--- a/pondpin/relay/attempts/crash_guard.py
+++ b/pondpin/relay/attempts/crash_guard.py
@@ -45,11 +45,11 @@
 # a deadly one ends in 0.1 s, a harmless one is cleared as soon as a run ends whole.
 HOLD_SECONDS = 1.0
 LOOK_SECONDS = 0.02
+# Then its caller comes back in this time.
+RETRY_SECONDS = 0.5
 # An instance that starts waits so long for a peer's digest, and for what that peer sends: digests
 # come every 0.2 s.
 START_SECONDS = 0.3
-# Then its caller comes back in this time.
-RETRY_SECONDS = 0.5
 # Bytes of a life that come so long after its end were on their way.
 ECHO_SECONDS = 0.25
 MILLISECONDS = 1000
@@ -143,7 +143,7 @@
         return self.quarantine.shunned(self.clock())
 
     def begin(self, call: RelayCall, progress: Progress, plan: Plan) -> Run:
-        """A request is about to be sent."""
+        """A request is about to be sent; leave or look_after ends it."""
         if progress.suspected:
             self.metrics.suspected.inc({"service": call.service})
             identity, life = call.identity, plan.lead.life
--- a/pondpin/relay/attempts/life_watch.py
+++ b/pondpin/relay/attempts/life_watch.py
@@ -14,6 +14,7 @@
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import UpstreamEnded
 from pondpin.relay.upstreams.state import UpstreamState
+from pondpin.relay.upstreams.table import UpstreamTable
 from pondpin.request_identity import show
 
 # A prompt whose first event is forecast for later than this is being read until then; forecasts of
@@ -82,7 +83,7 @@
     """The requests of this instance by the life of the upstream that they run on."""
 
     reach: Callable[[str, int], Awaitable[Reach]]
-    is_listed: Callable[[UpstreamState], bool]
+    table: UpstreamTable
     log: EventLog
     clock: Clock
     on_end: Callable[[EndSeen], None] = lambda seen: None
@@ -115,14 +116,14 @@
         left_at = run.left_at
         if left_at is None or state.heard_at > left_at or run not in self._runs(state):
             return
-        if self.is_listed(state):
+        if self.table.is_in_service(state):
             self._begin_look(state)
 
     async def look(self, run: Run, state: UpstreamState) -> None:
         """A request broke off: find out whether its upstream's life has ended."""
         run.left_at = self.clock()
         # A worker may also leave by taking its entry away: its end is planned then.
-        run.broke = self.is_listed(state)
+        run.broke = self.table.is_in_service(state)
         if run.broke:
             await asyncio.wait((self._begin_look(state),), timeout=ANSWER_SECONDS)
 
@@ -147,7 +148,7 @@
                 ran=tuple(_tell(run, began) for run in runs),
             )
         )
-        if answer is Reach.REFUSED and self.is_listed(state):
+        if answer is Reach.REFUSED and self.table.is_in_service(state):
             self.note_refused(state)
 
     def note_refused(self, state: UpstreamState) -> None:
@@ -160,7 +161,7 @@
             run.places[0].life: run.places[0]
             for runs in self.runs_by_life.values()
             for run in runs
-            if run.broke and not self.is_listed(run.places[0])
+            if run.broke and self.table.by_life(run.places[0].life) is None
         }
         for state in broken.values():
             self._end(state, LISTED_SECONDS, lambda run: run.broke)
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -160,7 +160,7 @@
         self.leases = Leases(PlatformLeases(self.http), prefix, self.log, self.table.has_ended)
         self.guard = CrashGuard(
             news=self.gossip.quarantine_news,
-            lives=LifeWatch(self.http.reach, self.table.is_in_service, self.log, steady_now),
+            lives=LifeWatch(self.http.reach, self.table, self.log, steady_now),
             table=self.table,
             turn=self.gossip.turn_of,
             list_at=lambda: self.publication.list_at,
@@ -362,21 +362,18 @@
         self.caller_server.limits = self._caller_limits(configuration)
         self.caller_server.set_idle(self.caller_server.limits.idle_seconds)
         self.metrics.revision.set({}, configuration.version)
+        # Since when it was known to be missing.
+        heard_at = self.publication.newer_heard_at
         self.log.write(
             ConfigurationTaken(
                 version=configuration.version,
                 revision=self.publication.revision,
                 routes=sum(len(found) for found in configuration.routes_by_host.values()),
                 accounts=len(set(configuration.accounts_by_key.values())),
-                behind_ms=self._behind_ms(),
+                behind_ms=0 if heard_at is None else int((steady_now() - heard_at) * MILLISECONDS),
             )
         )
 
-    def _behind_ms(self) -> int:
-        """How long the configuration just taken was known to be missing."""
-        heard_at = self.publication.newer_heard_at
-        return 0 if heard_at is None else int((steady_now() - heard_at) * MILLISECONDS)
-
     def _take_list(self, change: ListChange) -> None:
         news = self.table.take_list(change.listed, change.missing)
         for name in news.leaving:
--- a/pondpin/tests/test_relay_quarantine.py
+++ b/pondpin/tests/test_relay_quarantine.py
@@ -170,6 +170,19 @@
 
         self.play(work)
 
+    def test_a_worker_that_leaves_after_a_reset_proves_nothing(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            await self.until_listed(platform)
+            first = platform.entries[0]
+            fail_next(platform, WorkerFault.RESET)
+            await ask(platform, "once")
+            for state in first.table.of_service(PLAIN):
+                state.leaving = True
+            first.guard.step(first.guard.clock())
+            self.assertEqual(ends_of(first, identity_of("once", b"question")), [])
+
+        self.play(work)
+
     def test_a_caller_that_leaves_does_not_hide_the_end(self) -> None:
         async def work(platform: LocalPlatform) -> None:
             await self.until_listed(platform)
