--- a/pondpin/soak/run.py
+++ b/pondpin/soak/run.py
@@ -43,6 +43,8 @@
 PROMPT_TOKENS = (2000, 5000, 60_000, 300_000, 700_000)
 CALM_TOKENS = (2000, 5000)
 DEADLY_TOKENS = 5000
+# The word after a seed that failed with requests that end workers.
+DEADLY_MARK = "deadly:"
 # The list is written by others this often: restarts of workers, odd entries beside and over theirs.
 LIST_GAP_SECONDS = 1.5
 RESTART_SHARE = 0.5
@@ -340,10 +342,11 @@
     return held
 
 
-def known_seeds() -> list[int]:
-    """Seeds that failed once, each with a line on its cause in the file."""
+def known_seeds(deadly: bool = False) -> list[int]:
+    """Seeds that failed once, with deadly requests or without; a line in the file tells why."""
     lines = SEEDS_FILE.read_text().splitlines()
-    return [int(line.split()[0]) for line in lines if line and not line.startswith("#")]
+    words = [line.split() for line in lines if line and not line.startswith("#")]
+    return [int(line[0]) for line in words if (line[1] == DEADLY_MARK) is deadly]
 
 
 def soak(
--- a/pondpin/tests/test_soak.py
+++ b/pondpin/tests/test_soak.py
@@ -60,7 +60,8 @@
             self.assertTrue(self.play(seed, deadly=False), f"seed {seed}")
 
     def test_requests_that_end_workers_reach_few(self) -> None:
-        self.assertTrue(self.play(DEADLY_SEED, deadly=True))
+        for seed in (DEADLY_SEED, *known_seeds(deadly=True)):
+            self.assertTrue(self.play(seed, deadly=True), f"seed {seed}")
 
     def play(self, seed: int, deadly: bool) -> bool:
         held = False
