--- a/pondpin/soak/deployment.py
+++ b/pondpin/soak/deployment.py
@@ -29,6 +29,8 @@
 EVENT_MS = 20
 KEY_MS = 2000
 READY_SECONDS = 30.0
+# A program loads and hears its peers in this time, also beside other work.
+STARTING_SECONDS = 2.0
 # Callers use a connection again that rested for four fifths of the published idle limit; the
 # soak's configuration leaves that at its default of 15 s. An instance may close it after that.
 CALLER_REST_SECONDS = 12.0
@@ -68,7 +70,11 @@
 class Deployment:
     """Store, workers, proxies and instances as processes on loopback addresses."""
 
-    def __init__(self, reactor: Any, size: Size, place: Place, folder: Path) -> None:
+    def __init__(
+        self, reactor: Any, size: Size, place: Place, folder: Path, seeds: int = 1
+    ) -> None:
+        """seeds: instances that the settings name to every other one."""
+        self._seeds = seeds
         self.size = size
         self.place = place
         self.folder = folder
@@ -122,7 +128,9 @@
             "source": f"{host}:{STORE_PORT}",
             "peers": {
                 "documents": f"{host}:{DOCUMENT_PORT}",
-                "known": [f"{self.place.instance(0)}:{DOCUMENT_PORT}"],
+                "known": [
+                    f"{self.place.instance(seed)}:{DOCUMENT_PORT}" for seed in range(self._seeds)
+                ],
                 "ports": [DATAGRAM_PORT, DATAGRAM_PORT],
             },
             "identity_key": "soak",
@@ -217,8 +225,8 @@
             return
 
     def is_anybody_up(self) -> bool:
-        """Whether an instance runs that is not paused."""
-        return any(instance.is_running and not instance.paused for instance in self.instances)
+        """Whether an instance runs that can have heard what others knew."""
+        return any(instance.is_up(STARTING_SECONDS) for instance in self.instances)
 
     async def publish(self) -> None:
         """Publish the present keys as a new version."""
--- a/pondpin/soak/processes.py
+++ b/pondpin/soak/processes.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 STOP_SECONDS = 12.0
@@ -20,6 +21,7 @@
         self.starts = 0
         self.expected_end = False
         self.paused = False
+        self.started_at = 0.0
 
     def start(self) -> None:
         """Start it, unless it runs."""
@@ -27,6 +29,7 @@
             return
         self.expected_end = False
         self.paused = False
+        self.started_at = time.monotonic()
         self.starts += 1
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
@@ -38,6 +41,12 @@
         """Whether it runs, perhaps paused."""
         return self._process is not None and self._process.poll() is None
 
+    def is_up(self, seconds: float) -> bool:
+        """Whether it has run for some seconds and is not paused."""
+        if not self.is_running or self.paused:
+            return False
+        return time.monotonic() - self.started_at >= seconds
+
     @property
     def crashed(self) -> bool:
         """Whether it ended though nobody told it to."""
--- a/pondpin/soak/run.py
+++ b/pondpin/soak/run.py
@@ -87,7 +87,8 @@
         folder: Path,
         deadly: bool = True,
     ) -> None:
-        super().__init__(reactor, size, place, folder)
+        # Two that started while the only seed was down would not know of each other.
+        super().__init__(reactor, size, place, folder, seeds=3 if deadly else 1)
         self.rng = random.Random(seed)
         self.seed = seed
         self.seconds = seconds
