--- a/pondpin/relay/attempts/crash_guard.py
+++ b/pondpin/relay/attempts/crash_guard.py
@@ -101,7 +101,8 @@
             if now >= judgement.run_from and not is_running:
                 return
             if now >= limit:
-                raise PondpinError(Code.SUSPECTED, _tell(judgement), retry_after=RETRY_SECONDS)
+                detail = _tell(call, judgement)
+                raise PondpinError(Code.SUSPECTED, detail, retry_after=RETRY_SECONDS)
             await asyncio.sleep(LOOK_SECONDS)
 
     def _knows_peers(self) -> bool:
@@ -125,7 +126,7 @@
     def _refusal(self, call: RelayCall, judgement: Judgement) -> PondpinError:
         self.metrics.quarantined.inc({"service": call.service})
         left = max(RETRY_SECONDS, judgement.until - self.clock())
-        return PondpinError(Code.QUARANTINED, _tell(judgement), retry_after=left)
+        return PondpinError(Code.QUARANTINED, _tell(call, judgement), retry_after=left)
 
     def is_outdated(self, call: RelayCall, progress: Progress) -> bool:
         """Whether a request was planned under a milder verdict than holds now."""
@@ -300,5 +301,6 @@
         return f"{self.table.name_of(end.life)} {age} ms ago, seen by {end.source}"
 
 
-def _tell(judgement: Judgement) -> str:
-    return f"{len(judgement.ends)} upstreams ended while it ran there"
+def _tell(call: RelayCall, judgement: Judgement) -> str:
+    """The reason of a refusal; operators find the evidence by the identity."""
+    return f"request {show(call.identity)}: {len(judgement.ends)} upstreams ended while it ran"
--- a/pondpin/relay/log_events.py
+++ b/pondpin/relay/log_events.py
@@ -201,7 +201,6 @@
     version: int = 0
     proof_age_ms: int = -1
     retry_after: float = 0.0
-    identity: str = ""
 
 
 class Ended(LogEvent, frozen=True, kw_only=True, tag="ended"):
--- a/pondpin/soak/deployment.py
+++ b/pondpin/soak/deployment.py
@@ -31,6 +31,8 @@
 READY_SECONDS = 30.0
 # A program loads and hears its peers in this time, also beside other work.
 STARTING_SECONDS = 2.0
+# A stand-in that has to start is tried so often, a tenth of a second apart.
+STARTING_TRIES = 300
 # Callers use a connection again that rested for four fifths of the published idle limit; the
 # soak's configuration leaves that at its default of 15 s. An instance may close it after that.
 CALLER_REST_SECONDS = 12.0
@@ -182,7 +184,7 @@
 
     async def retry(self, work: Callable[[], Awaitable[None]]) -> None:
         """Do something with a stand-in, again until it is up."""
-        for _ in range(100):
+        for _ in range(STARTING_TRIES):
             try:
                 await work()
                 return
@@ -200,7 +202,7 @@
         """Let workers end when they run a request with one of these bodies."""
         self.deadly_bodies = bodies
         for name in self.workers:
-            await self.steer(name)
+            await self.retry(partial(self.steer, name))
 
     async def steer(self, name: str, faults: tuple[str, ...] = ()) -> None:
         """Give a worker faults for its next requests, or none."""
