--- a/pondpin/relay/attempts/crash_guard.py
+++ b/pondpin/relay/attempts/crash_guard.py
@@ -151,8 +151,8 @@
             self.quarantine.begin_run(identity, self.news.instance, life, self.clock())
             self.news.running[identity] = life
             self.news.tell()
-        first_event = plan.choice.first_event if plan.choice is not None else 0.0
-        return self.lives.begin(call.identity, (plan.lead, *plan.helpers), first_event)
+        reading = plan.choice.part_seconds if plan.choice is not None else 0.0
+        return self.lives.begin(call.identity, (plan.lead, *plan.helpers), reading)
 
     def _end(self, call: RelayCall, progress: Progress) -> None:
         """A suspect's run is over, and what it led to was told."""
--- a/pondpin/relay/attempts/life_watch.py
+++ b/pondpin/relay/attempts/life_watch.py
@@ -17,9 +17,9 @@
 from pondpin.relay.upstreams.table import UpstreamTable
 from pondpin.request_identity import show
 
-# A prompt whose first event is forecast for later than this is being read until then; forecasts of
-# long prompts err by a tenth. A worker begins to run a request once it is read.
-READ_SECONDS = 0.4
+# A worker begins to run a request once it is read. That takes this share of the time that reading
+# alone is known to take, at least; the forecast of the first event would not do, since it counts
+# what waits before, and a request that ends its worker early would seem to be read still.
 READ_SHARE = 0.7
 # A request that has been answered for so long did not end its upstream by beginning to run: a
 # worker that is ended by one is gone 0.1 s after it began.
@@ -41,13 +41,13 @@
 class Run:
     """A request on the upstreams of one attempt; times are by the steady clock.
 
-    first_event: the forecast of it in seconds, 0 without one.
+    reading: seconds that its part of the prompt takes to read, 0 when not known.
     """
 
     identity: int
     began: float
     places: tuple[UpstreamState, ...]
-    first_event: float = 0.0
+    reading: float = 0.0
     answered_at: float | None = None
     heard_at: float = 0.0
     left_at: float | None = None
@@ -59,9 +59,7 @@
 
     def was_begun_then(self, at: float) -> bool:
         """Whether it may have just begun to run at a moment."""
-        is_read = self.first_event < READ_SECONDS or (
-            at - self.began >= READ_SHARE * self.first_event
-        )
+        is_read = at - self.began >= READ_SHARE * self.reading
         return is_read and not self.was_answered(at)
 
     def was_there(self, at: float, seconds: float) -> bool:
@@ -93,9 +91,9 @@
         """Set up the tasks."""
         self._looks_by_life: dict[int, asyncio.Task[None]] = {}
 
-    def begin(self, identity: int, places: Iterable[UpstreamState], first_event: float) -> Run:
+    def begin(self, identity: int, places: Iterable[UpstreamState], reading: float) -> Run:
         """A request is about to be sent."""
-        run = Run(identity, self.clock(), tuple(places), first_event)
+        run = Run(identity, self.clock(), tuple(places), reading)
         for state in run.places:
             self.runs_by_life.setdefault(state.life, []).append(run)
         return run
--- a/pondpin/soak/run.py
+++ b/pondpin/soak/run.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from pondpin.http_streams import CallFailedError
-from pondpin.runtime import Ready, run, run_command
+from pondpin.runtime import Ready, call_on_signal, run, run_command
 from pondpin.soak.deadly import ROUTE_BY_BODY, DeadlyLoad
 from pondpin.soak.deployment import (
     CALLER_PORT,
@@ -368,6 +368,13 @@
     keep = Path(folder or tempfile.mkdtemp(prefix="pondpin-soak-"))
 
     async def play(reactor: Any) -> int:
+        # A seed that is cancelled ends its processes.
+        playing = asyncio.ensure_future(play_all(reactor))
+        call_on_signal(signal.SIGTERM, lambda: _cancel(playing))
+        await asyncio.wait((playing,))
+        return 1 if playing.cancelled() else playing.result()
+
+    async def play_all(reactor: Any) -> int:
         failed = 0
         for number in range(first, first + seeds):
             held = await play_seed(
@@ -380,6 +387,10 @@
     return Ready(lambda: run(play))
 
 
+def _cancel(playing: "asyncio.Future[int]") -> None:
+    playing.cancel()
+
+
 def main() -> None:
     """Entry point of python -m pondpin.soak.run."""
     run_command(soak, "pondpin-soak")
--- a/pondpin/tests/test_relay_quarantine.py
+++ b/pondpin/tests/test_relay_quarantine.py
@@ -22,7 +22,7 @@
 from pondpin.http_streams import CallFailedError
 from pondpin.network import Endpoint
 from pondpin.quarantine import LifeEnd, Verdict
-from pondpin.relay.attempts.life_watch import LISTED_SECONDS
+from pondpin.relay.attempts.life_watch import LISTED_SECONDS, Run
 from pondpin.relay.choosing.retry_window import RetryWindow
 from pondpin.relay.entry import RelayEntry
 from pondpin.relay.operations import QUARANTINE_PATH
@@ -257,6 +257,22 @@
         self.play(work)
 
 
+class RunTest(unittest.TestCase):
+    """Who may have just begun to run at a moment."""
+
+    def test_who_waits_behind_others_may_have_begun_and_who_is_read_may_not(self) -> None:
+        light = Run(1, 100.0, (), reading=0.02)
+        long = Run(2, 100.0, (), reading=3.0)
+        self.assertTrue(light.was_begun_then(100.1))
+        self.assertFalse(long.was_begun_then(101.0))
+        self.assertTrue(long.was_begun_then(103.0))
+
+    def test_who_was_answered_for_a_while_has_not_just_begun(self) -> None:
+        run = Run(1, 100.0, (), reading=0.02, answered_at=100.2)
+        self.assertTrue(run.was_begun_then(100.4))
+        self.assertFalse(run.was_begun_then(100.6))
+
+
 class HoldTest(GuardCase):
     """What a request meets that is suspected or quarantined."""
 
