--- a/pondpin/relay/attempts/crash_guard.py
+++ b/pondpin/relay/attempts/crash_guard.py
@@ -172,6 +172,15 @@
         self, call: RelayCall, progress: Progress, plan: Plan, end: AttemptEnd, run: Run
     ) -> None:
         """Find out what an attempt's end says of the upstream's life, and of the request."""
+        try:
+            await self._look(plan, end, run)
+        finally:
+            # Also when its caller leaves meanwhile: peers would take it for running on.
+            self._end(call, progress)
+        if end.kind in (EndKind.DONE, EndKind.ANSWERED):
+            self._untold += self.quarantine.note_good(call.identity, self.clock())
+
+    async def _look(self, plan: Plan, end: AttemptEnd, run: Run) -> None:
         helper = helper_at_fault(plan, end)
         if end.kind is EndKind.BROKEN:
             await self.lives.look(run, plan.lead)
@@ -183,9 +192,6 @@
             self.lives.complete(run)
         if end.kind is EndKind.NOT_SENT and end.refused:
             self.lives.note_refused(plan.lead)
-        if end.kind in (EndKind.DONE, EndKind.ANSWERED):
-            self._untold += self.quarantine.note_good(call.identity, self.clock())
-        self._end(call, progress)
 
     def may_try_again(self, call: RelayCall, end: AttemptEnd) -> bool:
         """Whether another upstream may get a request after an attempt."""
--- a/pondpin/tests/test_relay_quarantine.py
+++ b/pondpin/tests/test_relay_quarantine.py
@@ -379,6 +379,32 @@
             platform, "long", attempt, body=body, x_token_usage=tokens, x_deadline_ms=deadline
         )
 
+    def test_a_caller_that_leaves_while_its_upstream_is_looked_at_leaves_no_run(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            await self.until_listed(platform)
+            first = platform.entries[0]
+            self.prove(first, identity_of("stream"), 1)
+            fail_next(platform, WorkerFault.RESET)
+            looking = asyncio.Event()
+
+            async def reach(host: str, port: int) -> Reach:
+                looking.set()
+                await asyncio.Event().wait()
+                raise AssertionError
+
+            with (
+                mock.patch.object(first.guard.lives, "reach", reach),
+                mock.patch("pondpin.relay.attempts.life_watch.ANSWER_SECONDS", 30.0),
+            ):
+                task = asyncio.ensure_future(ask(platform, "stream", body=DEADLY))
+                await looking.wait()
+                self.assertTrue(first.guard.news.running)
+                task.cancel()
+                await platform.until(lambda: not first.handler.open_requests)
+            self.assertEqual(first.guard.news.running, {})
+
+        self.play(work)
+
     def seen(self, platform: LocalPlatform) -> list[Any]:
         return [item for worker in engines(platform) for item in worker.seen]
 
