--- a/pondpin/relay/attempts/crash_guard.py
+++ b/pondpin/relay/attempts/crash_guard.py
@@ -107,7 +107,8 @@
 
     def _knows_peers(self) -> bool:
         """Whether peers had the time to tell what they know since this instance started."""
-        if self.news.is_told or not self.policy.has(Mechanism.QUARANTINE):
+        if self.news.is_told or not self.news.hosts():
+            # Told, or nobody is there to tell.
             return True
         return self.clock() - self._made_at >= START_SECONDS
 
--- a/pondpin/relay/peers/quarantine_news.py
+++ b/pondpin/relay/peers/quarantine_news.py
@@ -5,7 +5,7 @@
 starts, or comes back from a cut, has them with the first digests.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
@@ -63,7 +63,7 @@
     boot: int
     quarantine: Quarantine
     write: Callable[[bytes, str], None]
-    hosts: Callable[[], Iterable[str]]
+    hosts: Callable[[], Collection[str]]
     clock: Clock
     on_heard: Callable[[str, Sequence[NamedEnd]], None] = lambda source, ends: None
     running: dict[int, int] = field(default_factory=dict)
