--- a/pondpin/relay/attempts/liveness_checks.py
+++ b/pondpin/relay/attempts/liveness_checks.py
@@ -11,7 +11,7 @@
     Run,
     RunTracker,
 )
-from pondpin.relay.log_events import UpstreamEnded
+from pondpin.relay.quarantine_events import UpstreamEnded
 from pondpin.relay.upstreams.state import UpstreamState
 from pondpin.request_identity import format_identity
 
--- a/pondpin/relay/attempts/quarantine_records.py
+++ b/pondpin/relay/attempts/quarantine_records.py
@@ -26,8 +26,8 @@
 )
 from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall
 from pondpin.relay.log import EventLog
-from pondpin.relay.log_events import VerdictChanged
 from pondpin.relay.peers.quarantine_sync import QuarantineSync
+from pondpin.relay.quarantine_events import VerdictChanged
 from pondpin.relay.upstreams.state import release_id
 from pondpin.relay.upstreams.table import UpstreamTable
 from pondpin.request_identity import format_identity
--- a/pondpin/relay/log_events.py
+++ b/pondpin/relay/log_events.py
@@ -270,49 +270,6 @@
     target_ms: int = 0
 
 
-class UpstreamEnded(LogEvent, frozen=True, kw_only=True, tag="upstream_ended"):
-    """An upstream was checked by connecting, as a request broke off or was abandoned.
-
-    answer: the result. ran: identities of this instance's requests there, each with the ms since it
-    was sent and whether it may have just started.
-    """
-
-    upstream: str
-    answer: str
-    after_ms: int
-    ran: tuple[str, ...] = ()
-
-
-class VerdictChanged(LogEvent, frozen=True, kw_only=True, tag="verdict"):
-    """A request became suspected, quarantined or free.
-
-    ends: the ended lives that count against it. seconds: the rest of its quarantine.
-    """
-
-    identity: str
-    verdict: str
-    ends: tuple[str, ...] = ()
-    seconds: float = 0.0
-
-
-class UpstreamQueried(LogEvent, frozen=True, kw_only=True, tag="upstream_asked"):
-    """A status query was sent to a silent engine."""
-
-    upstream: str
-    answers: bool
-    reason: str = ""
-    running: int = 0
-    waiting: int = 0
-
-
-class LeaseFailed(LogEvent, frozen=True, kw_only=True, tag="leases"):
-    """Memory leases of a request were refused, unused or not released."""
-
-    request: str
-    outcome: str
-    detail: str
-
-
 class LinesDropped(LogEvent, frozen=True, kw_only=True, tag="lines_dropped"):
     """Lines dropped in the last second, by the rate limit or a full queue."""
 
--- /dev/null
+++ b/pondpin/relay/quarantine_events.py
@@ -0,0 +1,28 @@
+"""Log events on requests that may crash upstreams."""
+
+from pondpin.relay.log_events import LogEvent
+
+
+class UpstreamEnded(LogEvent, frozen=True, kw_only=True, tag="upstream_ended"):
+    """An upstream was checked by connecting, as a request broke off or was abandoned.
+
+    answer: the result. ran: identities of this instance's requests there, each with the ms since it
+    was sent and whether it may have just started.
+    """
+
+    upstream: str
+    answer: str
+    after_ms: int
+    ran: tuple[str, ...] = ()
+
+
+class VerdictChanged(LogEvent, frozen=True, kw_only=True, tag="verdict"):
+    """A request became suspected, quarantined or free.
+
+    ends: the ended lives that count against it. seconds: the rest of its quarantine.
+    """
+
+    identity: str
+    verdict: str
+    ends: tuple[str, ...] = ()
+    seconds: float = 0.0
--- a/pondpin/relay/upstreams/leases.py
+++ b/pondpin/relay/upstreams/leases.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass, replace
 
 from pondpin.http_streams import CallFailedError
+from pondpin.relay.engine_events import LeaseFailed
 from pondpin.relay.log import EventLog
-from pondpin.relay.log_events import LeaseFailed
 from pondpin.relay.ports import HeadCallback, LeasePort, LeaseResponse, PartAssignment
 from pondpin.relay.upstreams.notice_handler import HeadHandler, SentRequest, ignore_head
 
--- a/pondpin/relay/upstreams/reports.py
+++ b/pondpin/relay/upstreams/reports.py
@@ -6,8 +6,8 @@
 from pondpin.availability import BlockReason
 from pondpin.clocks import Clock
 from pondpin.http_streams import CallFailedError
+from pondpin.relay.engine_events import UpstreamQueried
 from pondpin.relay.log import EventLog
-from pondpin.relay.log_events import UpstreamQueried
 from pondpin.relay.model import EngineReport
 from pondpin.relay.ports import ReportPort
 from pondpin.relay.upstreams.notice_handler import HeadHandler, SentRequest, ignore_head
