--- a/pondpin/relay/upstreams/table.py
+++ b/pondpin/relay/upstreams/table.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
+from functools import cached_property
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -18,6 +19,7 @@
 if TYPE_CHECKING:
     from pondpin.relay.upstreams.cold_starts import ColdStarts
     from pondpin.relay.upstreams.contention import Contention
+    from pondpin.relay.upstreams.long_prefill_table import LongPrefillTable
     from pondpin.relay.upstreams.long_prefills import LongPrefill
 
 # Lifetime of a peer's digest of its work; digests arrive several times a second.
@@ -81,8 +83,6 @@
         self._own_loads_at = float("-inf")
         # None until an upstream has been contended.
         self.contention: Contention | None = None
-        # Lives and groups of the parts in a peer's last message.
-        self._prefills_by_peer: dict[str, tuple[tuple[int, int], ...]] = {}
         self._lives_by_peer: dict[str, tuple[int, ...]] = {}
 
     def is_enabled(self, mechanism: Mechanism) -> bool:
@@ -268,36 +268,20 @@
     def update_long_prefills(
         self, instance: str, prefills: "Iterable[LongPrefill]", now: float
     ) -> None:
-        """Replace an instance's long prefills by those in its message."""
-        from pondpin.relay.upstreams.long_prefills import received_prefill
-
-        if self.without & {Mechanism.PEER_LOADS, Mechanism.LONG_READS}:
-            return
-        for life, group in self._prefills_by_peer.pop(instance, ()):
-            known = self._by_life.get(life)
-            if known is not None:
-                known.peer_prefills_by_group.pop(group, None)
-        parts = []
-        for announced in prefills:
-            received = received_prefill(announced, now)
-            for life in announced.lives:
-                state = self._by_life.get(life)
-                if state is not None:
-                    state.peer_prefills_by_group[announced.group] = received
-                    parts.append((life, announced.group))
-        if parts:
-            self._prefills_by_peer[instance] = tuple(parts)
+        """See LongPrefillTable."""
+        if not self.without & {Mechanism.PEER_LOADS, Mechanism.LONG_READS}:
+            self._long_prefills.update(instance, prefills, now)
 
     def own_long_prefills(self, now: float) -> "tuple[LongPrefill, ...]":
-        """The unfinished long prefills of this instance."""
-        from pondpin.relay.upstreams.long_prefills import collect_long_prefills
+        """See LongPrefillTable."""
+        return self._long_prefills.own(self.by_id.values(), now)
 
-        works = (
-            (state.life, work)
-            for state in self.by_id.values()
-            for work in state.work_by_key.values()
-        )
-        return collect_long_prefills(works, now)
+    @cached_property
+    def _long_prefills(self) -> "LongPrefillTable":
+        """Imported for long prompts in large fleets."""
+        from pondpin.relay.upstreams.long_prefill_table import LongPrefillTable
+
+        return LongPrefillTable(self.by_life)
 
     def own_data_center_loads(self, now: float) -> tuple[DataCenterLoad, ...]:
         """The load of this data centre's upstreams by service.
