Log when an instance fails to connect to every upstream it tries

All connections of a relay now go through UpstreamConnector. It is direct while connecting succeeds; the first failure loads relay/paths, which counts failing upstreams and logs upstreams_unreachable (begins, failing, of, seconds, alive_peers, last_failure) and a gauge. No decision uses them yet.

--- a/pondpin/http_client.py
+++ b/pondpin/http_client.py
@@ -4,7 +4,7 @@
 import enum
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 from twisted.internet import error as net_error
 from twisted.internet.defer import Deferred, succeed
@@ -12,7 +12,8 @@
     TCP4ClientEndpoint,
     TCP6ClientEndpoint,
 )
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import Factory
+from twisted.internet.protocol import Protocol as TwistedProtocol
 from twisted.web._newclient import Request, _ensureValidMethod
 from twisted.web.client import URI, Agent
 from twisted.web.http_headers import Headers
@@ -32,6 +33,18 @@
 )
 
 
+class PathError(net_error.ConnectError):
+    """No path to a server; whether the server itself is at fault is not known."""
+
+
+class Connector(Protocol):
+    """Opens connections to servers."""
+
+    def connect(self, host: str, port: int, factory: Any) -> Deferred[Any]:
+        """Connect; fires with the factory's protocol, or fails with one of CONNECT_ERRORS."""
+        ...
+
+
 class ConnectOutcome(enum.Enum):
     """Result of an attempt to connect."""
 
@@ -42,7 +55,7 @@
 
 class _ProbeFactory(Factory):
     noisy = False
-    protocol = Protocol
+    protocol = TwistedProtocol
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,19 +87,45 @@
         """No effect."""
 
 
-@implementer(IAgentEndpointFactory)
-class NumericEndpoints:
+class DirectConnector:
     """Connects by IP address, without the resolver and its threads."""
 
     def __init__(self, reactor: Any, connect_timeout: float) -> None:
         self._reactor = reactor
         self._timeout = connect_timeout
 
+    def connect(self, host: str, port: int, factory: Any) -> Deferred[Any]:
+        """See Connector."""
+        endpoint_type = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
+        endpoint = endpoint_type(self._reactor, host, port, timeout=self._timeout)
+        connecting: Deferred[Any] = endpoint.connect(factory)
+        return connecting
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectorEndpoint:
+    """An endpoint that uses a connector."""
+
+    connector: Connector
+    host: str
+    port: int
+
+    def connect(self, factory: Any) -> Deferred[Any]:
+        """See IStreamClientEndpoint."""
+        return self.connector.connect(self.host, self.port, factory)
+
+
+@implementer(IAgentEndpointFactory)
+class NumericEndpoints:
+    """Endpoints by IP address."""
+
+    def __init__(self, connector: Connector) -> None:
+        self._connector = connector
+
     def endpointForURI(self, uri: Any) -> Any:
         """See IAgentEndpointFactory."""
         host = uri.host.decode("ascii").strip("[]")
-        endpoint_type = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
-        return endpoint_type(self._reactor, host, uri.port, timeout=self._timeout)
+        return ConnectorEndpoint(self._connector, host, uri.port)
 
 
 @implementer(IAgentEndpointFactory)
@@ -156,7 +195,8 @@
 class HttpClient:
     """Makes HTTP calls by IP address, without retries.
 
-    endpoints: factory for calls by URL; see `pondpin.secure_endpoints` for https.
+    endpoints: factory for calls by URL; see `pondpin.secure_endpoints` for https. connector: opens
+    all other connections, directly by default.
     """
 
     def __init__(
@@ -166,12 +206,12 @@
         per_host: int = 512,
         endpoints: Any = None,
         idle_seconds: float = IDLE_SECONDS,
+        connector: Connector | None = None,
     ) -> None:
         pool = CheckedConnectionPool(reactor, idle_seconds, per_host)
         self._pool = pool
-        self._reactor = reactor
-        self._connect_timeout = connect_timeout
-        endpoints = endpoints or NumericEndpoints(reactor, connect_timeout)
+        self._connector = connector or DirectConnector(reactor, connect_timeout)
+        endpoints = endpoints or NumericEndpoints(self._connector)
         self._pooled = Agent.usingEndpointFactory(reactor, endpoints, pool)
         self._fresh = Agent.usingEndpointFactory(reactor, endpoints)
         make_raw: Any = _RawAgent.usingEndpointFactory
@@ -204,9 +244,7 @@
 
         withhold_reason is called just before sending; raises WithheldError unless it returns "".
         """
-        endpoint = TCP4ClientEndpoint(
-            self._reactor, call.host, call.port, timeout=self._connect_timeout
-        )
+        endpoint = ConnectorEndpoint(self._connector, call.host, call.port)
         agent = self._raw_fresh if fresh else self._raw
         return await self._receive_head(agent.request_raw(call, endpoint, withhold_reason))
 
@@ -217,8 +255,12 @@
         except WithheldError:
             raise
         except CONNECT_ERRORS as error:
-            refused = isinstance(error, net_error.ConnectionRefusedError)
-            raise CallFailedError(type(error).__name__, sent=False, refused=refused) from None
+            raise CallFailedError(
+                type(error).__name__,
+                sent=False,
+                refused=isinstance(error, net_error.ConnectionRefusedError),
+                unconfirmed=isinstance(error, PathError),
+            ) from None
         except asyncio.CancelledError:
             close_if_answered(future)
             raise
@@ -232,9 +274,7 @@
 
     async def try_connect(self, host: str, port: int) -> ConnectOutcome:
         """Check whether a server listens: connect and close."""
-        endpoint = TCP4ClientEndpoint(self._reactor, host, port, timeout=self._connect_timeout)
-        factory: Any = _ProbeFactory()
-        connecting: Any = endpoint.connect(factory)
+        connecting = self._connector.connect(host, port, _ProbeFactory())
         try:
             connection = await connecting.asFuture(asyncio.get_running_loop())
         except net_error.ConnectionRefusedError:
--- a/pondpin/http_streams.py
+++ b/pondpin/http_streams.py
@@ -16,13 +16,17 @@
 class CallFailedError(Exception):
     """A call got no complete response; sent: whether any byte of it may have been sent.
 
-    refused: the connection was refused.
+    refused: the connection was refused. unconfirmed: there was no path to the server, which says
+    nothing of the server itself.
     """
 
-    def __init__(self, cause: str, sent: bool, refused: bool = False) -> None:
+    def __init__(
+        self, cause: str, sent: bool, refused: bool = False, unconfirmed: bool = False
+    ) -> None:
         super().__init__(cause)
         self.sent = sent
         self.refused = refused
+        self.unconfirmed = unconfirmed
 
 
 class WithheldError(CallFailedError):
--- a/pondpin/metrics.py
+++ b/pondpin/metrics.py
@@ -89,6 +89,10 @@
         self.upstreams_resting = self._gauge(
             "pondpin_upstreams_resting", "Listed upstreams that asked this instance for rest."
         )
+        self.upstreams_unreachable = self._gauge(
+            "pondpin_upstreams_unreachable",
+            "Upstreams that this instance failed to connect to within the last seconds.",
+        )
         self.peer_bytes = self._counter(
             "pondpin_peer_message_bytes_total", "Bytes of peer messages, by direction."
         )
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -8,7 +8,6 @@
 
 import pondpin
 from pondpin.controllers.base import Controller
-from pondpin.http_client import HttpClient
 from pondpin.http_reply import IncomingRequest, Reply
 from pondpin.http_server import WebServer
 from pondpin.metrics import Metrics
@@ -36,7 +35,7 @@
     LazyPieceClient,
 )
 from pondpin.relay.log import EventLog
-from pondpin.relay.log_events import Reloaded, Started, Stopped, Stopping
+from pondpin.relay.log_events import Reloaded, Started, Stopped
 from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.peers.controller import GossipController
 from pondpin.relay.peers.gossip import Gossip
@@ -45,6 +44,7 @@
 from pondpin.relay.published.publication import Publication
 from pondpin.relay.published.reader import ReaderController, renewal_scale
 from pondpin.relay.published.source_monitor import SourceMonitor
+from pondpin.relay.upstream_connector import UpstreamConnector, make_http_client
 from pondpin.relay.upstreams.notice_handler import ANSWER_SOURCE, NoticeHandler
 from pondpin.relay.upstreams.probe import ProbeController
 from pondpin.relay.upstreams.table import UpstreamTable
@@ -52,19 +52,12 @@
 from pondpin.request_identity import derive_key
 from pondpin.runtime import steady_now, wall_now
 
-# Connecting to an upstream takes a few ms; TCP retransmits a lost SYN only after 1 s.
-CONNECT_SECONDS = 0.3
-# Short, so that few idle connections are kept and requests rarely meet one that is being closed.
-IDLE_SECONDS = 4.0
 # Part of the keys' age bound reserved for the delay to the upstream and clock drift.
 KEY_MARGIN_SECONDS = 0.4
 # Within this, some instance has read a configuration change and broadcast it.
 CHANGE_BROADCAST_SECONDS = 0.7
-DRAIN_POLL_SECONDS = 0.1
 # The load balancer removes an instance after two failed readiness checks that are 1 s apart.
 BALANCER_REMOVAL_SECONDS = 3.0
-# Open requests are cancelled this long before the process would be killed.
-STOP_MARGIN_SECONDS = 0.4
 # Time to learn the peers' placements after a start: each peer sends two digests in it.
 SETTLE_SECONDS = 0.5
 # A starting instance prefers its peers' configuration this long: the source may be an older copy.
@@ -81,7 +74,7 @@
         self._log_fd = sys.stdout.fileno() if log_fd is None else log_fd
         self.boot = secrets.randbits(48)
         self.rng = random.Random(self.boot)
-        self._stopping_at: float | None = None
+        self.stopping_at: float | None = None
         self._created_at = steady_now()
         self._make_state()
         self._make_gossip()
@@ -96,7 +89,8 @@
         disabled = frozenset(settings.without)
         self.policy = RelayPolicy(PlacementPolicy(settings.placement), disabled)
         self.table = UpstreamTable(settings.data_center, disabled)
-        self.http = HttpClient(self.reactor, CONNECT_SECONDS, idle_seconds=IDLE_SECONDS)
+        self.connector = UpstreamConnector(self.reactor, lambda: self.lazy.paths)
+        self.http = make_http_client(self.reactor, self.connector)
         self.publication = Publication(
             PlatformDecoder(),
             lambda configuration: self.publication_handler.apply_configuration(configuration),
@@ -172,6 +166,7 @@
             lease_prefix,
             policy,
             lambda: self.settings.limits,
+            direct=self.connector.direct,
         )
         dialect = PlatformDialect()
         checks = SendChecks(
@@ -208,7 +203,7 @@
             metrics=self.metrics,
             clock=steady_now,
             rng=self.rng,
-            refuses_new=self._refuses_new,
+            refuses_new=self.refuses_new,
             record_load=(lambda *load: self.gossip.slots.record_head(*load))
             if policy.has(Mechanism.SLOT_GRANTS)
             else None,
@@ -343,25 +338,15 @@
 
     async def drain_and_stop(self) -> None:
         """Become unready at once, drain open requests for the grace period, then stop."""
-        began_at = steady_now()
-        self._stopping_at = began_at
-        self.caller_server.stopping = True
-        self.gossip.is_stopping = True
-        self.gossip.send_soon()
-        grace = self.settings.limits.grace_seconds
-        self.log.write(Stopping(open_requests=self.handler.open_requests, grace=grace))
-        while steady_now() - began_at < grace - STOP_MARGIN_SECONDS:
-            refuses = self._refuses_new(steady_now())
-            if refuses:
-                self.caller_server.close_idle()
-            if refuses and not self.handler.open_requests and not len(self.caller_server.channels):
-                break
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        from pondpin.relay.draining import drain
+
+        self.stopping_at = steady_now()
+        await drain(self, self.stopping_at)
         await self.stop()
 
-    def _refuses_new(self, now: float) -> bool:
+    def refuses_new(self, now: float) -> bool:
         """New requests may outlast the process."""
-        return self._stopping_at is not None and now - self._stopping_at >= BALANCER_REMOVAL_SECONDS
+        return self.stopping_at is not None and now - self.stopping_at >= BALANCER_REMOVAL_SECONDS
 
     @property
     def _servers(self) -> tuple[WebServer, ...]:
--- a/pondpin/relay/lazy_components.py
+++ b/pondpin/relay/lazy_components.py
@@ -8,7 +8,7 @@
 from functools import cached_property
 from typing import TYPE_CHECKING
 
-from pondpin.http_client import HttpClient
+from pondpin.http_client import Connector, HttpClient
 from pondpin.metrics import Metrics
 from pondpin.relay.attempts.crash_guard import CrashGuard
 from pondpin.relay.log import EventLog
@@ -24,6 +24,7 @@
     from pondpin.relay.choosing.planner import RelayPolicy
     from pondpin.relay.model import RelayConfiguration
     from pondpin.relay.operator_api import OperatorApi
+    from pondpin.relay.paths.upstream_paths import UpstreamPaths
     from pondpin.relay.published.document_server import DocumentServer
     from pondpin.relay.published.pieces import FetchPieceReply, FetchPieceRequest, HttpPieceClient
     from pondpin.relay.upstreams.leases import LeaseManager
@@ -73,6 +74,7 @@
         lease_prefix: str,
         policy: "RelayPolicy",
         limits: "Callable[[], RelayLimits]",
+        direct: Connector,
     ) -> None:
         self._http = http
         self._gossip = gossip
@@ -83,6 +85,7 @@
         self._lease_prefix = lease_prefix
         self._policy = policy
         self._limits = limits
+        self._direct = direct
 
     @cached_property
     def dispatcher(self) -> "Dispatcher":
@@ -99,6 +102,21 @@
             self._policy,
         )
 
+    @cached_property
+    def paths(self) -> "UpstreamPaths":
+        """Paths to upstreams once connections have failed."""
+        from pondpin.relay.paths.upstream_paths import UpstreamPaths
+
+        gossip = self._gossip
+        return UpstreamPaths(
+            self._direct,
+            gossip.table,
+            self._metrics,
+            self._log,
+            steady_now,
+            lambda: len(gossip.peer_table.alive(steady_now())),
+        )
+
     @cached_property
     def leases(self) -> "LeaseManager":
         """Memory leases for split prompts."""
--- /dev/null
+++ b/pondpin/relay/paths/__init__.py
@@ -0,0 +1,1 @@
+"""Paths of connections to upstreams: direct, or through a peer."""
--- a/pondpin/secure_endpoints.py
+++ b/pondpin/secure_endpoints.py
@@ -8,7 +8,7 @@
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
-from pondpin.http_client import NumericEndpoints
+from pondpin.http_client import DirectConnector, NumericEndpoints
 
 
 @implementer(IAgentEndpointFactory)
@@ -16,7 +16,7 @@
     """Connects by IP address; authority: PEM file of the CA that must have signed certificates."""
 
     def __init__(self, reactor: Any, connect_timeout: float, authority: str) -> None:
-        super().__init__(reactor, connect_timeout)
+        super().__init__(DirectConnector(reactor, connect_timeout))
         self._authority = authority
 
     def endpointForURI(self, uri: Any) -> Any:
--- a/pondpin/tests/test_relay_layers.py
+++ b/pondpin/tests/test_relay_layers.py
@@ -9,8 +9,16 @@
 FOLDER = Path(pondpin.relay.__file__).parent
 # The shared modules come first; the modules of COMPOSITION put the layers together.
 SHARED = "shared"
-LAYERS = (SHARED, "published", "upstreams", "choosing", "peers", "attempts", "whole")
-COMPOSITION = ("entry", "lazy_components", "publication_handler", "housekeeping", "operator_api")
+LAYERS = (SHARED, "published", "upstreams", "choosing", "peers", "paths", "attempts", "whole")
+COMPOSITION = (
+    "entry",
+    "lazy_components",
+    "upstream_connector",
+    "publication_handler",
+    "housekeeping",
+    "operator_api",
+    "draining",
+)
 # `ports` uses the type of published items: the only import of a shared module from a layer.
 ALLOWED = {("ports", "published.documents")}
 MAX_LINES = 400
