Refuse long or repeated entries of KNOWN-RED.txt instead of a fourth one

The list took three entries at most. So the check worked against its purpose, to keep what is red in sight.

--- a/pondpin/tests/test_known_red.py
+++ b/pondpin/tests/test_known_red.py
@@ -49,12 +49,16 @@
         found = parse_list("a.b.c | too slow | issue 4\n\n")
         self.assertEqual(found, {"a.b.c": KnownRed("a.b.c", "too slow", "issue 4")})
 
-    def test_lines_of_another_form_and_long_lists_are_refused(self) -> None:
-        for text in ("a.b.c", "a | | issue 4", "a | b | c | d"):
+    def test_lines_of_another_form_long_ones_and_repeated_tests_are_refused(self) -> None:
+        long = f"a | {'x' * 500} | issue 4"
+        twice = "a | b | issue 4\na | c | issue 5\n"
+        for text in ("a.b.c", "a | | issue 4", "a | b | c | d", "a | b | an issue", long, twice):
             with self.assertRaises(ValueError):
                 parse_list(text)
-        with self.assertRaises(ValueError):
-            parse_list("".join(f"t{number} | cause | issue\n" for number in range(4)))
+
+    def test_each_failing_test_has_its_entry(self) -> None:
+        text = "".join(f"t{number} | cause | issue {number}\n" for number in range(4))
+        self.assertEqual(len(parse_list(text)), 4)
 
 
 class RunnerTest(unittest.TestCase):
