--- a/pondpin/standins/local_platform.py
+++ b/pondpin/standins/local_platform.py
@@ -10,6 +10,7 @@
 from pondpin.relay.entry import RelayEntry
 from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay_settings import RelayLimits, RelayPeers, RelaySettings
+from pondpin.standins.partitions import Cut, PartitionableReactor
 from pondpin.standins.published_store import PublishedStore
 from pondpin.standins.store_state import (
     CONFIGURATION_KEY,
@@ -133,6 +134,8 @@
     place_by_id: dict[str, Endpoint] = field(default_factory=dict)
     entries: list[RelayEntry] = field(default_factory=list)
     callers: list[Endpoint] = field(default_factory=list)
+    # The reactor of each instance, which can cut it from the workers.
+    links: list[PartitionableReactor] = field(default_factory=list)
 
     async def start(self) -> None:
         """Start all and wait until every instance is ready."""
@@ -207,11 +210,19 @@
 
     async def add_instance(self, number: int) -> RelayEntry:
         """Start a relaying instance."""
+        self.links.append(PartitionableReactor(self.reactor, self._is_worker))
         entry, place = await self._start_instance(number)
         self.entries.append(entry)
         self.callers.append(place)
         return entry
 
+    def cut_from_workers(self, number: int, cut: Cut) -> None:
+        """Cut an instance from all workers, or end its cut."""
+        self.links[number].set_cut(cut)
+
+    def _is_worker(self, host: str, port: int) -> bool:
+        return Endpoint(host, port) in self.place_by_id.values()
+
     async def restart_instance(self, number: int) -> None:
         """Start an instance that was stopped anew."""
         self.entries[number], self.callers[number] = await self._start_instance(number)
@@ -234,7 +245,7 @@
             without=self.without,
         )
         sink = os.open(os.devnull, os.O_WRONLY)
-        entry = RelayEntry(self.reactor, settings, sink)
+        entry = RelayEntry(self.links[number], settings, sink)
         return entry, await entry.start()
 
     async def until(self, condition: Any, seconds: float = 20.0) -> None:
