Import the choice of engines of large fleets when it is needed

Engines of other data centres, spilling and the sums of the own data centre's load are used only where peers are too many to report all work. The decisions are the same.

--- a/pondpin/relay/choosing/planner.py
+++ b/pondpin/relay/choosing/planner.py
@@ -21,7 +21,6 @@
 from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.model import EngineProfile
 from pondpin.relay.ports import PartAssignment
-from pondpin.relay.upstreams.data_center_loads import ReceivedLoad
 from pondpin.relay.upstreams.state import UpstreamState
 from pondpin.relay.upstreams.table import UpstreamTable, isolation_candidates
 from pondpin.relay.upstreams.work import LONG_PREFILL_SECONDS, Work
@@ -31,8 +30,6 @@
 SEND_SOON_SECONDS = 0.03
 # Long prompts want many parts: with fewer local engines they use remote ones too.
 MIN_LOCAL_ENGINES = 12
-# A light stream spills to a data centre with this many fewer requests per engine.
-SPILL_DIFFERENCE = 2.0
 # Usable share of a connection limit; the remainder is for connections being closed.
 CONNECTIONS_SHARE = 0.9
 # Lower bound: callers are spread unevenly, and few instances are busy at once.
@@ -100,11 +97,11 @@
     ) -> None:
         self._has_spare = has_spare
         self._broadcast_long_prefills = broadcast_long_prefills
-        self._table = table
+        self.table = table
         self._clock = clock
         self._rng = rng
         self._send_soon = send_soon
-        self._policy = policy or RelayPolicy()
+        self.policy = policy or RelayPolicy()
         self._instance_count = instance_count
         self._peer_count = peer_count
         self._knows_peers = knows_peers
@@ -114,7 +111,7 @@
     def plan(self, call: RelayCall, progress: Progress, avoid: frozenset[int]) -> Plan | None:
         """Plan the next attempt of a call; None when no upstream can take it now."""
         now = self._clock()
-        states = self._table.candidates(
+        states = self.table.candidates(
             call.service,
             now,
             progress.tried_lives | avoid,
@@ -151,18 +148,17 @@
         return not progress.attempts and self._has_spare(state)
 
     def _plan_plain(self, states: list[UpstreamState], now: float) -> Plan:
-        contention = self._table.contention
+        contention = self.table.contention
         if contention is not None and contention.is_any(now):
             from pondpin.relay.choosing.contended_choice import choose_contended
 
-            lead = choose_contended(states, contention, self._is_local, self._rng, now)
+            lead = choose_contended(states, contention, self.is_local, self._rng, now)
             return Plan(lead, (), None, len(states))
         views = [
-            ServiceView(state.id, state.in_flight(now), 0, self._is_local(state))
-            for state in states
+            ServiceView(state.id, state.in_flight(now), 0, self.is_local(state)) for state in states
         ]
         name = choose_service(views).id
-        return Plan(self._table.by_id[name], (), None, len(states))
+        return Plan(self.table.by_id[name], (), None, len(states))
 
     def _plan_engines(
         self,
@@ -178,12 +174,12 @@
             states = [state for state in states if not state.is_cold]
             if not states:
                 return None
-        if self._policy.placement is not PlacementPolicy.PREDICTED:
+        if self.policy.placement is not PlacementPolicy.PREDICTED:
             # Only measurements use baselines.
             from pondpin.relay.choosing.baselines import plan_baseline
 
             tokens = call.metadata.prompt_tokens
-            placement = self._policy.placement
+            placement = self.policy.placement
             plain = plan_baseline(placement, profile, tokens, states, self._rng, now)
             return Plan(plain[0], (), plain[1], len(states))
         if not light:
@@ -191,60 +187,18 @@
             states = [state for state in states if not state.is_limited] or states
         local = self._visible(states, light)
         max_parts = 1 if progress.suspected or progress.permit is not None else MAX_PARTS
-        choice = self._choose(
-            job, profile, local, now, self._reported_light(call.service, local, now), max_parts
-        )
-        if len(local) < len(states):
-            choice = self._choose_remote(call.service, job, profile, states, choice, now, max_parts)
+        if self.table.all_peers_report_work:
+            choice = self.choose(job, profile, local, now, max_parts=max_parts)
+        else:
+            from pondpin.relay.choosing.large_fleet import choose_in_large_fleet
+
+            choice = choose_in_large_fleet(self, call, job, (local, states), now, max_parts)
         if choice is None:
             return None
-        helpers = tuple(self._table.by_id[name] for name in choice.helpers)
-        lead = self._table.by_id[choice.lead]
+        helpers = tuple(self.table.by_id[name] for name in choice.helpers)
+        lead = self.table.by_id[choice.lead]
         return Plan(lead, helpers, choice, len(states), not light, len(local))
 
-    def _choose_remote(
-        self,
-        service: str,
-        job: Job,
-        profile: EngineProfile,
-        states: list[UpstreamState],
-        local: EngineChoice | None,
-        now: float,
-        max_parts: int,
-    ) -> EngineChoice | None:
-        """Use remote engines when the local choice is late or overloaded."""
-        late = local is None or local.first_event_seconds > job.target
-        light = is_light(profile, job.prompt_tokens, job.effective_gap_target)
-        spills = light and self._policy.has(Mechanism.SPILL)
-        spill = self._spill_target(service, profile, local, late, now) if spills else None
-        if spill is not None:
-            data_center, received = spill
-            engines = [state for state in states if state.listed.data_center == data_center]
-            return self._choose(job, profile, engines, now, received.load.light, max_parts) or local
-        if not late:
-            return local
-        reported = self._reported_light(service, states, now)
-        choice = self._choose(job, profile, states, now, reported, max_parts)
-        return choice if local is None or (choice and choice.loss < local.loss) else local
-
-    def _spill_target(
-        self,
-        service: str,
-        profile: EngineProfile,
-        local: EngineChoice | None,
-        late: bool,
-        now: float,
-    ) -> tuple[str, ReceivedLoad] | None:
-        found = self._table.data_center_loads.least_loaded(
-            service, self._table.silent_data_centers, now
-        )
-        if found is None or late or local is None:
-            return found
-        in_flight = self._table.by_id[local.lead].in_flight(now)
-        if in_flight < profile.slots - 1:
-            return None
-        return found if found[1].mean_in_flight <= in_flight - SPILL_DIFFERENCE else None
-
     def _visible(self, states: list[UpstreamState], light: bool) -> list[UpstreamState]:
         """The engines whose load is known here: in a large fleet the local ones.
 
@@ -252,21 +206,13 @@
         knew a fifth of it, the busiest of 15 engines had 3.5 times the mean load and half of the
         short streams were late.
         """
-        if self._table.all_peers_report_work:
+        if self.table.all_peers_report_work:
             return states
-        local = [state for state in states if self._is_local(state)]
+        local = [state for state in states if self.is_local(state)]
         minimum = 1 if light else MIN_LOCAL_ENGINES
         return local if len(local) >= minimum else states
 
-    def _reported_light(self, service: str, engines: list[UpstreamState], now: float) -> int:
-        """Light streams on the engines, with those that other data centres report."""
-        if self._table.all_peers_report_work or all(self._is_local(state) for state in engines):
-            return 0
-        own = self._table.own_data_center_loads(now)
-        local = sum(load.light for load in own if load.service == service)
-        return local + self._table.data_center_loads.light_streams_elsewhere(service, now)
-
-    def _choose(
+    def choose(
         self,
         job: Job,
         profile: EngineProfile,
@@ -276,17 +222,17 @@
         max_parts: int = MAX_PARTS,
     ) -> EngineChoice | None:
         """Choose up to max_parts engines; light: reported light streams on them."""
-        if not self._table.all_peers_report_work:
+        if not self.table.all_peers_report_work:
             states = interleave_data_centers(states)
-        views = [LazyEngine(state, now, self._is_local(state)) for state in states]
+        views = [LazyEngine(state, now, self.is_local(state)) for state in states]
         light = max(light, sum(state.light_in_flight(now) for state in states))
         if is_light(profile, job.prompt_tokens, job.effective_gap_target):
             light += self._unreported_light(profile, len(states), now)
         options = ChoiceOptions(
-            max_parts if self._policy.has(Mechanism.PARTS) else 1,
-            wait_for_long_prefills=self._policy.has(Mechanism.CALENDAR),
-            light_pool=self._policy.has(Mechanism.POOL),
-            leases=self._policy.has(Mechanism.LEASES),
+            max_parts if self.policy.has(Mechanism.PARTS) else 1,
+            wait_for_long_prefills=self.policy.has(Mechanism.CALENDAR),
+            light_pool=self.policy.has(Mechanism.POOL),
+            leases=self.policy.has(Mechanism.LEASES),
         )
         return choose_engines(profile, job, views, light, self._rng, options)
 
@@ -300,14 +246,15 @@
         if not self._knows_peers():
             # Peers may have filled any engine: spread over all.
             return profile.slots * engines
-        if not self._policy.has(Mechanism.UNSEEN):
+        if not self.policy.has(Mechanism.UNSEEN):
             return 0
         while self._light_times and now - self._light_times[0] > DIGEST_SECONDS:
             self._light_times.popleft()
         return len(self._light_times) * self._peer_count()
 
-    def _is_local(self, state: UpstreamState) -> bool:
-        return state.listed.data_center == self._table.data_center
+    def is_local(self, state: UpstreamState) -> bool:
+        """Whether an upstream is in the own data centre."""
+        return state.listed.data_center == self.table.data_center
 
     def begin_attempt(self, call: RelayCall, progress: Progress, plan: Plan) -> int:
         """Record an attempt's work on its upstreams; returns its key."""
--- a/pondpin/relay/upstreams/table.py
+++ b/pondpin/relay/upstreams/table.py
@@ -10,6 +10,7 @@
 
 from pondpin.availability import MAX_LIVES, AvailabilityTable
 from pondpin.health import record_failure
+from pondpin.network import Endpoint
 from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.model import ListedUpstream, life_of
 from pondpin.relay.upstreams.data_center_loads import DataCenterLoad, DataCenterLoads
@@ -21,11 +22,10 @@
     from pondpin.relay.upstreams.contention import Contention
     from pondpin.relay.upstreams.long_prefill_table import LongPrefillTable
     from pondpin.relay.upstreams.long_prefills import LongPrefill
+    from pondpin.relay.upstreams.own_loads import OwnLoads
 
 # Lifetime of a peer's digest of its work; digests arrive several times a second.
 PEER_LOAD_SECONDS = 1.5
-# Lifetime of the cached loads of this data centre.
-OWN_LOAD_SECONDS = 0.1
 # A data centre is reachable for this long after an answer of one of its upstreams.
 SEEN_SECONDS = 0.6
 # Period in which leaving lives that don't all fit in a digest are rotated.
@@ -79,8 +79,6 @@
         # False in a large fleet: only peers in this data centre do.
         self.all_peers_report_work = True
         self.data_center_loads = DataCenterLoads(data_center)
-        self._own_loads: tuple[DataCenterLoad, ...] = ()
-        self._own_loads_at = float("-inf")
         # None until an upstream has been contended.
         self.contention: Contention | None = None
         self._lives_by_peer: dict[str, tuple[int, ...]] = {}
@@ -157,6 +155,14 @@
         """The state of a listed life."""
         return self._by_life.get(life)
 
+    def find(self, endpoint: Endpoint) -> UpstreamState | None:
+        """The listed upstream at an endpoint."""
+        for state in self.by_id.values():
+            listed = state.listed
+            if listed.port == endpoint.port and listed.host == endpoint.host:
+                return state
+        return None
+
     def is_in_service(self, state: UpstreamState) -> bool:
         """Whether a life is listed and not leaving: its end would be unplanned."""
         return self._by_life.get(state.life) is state and not state.leaving
@@ -198,6 +204,11 @@
         """All lives known to be leaving."""
         return frozenset(self._left)
 
+    @property
+    def services(self) -> list[str]:
+        """The services of the upstreams."""
+        return list(self._ids_by_service)
+
     def of_service(self, service: str) -> list[UpstreamState]:
         """The upstreams of a service, in the same order on all instances."""
         return [self.by_id[name] for name in self._ids_by_service.get(service, ())]
@@ -284,29 +295,15 @@
         return LongPrefillTable(self.by_life)
 
     def own_data_center_loads(self, now: float) -> tuple[DataCenterLoad, ...]:
-        """The load of this data centre's upstreams by service.
+        """See OwnLoads."""
+        return self._own_loads.get(now)
 
-        Cached, as peers request it about 15 times a second in a fleet of 195.
-        """
-        if not 0 <= now - self._own_loads_at < OWN_LOAD_SECONDS:
-            self._own_loads = self._sum_own_loads(now)
-            self._own_loads_at = now
-        return self._own_loads
-
-    def _sum_own_loads(self, now: float) -> tuple[DataCenterLoad, ...]:
-        loads = []
-        for service in self._ids_by_service:
-            local = [
-                state
-                for state in self.of_service(service)
-                if state.listed.data_center == self.data_center
-                and not state.block_reason(now)
-                and not state.is_limited
-            ]
-            in_flight = sum(state.in_flight(now) for state in local)
-            light = sum(state.light_in_flight(now) for state in local)
-            loads.append(DataCenterLoad(service, len(local), in_flight, light))
-        return tuple(loads)
+    @cached_property
+    def _own_loads(self) -> "OwnLoads":
+        """Imported in large fleets."""
+        from pondpin.relay.upstreams.own_loads import OwnLoads
+
+        return OwnLoads(self)
 
     def record_failure(self, state: UpstreamState, now: float, certain: bool) -> bool:
         """Record a failed request; True if that ejects the upstream."""
