Serve through peers when the own links to upstreams are lost

Such an instance knew only that each upstream refused or was silent; it took that for the upstream's fault, ejected it, suspected requests of ending it, and had no other path.

Now a failure to connect is evidence on the pair. relay/paths keeps it, asks peers (HTTP CONNECT on a peer's internal port, signed with identity_key, used once, to listed upstreams only, one hop, bounded), and opens the connection through a peer beneath HttpClient, so that every call to upstreams uses it and the instance keeps all its decisions. An upstream is at fault only if two peers that reach others can't connect either. Direct connections are raced with a tunnel while links fail, and probed each 0.25 s; the first success ends the detour. Without any path a request is refused at once (3014, not run). A path is chosen before a byte is sent, so nothing runs twice by it. Failed attempts on lost links don't eject, chill or end an upstream.

--- a/pondpin/codes.py
+++ b/pondpin/codes.py
@@ -67,6 +67,7 @@
     UPSTREAMS_LIMITED = 3011
     DATA_CENTERS_EVACUATED = 3012
     UPSTREAMS_COLD = 3013
+    UPSTREAMS_UNREACHABLE = 3014
     NOT_READY = 4001
     DRAINING = 4002
     ISSUER_GONE = 4003
@@ -76,6 +77,9 @@
     OPERATOR_DENIED = 4007
     CONFIGURATION_INVALID = 4008
     NOT_PROVED = 4009
+    TUNNEL_DENIED = 4010
+    TUNNEL_TARGET = 4011
+    TUNNEL_BUSY = 4012
     INTERNAL = 4999
 
 
@@ -145,6 +149,9 @@
     Code.UPSTREAMS_COLD: CodeInfo(
         503, "Every upstream that could take the request has just started and is at its rate.", True
     ),
+    Code.UPSTREAMS_UNREACHABLE: CodeInfo(
+        503, "This instance has lost its links to the upstreams, and no peer has one.", True
+    ),
     Code.NOT_READY: CodeInfo(503, "The instance has no configuration yet.", True),
     Code.DRAINING: CodeInfo(503, "The instance is stopping.", True),
     Code.ISSUER_GONE: CodeInfo(
@@ -158,5 +165,10 @@
     Code.NOT_PROVED: CodeInfo(
         503, "The configuration in force can't be proved fresh: the instance is cut off.", True
     ),
+    Code.TUNNEL_DENIED: CodeInfo(
+        403, "A tunnel was requested without a valid proof of an instance of this fleet.", False
+    ),
+    Code.TUNNEL_TARGET: CodeInfo(403, "A tunnel leads to listed upstreams only.", False),
+    Code.TUNNEL_BUSY: CodeInfo(503, "The instance has as many tunnels open as it may.", True),
     Code.INTERNAL: CodeInfo(500, "A fault in pondpin itself.", True),
 }
--- a/pondpin/http_client.py
+++ b/pondpin/http_client.py
@@ -36,6 +36,9 @@
 class PathError(net_error.ConnectError):
     """No path to a server; whether the server itself is at fault is not known."""
 
+    def __init__(self, reason: str) -> None:
+        super().__init__(string=reason)  # type: ignore[no-untyped-call]
+
 
 class Connector(Protocol):
     """Opens connections to servers."""
@@ -142,17 +145,17 @@
     _pool: CheckedConnectionPool
 
     def request_raw(
-        self, call: "RawRequest", endpoint: Any, withhold_reason: Callable[[], str]
+        self, call: "RawRequest", endpoint: Any, withhold_reason: Callable[[Any], str]
     ) -> Any:
         """Send a request; the connection is reused for the same host and port.
 
-        withhold_reason is called once connected; unless it returns "", nothing is sent.
+        withhold_reason is called with the connection; unless it returns "", nothing is sent.
         """
         _ensureValidMethod(call.method)
         key = (b"exact", call.host.encode(), call.port)
 
         def send(connection: Any) -> Any:
-            reason = withhold_reason()
+            reason = withhold_reason(connection)
             if reason:
                 self._pool.release(key, connection)
                 raise WithheldError(reason)
@@ -238,11 +241,15 @@
         return await self._receive_head(call)
 
     async def open_raw(
-        self, call: RawRequest, fresh: bool = False, withhold_reason: Callable[[], str] = lambda: ""
+        self,
+        call: RawRequest,
+        fresh: bool = False,
+        withhold_reason: Callable[[Any], str] = lambda connection: "",
     ) -> StreamedResponse:
         """Like open, for a request that is sent unchanged.
 
-        withhold_reason is called just before sending; raises WithheldError unless it returns "".
+        withhold_reason is called with the connection just before sending; raises WithheldError
+        unless it returns "".
         """
         endpoint = ConnectorEndpoint(self._connector, call.host, call.port)
         agent = self._raw_fresh if fresh else self._raw
@@ -326,9 +333,11 @@
         content = await response.read_with_stall_timeout(stall, max_seconds)
         return HttpResponse(response.status, response.headers, content)
 
-    def close_idle(self, host: str, port: int) -> None:
+    def close_idle(
+        self, host: str, port: int, is_outdated: Callable[[Any], bool] = lambda connection: True
+    ) -> None:
         """Close the idle connections to an endpoint."""
-        self._pool.close_idle(host, port)
+        self._pool.close_idle(host, port, is_outdated)
 
     async def close(self) -> None:
         """Close all idle connections."""
--- a/pondpin/http_connections.py
+++ b/pondpin/http_connections.py
@@ -1,6 +1,7 @@
 """Client connections that record how a response ended, and their pool with idle timeouts."""
 
 import re
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -12,6 +13,9 @@
 # Idle connections are closed this long before the server's announced time, to avoid a race.
 KEEP_ALIVE_MARGIN_SECONDS = 0.5
 _TIMEOUT = re.compile(rb"timeout=(\d+)")
+# Linux: struct tcp_info, segments sent and not yet acknowledged.
+_TCP_INFO_BYTES = 28
+_UNACKNOWLEDGED = slice(24, 28)
 
 
 class CheckedConnection(HTTP11ClientProtocol):
@@ -19,10 +23,11 @@
 
     closed_cleanly is set on the response when the server closed without a reset, since a response
     without a length ends with its connection. keep_alive_seconds: the server's idle timeout, None
-    when it sent none.
+    when it sent none. path: the peer through which it goes, empty for a direct one.
     """
 
     keep_alive_seconds: float | None = None
+    path: str = ""
 
     def _finishResponse(self, rest: bytes) -> None:
         if rest and self._currentRequest is not None:
@@ -61,11 +66,14 @@
         self.cachedConnectionTimeout: Any = idle_seconds
         self._idle_seconds = idle_seconds
 
-    def close_idle(self, host: str, port: int) -> None:
-        """Close the idle connections to an endpoint whose server has changed."""
+    def close_idle(
+        self, host: str, port: int, is_outdated: Callable[[Any], bool] = lambda connection: True
+    ) -> None:
+        """Close the idle connections to an endpoint whose server or path has changed."""
         for key in [key for key in self._connections if _endpoint_of(key) == (host, port)]:
             for connection in list(self._connections[key]):
-                self._close_idle(key, connection)
+                if is_outdated(connection):
+                    self._close_idle(key, connection)
 
     def release(self, key: Any, connection: Any) -> None:
         """Return an unused connection, or close it if the pool keeps none."""
@@ -102,6 +110,20 @@
         super()._putConnection(key, connection)  # type: ignore[no-untyped-call]
 
 
+def has_unacknowledged(connection: Any) -> bool:
+    """Whether the server's machine has not acknowledged all that was written.
+
+    Unlike a silent server, whose machine acknowledges, a lost path leaves bytes unacknowledged.
+    """
+    transport = getattr(connection, "transport", None)
+    if transport is None or not transport.connected:
+        return False
+    if len(transport.dataBuffer) > transport.offset or transport._tempDataLen:
+        return True
+    info = transport.getHandle().getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
+    return any(info[_UNACKNOWLEDGED])
+
+
 def _endpoint_of(key: tuple[Any, ...]) -> tuple[str, int]:
     # A kind or scheme, the host, the port.
     host = key[1]
--- a/pondpin/metrics.py
+++ b/pondpin/metrics.py
@@ -93,6 +93,17 @@
             "pondpin_upstreams_unreachable",
             "Upstreams that this instance failed to connect to within the last seconds.",
         )
+        self.tunnels_requested = self._counter(
+            "pondpin_tunnels_requested_total",
+            "Tunnels to upstreams that this instance requested of peers, by result.",
+        )
+        self.tunnels_served = self._counter(
+            "pondpin_tunnels_served_total",
+            "Tunnels to upstreams that peers requested of this instance, by result.",
+        )
+        self.tunnels_open = self._gauge(
+            "pondpin_tunnels_open", "Open tunnels, by the end that this instance is."
+        )
         self.peer_bytes = self._counter(
             "pondpin_peer_message_bytes_total", "Bytes of peer messages, by direction."
         )
--- a/pondpin/relay/attempts/attempt.py
+++ b/pondpin/relay/attempts/attempt.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 from pondpin.clocks import Clock
 from pondpin.http_client import HttpClient, RawRequest
@@ -54,8 +54,8 @@
         """Whether another upstream may still get the request."""
         ...
 
-    def withhold_reason(self) -> str:
-        """Why the request must not be sent now; empty if it may."""
+    def withhold_reason(self, connection: Any) -> str:
+        """Why the request must not be sent on a connection now; empty if it may."""
         ...
 
 
@@ -139,7 +139,9 @@
             return AttemptEnd(EndKind.WITHHELD, str(error))
         except CallFailedError as error:
             kind = EndKind.BROKEN if error.sent else EndKind.NOT_SENT
-            return AttemptEnd(kind, str(error), connection_refused=error.refused)
+            return AttemptEnd(
+                kind, str(error), connection_refused=error.refused, unconfirmed=error.unconfirmed
+            )
         if start is None:
             return AttemptEnd(EndKind.STALLED, "no answer in time")
         head = self._dialect.read_head(start.status, start.raw_headers)
--- a/pondpin/relay/attempts/handler.py
+++ b/pondpin/relay/attempts/handler.py
@@ -4,7 +4,8 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from functools import cached_property
+from typing import TYPE_CHECKING, Any
 
 from pondpin.clocks import Clock
 from pondpin.codes import Code
@@ -16,9 +17,7 @@
 from pondpin.relay.attempts.attempt_ends import (
     FIRST_SERVER_ERROR,
     correct_ran,
-    final_error,
     helper_at_fault,
-    is_retryable_response,
     send_refusal,
 )
 from pondpin.relay.attempts.crash_guard import CrashGuard
@@ -27,19 +26,21 @@
 from pondpin.relay.attempts.request_log import RequestLog
 from pondpin.relay.attempts.run_tracker import Run
 from pondpin.relay.attempts.send_checks import SendChecks
-from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall
+from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall, is_failure
 from pondpin.relay.choosing.planner import Plan, Planner, RelayPolicy
 from pondpin.relay.choosing.retry_window import RetryBounds, RetryWindow
 from pondpin.relay.choosing.routing import pick_service
 from pondpin.relay.choosing.stall_timeouts import stall_timeouts_for
 from pondpin.relay.log import EventLog
 from pondpin.relay.model import RequestMetadata, ResponseHead, Route, RouteKind
+from pondpin.relay.paths.connector import UpstreamConnector
 from pondpin.relay.ports import Dialect
 from pondpin.relay.upstreams.notice_handler import NoticeHandler
 from pondpin.relay.upstreams.table import UpstreamTable
 from pondpin.request_identity import identify
 
 if TYPE_CHECKING:
+    from pondpin.relay.attempts.retries import Retries
     from pondpin.relay.upstreams.leases import LeaseGroup, LeaseManager
     from pondpin.relay.upstreams.reports import ReportClient
 
@@ -47,7 +48,6 @@
 MAX_ATTEMPTS = 5
 # The caller of a stopping instance finds another one at once.
 STOPPING_RETRY_SECONDS = 0.05
-ALL_TRIED = "no other upstream"
 # Forecasts of prefills err by a few hundred milliseconds.
 PREFILL_SLACK_SECONDS = 0.4
 
@@ -75,6 +75,7 @@
     metrics: Metrics
     clock: Clock
     rng: random.Random
+    connector: UpstreamConnector
     refuses_new: Callable[[float], bool] = lambda now: False
     record_load: LoadRecorder | None = None
 
@@ -105,7 +106,7 @@
             admitted = admit(state, metadata, incoming.path, arrived)
             route = admitted.route
             call = self._make_call(incoming, reply, metadata, admitted, arrived)
-            self._window(call.service).record_request(arrived)
+            self.window(call.service).record_request(arrived)
             await self._serve_until_disconnect(call)
         except PondpinError as error:
             self.request_log.refused(metadata, route, error, arrived, self.admission_state())
@@ -178,16 +179,14 @@
             if end.kind is EndKind.DONE:
                 self._finish_stream(call, progress)
                 return
-            reason = self._final_reason(call, progress, end)
+            reason = self.retries.final_reason(call, progress, end)
             self.request_log.attempt_ended(call, progress, end, reason)
             if not reason:
                 continue
             if end.response is not None and not progress.head_sent:
                 self._send_whole(call, progress, end)
                 return
-            if reason == ALL_TRIED and not progress.may_have_run:
-                raise self.placer.unavailable_error(call, progress)
-            raise final_error(call, progress, end, self.clock())
+            raise self.retries.final_error(call, progress, end, reason)
 
     async def _attempt(self, call: RelayCall, progress: Progress) -> AttemptEnd:
         plan, group = await self.placer.place(call, progress)
@@ -219,8 +218,14 @@
             if renewal is not None and group is not None:
                 renewal.cancel()
                 self.leases().release(group)
-        self._health.observe_end(plan, end, began)
-        await self.crash_guard.finish(call, progress, plan, end, run)
+        try:
+            await self.crash_guard.finish(call, progress, plan, end, run)
+        finally:
+            # Afterwards, as a check of the upstream shows whether the own link broke.
+            blames_upstream = not is_failure(end) or self.retries.blames_upstream(
+                plan, end, progress
+            )
+            self._health.observe_end(plan, end, began, blames_upstream)
         helper = helper_at_fault(plan, end)
         if helper is not None:
             progress.tried_lives |= {helper.life}
@@ -248,36 +253,7 @@
         except PondpinError:
             # The reason is logged when the request ends.
             return False
-        return self._window(call.service).has_budget(self.clock(), self.instance_count())
-
-    def _final_reason(self, call: RelayCall, progress: Progress, end: AttemptEnd) -> str:
-        """Why no attempt may follow; empty if one may, which spends the retry budget."""
-        now = self.clock()
-        used_up = progress.sends >= call.route.max_attempts or progress.attempts >= MAX_ATTEMPTS
-        is_withheld = end.kind is EndKind.WITHHELD
-        if not is_withheld:
-            # The upstream has not seen a withheld request, and may get it later.
-            progress.tried_lives |= {progress.last_life}
-        # A request that must not be repeated goes on without its caller, but is not retried.
-        conditions = (
-            (end.kind is EndKind.ANSWERED and not is_retryable_response(call, end), "answered"),
-            (call.reply.is_closed, "its caller left"),
-            (progress.may_have_run and not call.route.idempotent, "it may not run twice"),
-            (used_up, "its attempts are used up"),
-            (now >= call.deadline, "its time is over"),
-            (not self.crash_guard.allows_retry(call, end), "upstreams ended under it"),
-            (not self.table.candidates(call.service, now, progress.tried_lives), ALL_TRIED),
-        )
-        for holds, reason in conditions:
-            if holds:
-                return reason
-        # Not a retry: the request never reached an upstream.
-        if not progress.sends or is_withheld:
-            return ""
-        if not self._window(call.service).spend(now, self.instance_count()):
-            return "the share of retries is spent"
-        self.metrics.retries.inc({"service": call.service, "after": end.kind.value})
-        return ""
+        return self.window(call.service).has_budget(self.clock(), self.instance_count())
 
     def on_head(self, plan: Plan, head: ResponseHead, sent_at: float) -> None:
         """Handle the head of a response."""
@@ -295,7 +271,15 @@
         call.reply.finish()
         self.request_log.ended(call, progress, 200, Code.OK)
 
-    def _window(self, service: str) -> RetryWindow:
+    @cached_property
+    def retries(self) -> "Retries":
+        """Imported with the first plain response or failed attempt."""
+        from pondpin.relay.attempts.retries import Retries
+
+        return Retries(self)
+
+    def window(self, service: str) -> RetryWindow:
+        """The retry budget of a service."""
         window = self._windows.get(service)
         if window is None:
             window = RetryWindow(self.retry_bounds())
@@ -303,7 +287,7 @@
         return window
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Observer:
     handler: RelayHandler
     call: RelayCall
@@ -311,6 +295,7 @@
     plan: Plan
     key: int
     run: Run
+    connection: Any = None
 
     def on_head(self, head: ResponseHead) -> None:
         self.handler.on_head(self.plan, head, self.run.began)
@@ -331,14 +316,20 @@
     def may_retry(self) -> bool:
         return self.handler.may_retry(self.call, self.progress)
 
-    def withhold_reason(self) -> str:
+    def withhold_reason(self, connection: Any) -> str:
+        self.connection = connection
+        self.progress.path = connection.path
         return self.handler.send_checks.withhold_reason(
             self.call, self.progress, self.plan, is_begun=True
         )
 
     def is_partitioned(self, now: float) -> bool:
         lead = self.plan.lead
-        return lead.ended or lead.needs_probe or self.handler.table.is_partitioned(lead, now)
+        if lead.ended or lead.needs_probe or self.handler.table.is_partitioned(lead, now):
+            return True
+        if self.connection is None:
+            return False
+        return self.handler.connector.is_lost(lead.endpoint, self.connection)
 
 
 def _cancel(task: "asyncio.Future[None]") -> None:
--- a/pondpin/relay/attempts/passive_health.py
+++ b/pondpin/relay/attempts/passive_health.py
@@ -44,8 +44,13 @@
         self._log = log
         self._clock = clock
 
-    def observe_end(self, plan: Plan, end: AttemptEnd, began: float) -> None:
-        """Update an upstream's health after an attempt."""
+    def observe_end(
+        self, plan: Plan, end: AttemptEnd, began: float, blames_upstream: bool = True
+    ) -> None:
+        """Update an upstream's health after an attempt.
+
+        blames_upstream: False if the path to it may have failed instead.
+        """
         now = self._clock()
         result = end.kind.value
         self._metrics.attempts.inc({"upstream": plan.lead.listed.service, "result": result})
@@ -57,6 +62,8 @@
         if end.kind is EndKind.WITHHELD:
             self._metrics.withheld_attempts.inc({})
             return
+        if not blames_upstream:
+            return
         if end.kind is EndKind.NOT_EXECUTED or asked_for_rest(plan.lead, began):
             # An upstream that refuses a request or asks for a rest is healthy.
             return
--- a/pondpin/relay/attempts/request_log.py
+++ b/pondpin/relay/attempts/request_log.py
@@ -48,6 +48,7 @@
                 prompt_tokens=call.metadata.prompt_tokens,
                 target_ms=round(call.route.latency_target * MILLISECONDS),
                 gap_target_ms=round(call.route.gap_target * MILLISECONDS),
+                path=progress.path,
             )
         )
         self.metrics.ttft.observe({"class": call.route.kind.value}, first - call.arrived_at)
@@ -160,5 +161,6 @@
                 events=progress.events,
                 next="final answer" if reason else "elsewhere",
                 reason=reason,
+                path=progress.path if end.was_sent else "",
             )
         )
--- a/pondpin/relay/call.py
+++ b/pondpin/relay/call.py
@@ -85,7 +85,8 @@
     """The result of an attempt.
 
     failed_endpoint: the upstream that caused the failure. A withheld attempt was not sent, because
-    a send check failed once its connection was open.
+    a send check failed once its connection was open. unconfirmed: there was no path to the
+    upstream, which says nothing of the upstream itself.
     """
 
     kind: EndKind
@@ -93,6 +94,7 @@
     response: BufferedResponse | None = None
     failed_endpoint: Endpoint | None = None
     connection_refused: bool = False
+    unconfirmed: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -105,6 +107,11 @@
         return self.kind not in (EndKind.NOT_SENT, EndKind.WITHHELD)
 
 
+def is_failure(end: AttemptEnd) -> bool:
+    """Whether an upstream, or the path to it, failed."""
+    return end.kind in (EndKind.NOT_SENT, EndKind.BROKEN, EndKind.STALLED)
+
+
 @dataclass(slots=True)
 class Progress:
     """The state of a request over its attempts."""
@@ -116,6 +123,8 @@
     tried_lives: frozenset[int] = frozenset()
     last_upstream: str = ""
     last_life: int = 0
+    # The peer through which the last attempt was sent, empty for a direct connection.
+    path: str = ""
     events: int = 0
     last_event_number: int = -1
     first_event_at: float | None = None
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -37,6 +37,7 @@
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import Reloaded, Started, Stopped
 from pondpin.relay.mechanisms import Mechanism
+from pondpin.relay.paths.connector import TunnelPort, UpstreamConnector, make_http_client
 from pondpin.relay.peers.controller import GossipController
 from pondpin.relay.peers.gossip import Gossip
 from pondpin.relay.peers.hosts import GossipAddress
@@ -44,7 +45,6 @@
 from pondpin.relay.published.publication import Publication
 from pondpin.relay.published.reader import ReaderController, renewal_scale
 from pondpin.relay.published.source_monitor import SourceMonitor
-from pondpin.relay.upstream_connector import UpstreamConnector, make_http_client
 from pondpin.relay.upstreams.notice_handler import ANSWER_SOURCE, NoticeHandler
 from pondpin.relay.upstreams.probe import ProbeController
 from pondpin.relay.upstreams.table import UpstreamTable
@@ -75,6 +75,7 @@
         self.boot = secrets.randbits(48)
         self.rng = random.Random(self.boot)
         self.stopping_at: float | None = None
+        self._tunnel_port: Any = None
         self._created_at = steady_now()
         self._make_state()
         self._make_gossip()
@@ -89,7 +90,10 @@
         disabled = frozenset(settings.without)
         self.policy = RelayPolicy(PlacementPolicy(settings.placement), disabled)
         self.table = UpstreamTable(settings.data_center, disabled)
-        self.connector = UpstreamConnector(self.reactor, lambda: self.lazy.paths)
+        self.has_tunnels = bool(settings.identity_key) and Mechanism.TUNNELS not in disabled
+        self.connector = UpstreamConnector(
+            self.reactor, (lambda: self.lazy.paths) if self.has_tunnels else None
+        )
         self.http = make_http_client(self.reactor, self.connector)
         self.publication = Publication(
             PlatformDecoder(),
@@ -118,6 +122,7 @@
             rng=self.rng,
             reads_source=lambda: self.reader.answers,
             is_settled=self.knows_peers,
+            is_cut=lambda: self.connector.is_cut,
         )
         self.document_server = WebServer(self.reactor)
         self.document_server.route(PIECES_PATH, lambda *call: self.lazy.documents.handle(*call))
@@ -166,7 +171,8 @@
             lease_prefix,
             policy,
             lambda: self.settings.limits,
-            direct=self.connector.direct,
+            self.connector,
+            lambda: self.settings,
         )
         dialect = PlatformDialect()
         checks = SendChecks(
@@ -203,6 +209,7 @@
             metrics=self.metrics,
             clock=steady_now,
             rng=self.rng,
+            connector=self.connector,
             refuses_new=self.refuses_new,
             record_load=(lambda *load: self.gossip.slots.record_head(*load))
             if policy.has(Mechanism.SLOT_GRANTS)
@@ -323,6 +330,12 @@
         documents = parse_endpoint(settings.peers.documents)
         self.document_server.listen(self.reactor, documents)
         self.gossip.listen()
+        if self.has_tunnels:
+            self._tunnel_port = self.reactor.listenTCP(
+                settings.peers.ports[0],
+                TunnelPort(lambda: self.lazy.tunnels),
+                interface=documents.host,
+            )
         self.ready_server.listen(self.reactor, parse_endpoint(settings.ready))
         if settings.metrics_port:
             endpoint = Endpoint(documents.host, settings.metrics_port)
@@ -357,6 +370,9 @@
         self.log.write(Stopped(open_requests=self.handler.open_requests))
         for controller in self.controllers:
             await controller.stop()
+        if self._tunnel_port is not None:
+            self._tunnel_port.stopListening()
+        self.lazy.close_tunnels()
         for server in self._servers:
             await server.close()
         for task in list(self.caller_server.tasks):
--- a/pondpin/relay/lazy_components.py
+++ b/pondpin/relay/lazy_components.py
@@ -8,10 +8,11 @@
 from functools import cached_property
 from typing import TYPE_CHECKING
 
-from pondpin.http_client import Connector, HttpClient
+from pondpin.http_client import HttpClient
 from pondpin.metrics import Metrics
 from pondpin.relay.attempts.crash_guard import CrashGuard
 from pondpin.relay.log import EventLog
+from pondpin.relay.paths.connector import UpstreamConnector
 from pondpin.relay.peers.gossip import Gossip
 from pondpin.relay.upstreams.notice_handler import NoticeHandler
 from pondpin.relay.upstreams.state import UpstreamState
@@ -24,13 +25,14 @@
     from pondpin.relay.choosing.planner import RelayPolicy
     from pondpin.relay.model import RelayConfiguration
     from pondpin.relay.operator_api import OperatorApi
+    from pondpin.relay.paths.tunnel_server import TunnelFactory
     from pondpin.relay.paths.upstream_paths import UpstreamPaths
     from pondpin.relay.published.document_server import DocumentServer
     from pondpin.relay.published.pieces import FetchPieceReply, FetchPieceRequest, HttpPieceClient
     from pondpin.relay.upstreams.leases import LeaseManager
     from pondpin.relay.upstreams.prober import Prober
     from pondpin.relay.upstreams.reports import ReportClient
-    from pondpin.relay_settings import RelayLimits
+    from pondpin.relay_settings import RelayLimits, RelaySettings
 
 PIECES_PATH = "/v1/pieces"
 METRICS_PATH = "/metrics"
@@ -74,7 +76,8 @@
         lease_prefix: str,
         policy: "RelayPolicy",
         limits: "Callable[[], RelayLimits]",
-        direct: Connector,
+        connector: UpstreamConnector,
+        settings: "Callable[[], RelaySettings]",
     ) -> None:
         self._http = http
         self._gossip = gossip
@@ -85,7 +88,8 @@
         self._lease_prefix = lease_prefix
         self._policy = policy
         self._limits = limits
-        self._direct = direct
+        self._connector = connector
+        self._settings = settings
 
     @cached_property
     def dispatcher(self) -> "Dispatcher":
@@ -105,18 +109,26 @@
     @cached_property
     def paths(self) -> "UpstreamPaths":
         """Paths to upstreams once connections have failed."""
-        from pondpin.relay.paths.upstream_paths import UpstreamPaths
+        from pondpin.relay.paths.setup import make_paths
 
-        gossip = self._gossip
-        return UpstreamPaths(
-            self._direct,
-            gossip.table,
-            self._metrics,
-            self._log,
-            steady_now,
-            lambda: len(gossip.peer_table.alive(steady_now())),
+        return make_paths(
+            self._settings(), self._connector, self._http, self._gossip, self._metrics
         )
 
+    @cached_property
+    def tunnels(self) -> "TunnelFactory":
+        """Tunnels of peers to upstreams, once a peer requests one."""
+        from pondpin.relay.paths.setup import make_tunnels
+
+        return make_tunnels(self._settings(), self._connector, self._gossip, self._metrics)
+
+    def close_tunnels(self) -> None:
+        """Close the tunnels of peers, and stop to look for paths."""
+        if "tunnels" in self.__dict__:
+            self.tunnels.server.close()
+        if "paths" in self.__dict__:
+            self.paths.close()
+
     @cached_property
     def leases(self) -> "LeaseManager":
         """Memory leases for split prompts."""
--- a/pondpin/relay/log_events.py
+++ b/pondpin/relay/log_events.py
@@ -224,6 +224,8 @@
     events: int
     next: str
     reason: str = ""
+    # The peer through which it was sent, empty for a direct connection.
+    path: str = ""
 
 
 class Refused(LogEvent, frozen=True, kw_only=True, tag="refused"):
@@ -257,6 +259,7 @@
     target_ms: int = 0
     gap_target_ms: int = 0
     detail: str = ""
+    path: str = ""
 
 
 class CallerDisconnected(LogEvent, frozen=True, kw_only=True, tag="caller_gone"):
--- a/pondpin/relay/mechanisms.py
+++ b/pondpin/relay/mechanisms.py
@@ -27,3 +27,4 @@
     COLD_START = "cold_start"
     SLOT_GRANTS = "slot_grants"
     RETURN_ORDER = "return_order"
+    TUNNELS = "tunnels"
--- a/pondpin/relay/paths/events.py
+++ b/pondpin/relay/paths/events.py
@@ -16,3 +16,24 @@
     seconds: float
     alive_peers: int
     last_failure: str = ""
+
+
+class TunnelRefused(LogEvent, frozen=True, kw_only=True, tag="tunnel_refused"):
+    """A peer's request for a tunnel to an upstream was refused, or the upstream failed.
+
+    peer: the address of the sender; detail: its instance, or what was wrong.
+    """
+
+    peer: str
+    target: str
+    code: str
+    detail: str
+
+
+class TunnelFailed(LogEvent, frozen=True, kw_only=True, tag="tunnel_failed"):
+    """A peer opened no tunnel to an upstream; code: of its refusal, empty without an answer."""
+
+    peer: str
+    upstream: str
+    code: str = ""
+    detail: str = ""
--- a/pondpin/relay/paths/reachability.py
+++ b/pondpin/relay/paths/reachability.py
@@ -1,7 +1,7 @@
-"""Which upstreams this instance fails to connect to, and whether its own links are at fault.
+"""Which upstreams this instance can't reach directly, as far as it knows.
 
-A failure is evidence on a pair of instance and upstream. Several upstreams that fail with no
-success in between are evidence on the links of the instance.
+Reachability is a property of a pair of instance and upstream. A failure to connect is evidence on
+the pair; a peer tells whether the upstream is at fault (it can't connect either) or the own link.
 """
 
 from dataclasses import dataclass, field
@@ -10,45 +10,70 @@
 
 # One upstream that fails may be down; that two fail at the same time is rarer.
 MIN_FAILING = 2
-# Failures are evidence for this long. Instances of large fleets open a few connections a second.
-EVIDENCE_SECONDS = 3.0
+# Upstreams that must fail, and none succeed, before all links count as lost.
+MIN_FAILING_FOR_CUT = 4
+# How long a fault of the upstream that peers confirmed stays known, and spares asking them again.
+CONFIRMED_SECONDS = 1.0
 
 
 @dataclass
 class Reachability:
-    """Failures to connect; times are in seconds of the steady clock."""
+    """Failures to connect directly; times are in seconds of the steady clock."""
 
+    # Upstreams that failed, with the time of the last failure; see drop_confirmed.
     failed_at: dict[Endpoint, float] = field(default_factory=dict)
-    # When the first upstream failed after the last success.
-    failing_since: float = 0.0
-    # Upstreams that failed after the last success.
-    _failing: set[Endpoint] = field(default_factory=set)
+    # Those of them that a peer reached: the own link is at fault.
+    detours: set[Endpoint] = field(default_factory=set)
+    _confirmed_at: dict[Endpoint, float] = field(default_factory=dict)
+    # Upstreams that failed since the last success.
+    _failed_in_row: set[Endpoint] = field(default_factory=set)
 
     def record_failure(self, upstream: Endpoint, now: float) -> None:
         """Record that a direct connection failed."""
-        self._expire(now)
-        if not self._failing:
-            self.failing_since = now
         self.failed_at[upstream] = now
-        self._failing.add(upstream)
-
-    def record_success(self, upstream: Endpoint) -> None:
-        """Record a direct connection."""
-        self.failed_at.pop(upstream, None)
-        self._failing.clear()
-
-    def is_cut(self, now: float) -> bool:
-        """Whether the instance has probably lost its links to all upstreams."""
-        self._expire(now)
-        return len(self._failing) >= MIN_FAILING
-
-    def is_active(self, now: float) -> bool:
-        """Whether there is any evidence."""
-        self._expire(now)
-        return bool(self.failed_at)
-
-    def _expire(self, now: float) -> None:
-        for upstream, at in list(self.failed_at.items()):
-            if now - at > EVIDENCE_SECONDS:
-                del self.failed_at[upstream]
-                self._failing.discard(upstream)
+        self._failed_in_row.add(upstream)
+
+    def record_success(self, upstream: Endpoint) -> bool:
+        """Record a direct connection; returns whether the upstream had failed before."""
+        self._failed_in_row.clear()
+        self._confirmed_at.pop(upstream, None)
+        return self._drop(upstream)
+
+    def record_detour(self, upstream: Endpoint) -> bool:
+        """Record that a peer reached an upstream that failed; returns whether this is new."""
+        is_new = upstream in self.failed_at and upstream not in self.detours
+        if is_new:
+            self.detours.add(upstream)
+        return is_new
+
+    def record_confirmed(self, upstream: Endpoint, now: float) -> None:
+        """Record that peers can't connect either: the upstream is at fault."""
+        self._drop(upstream)
+        self._failed_in_row.discard(upstream)
+        self._confirmed_at[upstream] = now
+
+    def is_confirmed(self, upstream: Endpoint, now: float) -> bool:
+        """Whether peers confirmed lately that the upstream is at fault."""
+        self._confirmed_at = {
+            item: at for item, at in self._confirmed_at.items() if now - at < CONFIRMED_SECONDS
+        }
+        return upstream in self._confirmed_at
+
+    def keep(self, listed: set[Endpoint]) -> None:
+        """Forget upstreams that are not listed any more."""
+        for upstream in set(self.failed_at) - listed:
+            self._drop(upstream)
+            self._failed_in_row.discard(upstream)
+
+    def _drop(self, upstream: Endpoint) -> bool:
+        self.detours.discard(upstream)
+        return self.failed_at.pop(upstream, None) is not None
+
+    @property
+    def is_degraded(self) -> bool:
+        """Whether the own links are probably at fault for some upstreams."""
+        return bool(self.detours) or len(self.failed_at) >= MIN_FAILING
+
+    def is_cut(self, listed: int) -> bool:
+        """Whether all links are probably lost; listed: how many upstreams there are."""
+        return len(self._failed_in_row) >= max(1, min(MIN_FAILING_FOR_CUT, listed))
--- a/pondpin/relay/peers/digest_builder.py
+++ b/pondpin/relay/peers/digest_builder.py
@@ -88,6 +88,8 @@
         if gossip.table.cold_starts is not None:
             cold = gossip.limits.cold_digests(now)
             extension = msgspec.structs.replace(extension, cold=cold)
+        if gossip.is_cut():
+            extension = msgspec.structs.replace(extension, is_cut=True)
         return None if extension == NO_EXTENSION else extension
 
     def _peer_hosts(self) -> tuple[list[str], list[str]]:
--- a/pondpin/relay/peers/digests.py
+++ b/pondpin/relay/peers/digests.py
@@ -67,12 +67,14 @@
     """State that few fleets have: evacuations, cold or contended upstreams, refused callers.
 
     contended: lives that had no free slot. refused: the newest callers that the sender refused.
+    is_cut: it has lost its links to the upstreams.
     """
 
     evacuations: EvacuationsDigest | None = None
     cold: tuple[ColdDigest, ...] = ()
     contended: tuple[int, ...] = ()
     refused: tuple[RefusedDigest, ...] = ()
+    is_cut: bool = False
 
 
 NO_EXTENSION = DigestExtension()
@@ -157,6 +159,7 @@
     reads_source: bool
     interval: float = 0.0
     issues_permits: bool = True
+    is_cut: bool = False
 
     @property
     def alive_until(self) -> float:
@@ -199,6 +202,7 @@
             digest.reads_source,
             digest.interval_ms / MILLISECONDS,
             digest.issues_permits,
+            digest.extension is not None and digest.extension.is_cut,
         )
         self.by_host[digest.host] = record
         self.seen_at_by_data_center[record.data_center] = now
--- a/pondpin/relay/peers/gossip.py
+++ b/pondpin/relay/peers/gossip.py
@@ -73,6 +73,7 @@
     rng: random.Random
     reads_source: Callable[[], bool]
     is_settled: Callable[[], bool] = lambda: True
+    is_cut: Callable[[], bool] = lambda: False
     # None where orders to evacuate data centres are not read.
     evacuations: "Evacuations | None" = None
     quarantine: Quarantine = field(default_factory=Quarantine)
--- a/pondpin/relay/upstreams/prober.py
+++ b/pondpin/relay/upstreams/prober.py
@@ -53,6 +53,8 @@
                 lambda head: self.on_head(request, head),
             )
         except CallFailedError as error:
+            if error.unconfirmed:
+                return
             passed = False
             if error.refused and self.table.cold_starts is not None:
                 self.table.cold_starts.observe_lost(state.life, self.clock())
--- a/pondpin/relay/upstreams/state.py
+++ b/pondpin/relay/upstreams/state.py
@@ -8,6 +8,7 @@
 
 from pondpin.availability import Availability, BlockReason
 from pondpin.health import Health, record_success
+from pondpin.network import Endpoint
 from pondpin.relay.model import EngineReport, ListedUpstream, Load
 from pondpin.relay.upstreams.forecast import DecodeStreams, EngineLoad, PendingPrefill
 from pondpin.relay.upstreams.work import (
@@ -97,6 +98,11 @@
         """The number of this life, the same on all instances."""
         return self.listed.life
 
+    @property
+    def endpoint(self) -> Endpoint:
+        """Where it listens."""
+        return Endpoint(self.listed.host, self.listed.port)
+
     @property
     def leaving(self) -> bool:
         """Whether this life is known to be shutting down."""
--- a/pondpin/tests/test_log_story.py
+++ b/pondpin/tests/test_log_story.py
@@ -4,7 +4,11 @@
 import unittest
 from pathlib import Path
 
-import pondpin.relay.published.source_events  # noqa: F401  Defines further event classes.
+# They define further event classes.
+import pondpin.relay.engine_events
+import pondpin.relay.paths.events
+import pondpin.relay.published.source_events
+import pondpin.relay.quarantine_events  # noqa: F401
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import (
     AttemptEnded,
--- a/pondpin/tests/test_relay_layers.py
+++ b/pondpin/tests/test_relay_layers.py
@@ -13,7 +13,6 @@
 COMPOSITION = (
     "entry",
     "lazy_components",
-    "upstream_connector",
     "publication_handler",
     "housekeeping",
     "operator_api",
--- a/pondpin/tests/test_relay_serving.py
+++ b/pondpin/tests/test_relay_serving.py
@@ -116,7 +116,7 @@
 
     def test_an_unsent_request_is_sent_elsewhere_without_retry_budget(self) -> None:
         async def work(platform: LocalPlatform) -> None:
-            window = platform.entries[0].handler._window(PLAIN)
+            window = platform.entries[0].handler.window(PLAIN)
             window.bounds = RetryBounds(0.0, 0.0, 10.0)
             gone = platform.workers_by_id["plain-0"]
             await gone.server.close()
--- a/pondpin/tests/test_relay_stall_timeouts.py
+++ b/pondpin/tests/test_relay_stall_timeouts.py
@@ -68,7 +68,7 @@
     async def query_status(self) -> bool:
         return True
 
-    def withhold_reason(self) -> str:
+    def withhold_reason(self, connection: Any) -> str:
         return ""
 
     def may_retry(self) -> bool:
--- a/pondpin/tests/test_relay_streams.py
+++ b/pondpin/tests/test_relay_streams.py
@@ -66,7 +66,7 @@
         async def work(platform: LocalPlatform) -> None:
             fail_next(platform, WorkerFault.RESET)
             first = platform.entries[0]
-            spend = first.handler._window("engines").spend
+            spend = first.handler.window("engines").spend
 
             def expire_proof(now: float, instance_count: int) -> bool:
                 # The proof that the key is valid expires between the attempts.
--- a/pondpin/tools/log_story.py
+++ b/pondpin/tools/log_story.py
@@ -105,8 +105,14 @@
     ),
     "attempt_ended": (
         "attempt {attempt} at {upstream} ended after {after_ms} ms and {events} events: "
-        "{result}, {detail}; next: {next} {reason}"
+        "{result}, {detail}; next: {next} {reason} {path}"
     ),
+    "upstreams_unreachable": (
+        "the own links to upstreams fail: {begins}, for {seconds} s; {failing} of {of} upstreams; "
+        "{alive_peers} live peers"
+    ),
+    "tunnel_failed": "no tunnel through {peer} to {upstream}: {code} {detail}",
+    "tunnel_refused": "no tunnel for {peer} to {target}: {code} ({detail})",
     "refused": "refused after {after_ms} ms: {code} ({detail}); come back in {retry_after} s",
     "ended": (
         "answered {status} by {upstream} after {attempts} attempt(s): first byte after "
