--- a/pondpin/relay/attempts/attempt.py
+++ b/pondpin/relay/attempts/attempt.py
@@ -134,7 +134,10 @@
         began = self._clock()
         exact = self._exact_call(call, plan, parts, progress, began)
         try:
-            start = await self._wait_for_head(call, exact, timeouts, observer, began)
+            # A call that must not be repeated gets a new connection: if that fails, nothing was
+            # sent. So does a second try, as idle connections may have been reset together.
+            fresh = not call.route.idempotent or progress.sends > 0
+            start = await self._wait_for_head(call, exact, fresh, timeouts, observer, began)
         except WithheldError as error:
             return AttemptEnd(EndKind.WITHHELD, str(error))
         except CallFailedError as error:
@@ -158,16 +161,13 @@
         self,
         call: RelayCall,
         exact: RawRequest,
+        fresh: bool,
         timeouts: StallTimeouts,
         observer: AttemptObserver,
         began: float,
     ) -> StreamedResponse | None:
         """Send and wait for the head; None if it stalled or the deadline passed."""
-        # A call that must not be repeated gets a new connection: if that fails, nothing was sent.
-        new_connection = not call.route.idempotent
-        opening = asyncio.ensure_future(
-            self._http.open_raw(exact, new_connection, observer.withhold_reason)
-        )
+        opening = asyncio.ensure_future(self._http.open_raw(exact, fresh, observer.withhold_reason))
         try:
             while True:
                 left = self._stall_time_left(call, timeouts.first_event_seconds, began, observer)
