--- a/pondpin/relay/paths/connector.py
+++ b/pondpin/relay/paths/connector.py
@@ -47,6 +47,11 @@
         """Whether this instance has probably lost its links to all upstreams."""
         return self.paths is not None and self.paths.is_cut
 
+    @property
+    def is_degraded(self) -> bool:
+        """Whether any upstream is not known to be reached directly."""
+        return self.paths is not None and self.paths.is_active
+
     def is_unreachable(self, upstream: Endpoint) -> bool:
         """Whether the own links to an upstream are known to be lost."""
         return self.paths is not None and self.paths.is_unreachable(upstream)
--- a/pondpin/relay/paths/events.py
+++ b/pondpin/relay/paths/events.py
@@ -31,9 +31,9 @@
 
 
 class TunnelFailed(LogEvent, frozen=True, kw_only=True, tag="tunnel_failed"):
-    """A peer opened no tunnel to an upstream; code: of its refusal, empty without an answer."""
+    """A peer opened no tunnel to an upstream; code: of its refusal, or NO_ANSWER."""
 
     peer: str
     upstream: str
-    code: str = ""
+    code: str
     detail: str = ""
--- a/pondpin/relay/paths/peer_choice.py
+++ b/pondpin/relay/paths/peer_choice.py
@@ -24,7 +24,7 @@
     def choose(
         self,
         alive: Iterable[PeerRecord],
-        excluded: set[str],
+        excluded: frozenset[str],
         now: float,
         other_than: str = "",
         preferred: str = "",
--- a/pondpin/relay/paths/setup.py
+++ b/pondpin/relay/paths/setup.py
@@ -8,9 +8,10 @@
 from pondpin.metrics import Metrics
 from pondpin.network import Endpoint
 from pondpin.relay.paths.connector import UpstreamConnector
+from pondpin.relay.paths.peer_tunnels import PeerTunnels, TunnelSettings
 from pondpin.relay.paths.tunnel_client import TunnelClient
 from pondpin.relay.paths.tunnel_server import TunnelFactory, TunnelServer
-from pondpin.relay.paths.upstream_paths import TunnelSettings, UpstreamPaths, quiet_factory
+from pondpin.relay.paths.upstream_paths import UpstreamPaths, quiet_factory
 from pondpin.relay.peers.digests import PeerRecord
 from pondpin.relay.peers.gossip import Gossip
 from pondpin.relay.upstreams.state import UpstreamState
@@ -31,7 +32,8 @@
     """The paths of an instance."""
     tunnels = TunnelSettings(derive_key(settings.identity_key), settings.peers.ports[0])
     client = TunnelClient(connector.reactor)
-    return UpstreamPaths(tunnels, connector.direct, client, http, gossip, metrics)
+    peer_tunnels = PeerTunnels(tunnels, client, gossip, metrics)
+    return UpstreamPaths(connector.direct, peer_tunnels, http, gossip, metrics)
 
 
 def make_tunnels(
--- a/pondpin/relay/paths/tunnel_messages.py
+++ b/pondpin/relay/paths/tunnel_messages.py
@@ -97,7 +97,7 @@
     """Decode the head of an answer; raises ValueError for an invalid one."""
     first, headers = _split(head)
     code = Code(int(headers.get(CODE_HEADER, "-1")))
-    status = int(first.split(" ")[1])
+    status = int(first.partition(" ")[2].partition(" ")[0])
     if (code is Code.OK) != (status == OK_STATUS):
         raise ValueError(f"status {status} with code {int(code)}")
     return code
--- a/pondpin/relay/paths/upstream_paths.py
+++ b/pondpin/relay/paths/upstream_paths.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Coroutine
-from dataclasses import dataclass
 from typing import Any, TypeVar
 
 from twisted.internet.defer import Deferred
@@ -15,18 +14,14 @@
 from twisted.internet.error import TimeoutError as ConnectTimeoutError
 from twisted.internet.protocol import Factory, Protocol
 
-from pondpin.codes import Code
 from pondpin.health import Health
 from pondpin.http_client import CONNECT_ERRORS, Connector, HttpClient, PathError
 from pondpin.http_connections import has_unacknowledged
+from pondpin.metrics import Metrics
 from pondpin.network import Endpoint
-from pondpin.relay.log_events import LogEvent
-from pondpin.relay.paths.events import TunnelFailed, UpstreamsUnreachable
-from pondpin.relay.paths.peer_choice import PeerChoice
+from pondpin.relay.paths.events import UpstreamsUnreachable
+from pondpin.relay.paths.peer_tunnels import PeerTunnels
 from pondpin.relay.paths.reachability import Reachability
-from pondpin.relay.paths.tunnel_client import OpenedTunnel, TunnelClient
-from pondpin.relay.paths.tunnel_messages import TunnelRequest, make_proof
-from pondpin.relay.peers.digests import PeerRecord
 from pondpin.relay.peers.gossip import Gossip
 from pondpin.relay.upstreams.state import FailureRate
 
@@ -34,47 +29,30 @@
 
 # A direct connection takes some ms; a tunnel is opened beside one that takes longer than this.
 RACE_SECONDS = 0.03
-# Peers that are asked for one connection.
-MAX_PEERS = 4
-# Peers that must fail to connect as well before the upstream counts as at fault: one may have
-# lost the same links and not know it yet.
-CONFIRMING_PEERS = 2
 # A healed link is found within two of these.
 PROBE_SECONDS = 0.25
 # Failing upstreams, and others, that are probed each time.
 PROBES = 2
 
 
-@dataclass(frozen=True, slots=True)
-class TunnelSettings:
-    """What a sender of requests for tunnels needs; port: of tunnels, the same at all peers."""
-
-    key: bytes
-    port: int
-
-
 class UpstreamPaths:
     """Opens connections to upstreams; used while `is_active`."""
 
     def __init__(
         self,
-        settings: TunnelSettings,
         direct: Connector,
-        client: TunnelClient,
+        tunnels: PeerTunnels,
         http: HttpClient,
         gossip: Gossip,
-        metrics: Any,
+        metrics: Metrics,
     ) -> None:
-        self._settings = settings
         self._direct = direct
-        self._client = client
+        self._tunnels = tunnels
         self._http = http
         self._gossip = gossip
         self._table = gossip.table
         self._metrics = metrics
         self._clock = gossip.clock
-        self._peers = PeerChoice(gossip.table.data_center, gossip.rng)
-        self._number = 0
         self._reachability = Reachability()
         # Those that failed without an answer: open connections to them are dead as well.
         self._silent: set[Endpoint] = set()
@@ -93,6 +71,11 @@
         """Whether this instance has probably lost its links to all upstreams."""
         return self._reachability.is_cut(len(self._table.by_id))
 
+    @property
+    def open_tunnels(self) -> int:
+        """Tunnels through peers that are open."""
+        return self._tunnels.open_count
+
     def is_unreachable(self, upstream: Endpoint) -> bool:
         """Whether the own links to an upstream are known to be lost."""
         return self.is_cut or upstream in self._reachability.detours
@@ -111,9 +94,7 @@
         the failure is reported. After a silence they are asked meanwhile.
         """
         upstream = Endpoint(host, port)
-        if self._table.find(upstream) is None or not self._alive_peers():
-            return failure
-        if self._reachability.is_confirmed(upstream, self._clock()):
+        if self._table.find(upstream) is None or not self._can_ask(upstream):
             return failure
         self._record_failure(upstream, failure.value)
         if failure.check(ConnectionRefusedError):
@@ -125,7 +106,11 @@
         """Handle bytes on an open direct connection that were not acknowledged for long."""
         now = self._clock()
         is_known = upstream in self._reachability.failed_at
-        if is_known or self._reachability.is_confirmed(upstream, now) or not self._alive_peers():
+        if (
+            is_known
+            or self._reachability.is_confirmed(upstream, now)
+            or not self._tunnels.alive_peers()
+        ):
             return
         self._record_failure(upstream, ConnectTimeoutError())
         self._spawn(self._verify(upstream))
@@ -133,7 +118,7 @@
     def is_lost(self, upstream: Endpoint, connection: Any) -> bool:
         """Whether an open connection is probably dead, and another path is not."""
         if connection.path:
-            return all(peer.instance != connection.path for peer in self._alive_peers())
+            return all(peer.instance != connection.path for peer in self._tunnels.alive_peers())
         is_held = has_unacknowledged(connection)
         if is_held:
             self._record_unacknowledged(upstream)
@@ -143,14 +128,14 @@
     def blames_upstream(self, upstream: Endpoint, path: str) -> bool:
         """Whether a connection that broke or stalled speaks against its upstream."""
         if path:
-            self._peers.avoid(path, self._clock())
+            self._tunnels.avoid(path)
             return False
         return upstream not in self._reachability.failed_at
 
     async def _connect(self, upstream: Endpoint, factory: Any) -> Any:
         if upstream in self._reachability.failed_at:
             return await self._open_tunnel(upstream, factory)
-        if self.is_cut and self._choose(upstream, set(), "") is None:
+        if self.is_cut and self._tunnels.choose(upstream) is None:
             raise PathError("no peer reaches the upstreams")
         if self._reachability.is_degraded:
             return await self._race(upstream, factory)
@@ -188,76 +173,35 @@
                 if item is not None:
                     _discard(item, winner)
 
+    def _can_ask(self, upstream: Endpoint) -> bool:
+        """Whether there are peers, which have not just told that the upstream is at fault."""
+        is_confirmed = self._reachability.is_confirmed(upstream, self._clock())
+        return not is_confirmed and bool(self._tunnels.alive_peers())
+
     async def _ask_peers(self, upstream: Endpoint, factory: Any, error: Exception) -> Any:
-        if self._reachability.is_confirmed(upstream, self._clock()) or not self._alive_peers():
+        if (
+            self._reachability.is_confirmed(upstream, self._clock())
+            or not self._tunnels.alive_peers()
+        ):
             raise error
         self._record_failure(upstream, error)
         return await self._open_tunnel(upstream, factory)
 
     async def _open_tunnel(self, upstream: Endpoint, factory: Any) -> Any:
         """Connect through a peer; raises PathError, or what the upstream does to peers."""
-        excluded: set[str] = set()
-        codes: list[Code] = []
-        confirming = ""
-        while len(excluded) < MAX_PEERS and len(codes) < CONFIRMING_PEERS:
-            peer = self._choose(upstream, excluded, confirming)
-            if peer is None:
-                break
-            excluded.add(peer.instance)
-            opened = await self._request(peer, upstream, factory)
-            if opened.code is Code.OK:
-                self._on_opened(peer, upstream, opened.connection)
-                return opened.connection
-            if opened.code in (Code.UPSTREAM_REFUSED, Code.UPSTREAM_STALLED):
-                codes.append(opened.code)
-                confirming = peer.data_center
-            elif opened.code is not Code.TUNNEL_TARGET:
-                self._peers.avoid(peer.instance, self._clock())
-        if not codes:
-            raise PathError("no peer reaches the upstream")
-        self._reachability.record_confirmed(upstream, self._clock())
-        self._silent.discard(upstream)
-        self._log_change()
-        if all(code is Code.UPSTREAM_REFUSED for code in codes):
-            raise ConnectionRefusedError(string="refuses peers as well")
-        raise ConnectTimeoutError(string="is silent to peers as well")
-
-    async def _request(self, peer: PeerRecord, upstream: Endpoint, factory: Any) -> OpenedTunnel:
-        self._number += 1
-        gossip = self._gossip
-        unsigned = TunnelRequest(upstream, gossip.instance, gossip.boot, self._number, "")
-        proof = make_proof(self._settings.key, unsigned, peer.boot)
-        request = TunnelRequest(upstream, gossip.instance, gossip.boot, self._number, proof)
-        detail = ""
         try:
-            opened = await self._client.open(
-                Endpoint(peer.host, self._settings.port), request, factory
-            )
-        except ConnectError as error:
-            opened, detail = OpenedTunnel(Code.ISSUER_GONE), type(error).__name__
-        self._metrics.tunnels_requested.inc({"result": opened.code.name})
-        if opened.code is not Code.OK:
-            code = "" if detail else opened.code.name
-            self._write(
-                TunnelFailed(peer=peer.instance, upstream=str(upstream), code=code, detail=detail)
-            )
-        return opened
-
-    def _on_opened(self, peer: PeerRecord, upstream: Endpoint, connection: Any) -> None:
-        connection.path = peer.instance
-        self._peers.opened(peer.instance)
-        end = connection.connectionLost
-
-        def on_lost(reason: Any = None) -> None:
-            self._peers.closed(peer.instance)
-            self._metrics.tunnels_open.set({"end": "client"}, self._peers.open_count)
-            end(reason)
-
-        connection.connectionLost = on_lost
-        self._metrics.tunnels_open.set({"end": "client"}, self._peers.open_count)
+            connection = await self._tunnels.open(upstream, factory)
+        except PathError:
+            raise
+        except CONNECT_ERRORS:
+            self._reachability.record_confirmed(upstream, self._clock())
+            self._silent.discard(upstream)
+            self._log_change()
+            raise
         if self._reachability.record_detour(upstream):
             self._clear_failures(upstream)
             self._log_change()
+        return connection
 
     def _clear_failures(self, upstream: Endpoint) -> None:
         """Take back an ejection: a peer reaches the upstream."""
@@ -275,15 +219,6 @@
             return
         connection.transport.abortConnection()
 
-    def _choose(self, upstream: Endpoint, excluded: set[str], other_than: str) -> PeerRecord | None:
-        state = self._table.find(upstream)
-        preferred = state.listed.data_center if state is not None else ""
-        now = self._clock()
-        return self._peers.choose(self._alive_peers(), excluded, now, other_than, preferred)
-
-    def _alive_peers(self) -> list[PeerRecord]:
-        return self._gossip.peer_table.alive(self._clock())
-
     def _start_direct(self, upstream: Endpoint, factory: Any) -> "asyncio.Future[Any]":
         connecting = self._direct.connect(upstream.host, upstream.port, factory)
         return connecting.asFuture(asyncio.get_running_loop())
@@ -357,19 +292,16 @@
             return
         since = self._degraded_since if self._degraded_since is not None else now
         self._degraded_since = now if is_degraded else None
-        self._write(
+        self._gossip.log.write(
             UpstreamsUnreachable(
                 begins=is_degraded,
                 failing=failing,
                 of=len(self._table.by_id),
                 seconds=round(now - since, 3),
-                alive_peers=len(self._alive_peers()),
+                alive_peers=len(self._tunnels.alive_peers()),
             )
         )
 
-    def _write(self, event: LogEvent) -> None:
-        self._gossip.log.write(event)
-
     def _spawn(self, work: Coroutine[Any, Any, Result]) -> "asyncio.Task[Result]":
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/pondpin/tests/support.py
+++ b/pondpin/tests/support.py
@@ -12,6 +12,7 @@
 from pondpin.invariants import INVARIANTS
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import LogEvent
+from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay_settings import RelayLimits
 from pondpin.runtime import install_reactor, new_loop, steady_now
 from pondpin.standins.engine_model import EngineShape
@@ -216,6 +217,7 @@
     instances = 1
     engines = 2
     limits = RelayLimits()
+    without: tuple[Mechanism, ...] = ()
 
     def play(self, work: Callable[[LocalPlatform], Awaitable[None]]) -> None:
         async def whole() -> None:
@@ -224,6 +226,7 @@
                 engines=self.engines,
                 instances=self.instances,
                 limits=self.limits,
+                without=self.without,
             )
             async with asyncio.timeout(LONGEST_TEST_SECONDS):
                 await platform.start()
