Cut instances from the workers in the soak, pair by pair

The soak's proxies stand at the workers and treat all instances alike, so no soak had an instance that loses its links while the others keep theirs. An instance of a soak now runs with a reactor whose connections to the workers can be cut (reset, refused, silent); a series of cuts of one, most and all instances overlaps with all other faults.

Found by it: an answer of a peer that concerns one upstream (evacuated, or not reached by the peer either) made the sender leave the peer out for all upstreams for a second, so that with three instances none was left. Only answers that concern the peer do so now.

--- a/pondpin/relay/paths/peer_tunnels.py
+++ b/pondpin/relay/paths/peer_tunnels.py
@@ -23,6 +23,8 @@
 # lost the same links and not know it yet.
 CONFIRMING_PEERS = 2
 NO_ANSWER = "NO_ANSWER"
+# Answers that concern all upstreams; the others only the one that was asked for.
+UNUSABLE = (Code.NOT_SENT, Code.DRAINING, Code.TUNNEL_BUSY, Code.TUNNEL_DENIED)
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,7 +91,7 @@
             if opened.code in (Code.UPSTREAM_REFUSED, Code.UPSTREAM_STALLED):
                 codes.append(opened.code)
                 confirming = peer.data_center
-            elif opened.code is not Code.TUNNEL_TARGET:
+            elif opened.code in UNUSABLE:
                 self.avoid(peer.instance)
         if not codes:
             raise PathError("no peer reaches the upstream")
--- a/pondpin/soak/deployment.py
+++ b/pondpin/soak/deployment.py
@@ -48,6 +48,7 @@
 READY_PORT = 7301
 DOCUMENT_PORT = 7302
 DATAGRAM_PORT = 7303
+CONTROL_PORT = 7304
 
 
 def version_route(version: int) -> str:
@@ -157,7 +158,13 @@
         }
         path = self.folder / f"relay-{number}.json"
         path.write_text(json.dumps(settings))
-        return self._program(f"relay-{number}", "pondpin.main", f"--settings={path}")
+        return self._program(
+            f"relay-{number}",
+            "pondpin.soak.instance",
+            f"--settings={path}",
+            f"--control={host}:{CONTROL_PORT}",
+            f"--workers={self.place.standins}",
+        )
 
     async def start(self) -> None:
         """Start all and wait until every instance is ready."""
--- a/pondpin/soak/run.py
+++ b/pondpin/soak/run.py
@@ -20,6 +20,7 @@
 from pondpin.soak.deadly import ROUTE_BY_BODY, DeadlyLoad
 from pondpin.soak.deployment import (
     CALLER_PORT,
+    CONTROL_PORT,
     EVENTS,
     KEY_MS,
     Place,
@@ -27,6 +28,7 @@
     version_route,
 )
 from pondpin.soak.evacuations import EvacuationLoad
+from pondpin.soak.partitions import PartitionLoad
 from pondpin.soak.promises import Seen, check_attempts, count_statuses
 from pondpin.soak.proxy import Link
 from pondpin.soak.restores import RestoreLoad
@@ -100,6 +102,11 @@
             lambda at: self._copied_at <= at <= self._restored_at,
             self.notices.troubles,
         )
+        self.partitions = PartitionLoad(
+            seed,
+            self.instances,
+            [(place.instance(number), CONTROL_PORT) for number in range(size.instances)],
+        )
         self.deadly = DeadlyLoad(seed, self._ask_deadly, self.is_anybody_up) if deadly else None
         self.deaths: list[Death] = []
         self.arrivals: dict[str, list[list[Arrival]]] = {}
@@ -122,6 +129,7 @@
                 self.notices.play(end),
                 self.restores.play(end),
                 self.evacuations.play(end),
+                self.partitions.play(end),
                 *deadly,
             )
             await self._recover()
@@ -131,7 +139,9 @@
             self.notices.check(self.arrivals, self.findings)
             self.notices.check_limits(self.wishes, self.findings)
             self.evacuations.check(self.arrivals, self.center_of, self.findings)
+            self.partitions.check(self.findings)
             self.faults += self.notices.faults + self.restores.faults + self.evacuations.faults
+            self.faults += self.partitions.faults
             if self.deadly is not None:
                 self.deadly.check(self.deaths, self.seen, self.findings)
         finally:
@@ -186,6 +196,7 @@
         if call.route == "stream":
             headers["x-token-usage"] = f"{call.tokens},300"
         url = f"http://{call.host}:{CALLER_PORT}/{call.route}/x"
+        sent_at = time.monotonic()
         try:
             answer = await self.http.call(
                 "POST", url, headers, call.body, timeout=REQUEST_SECONDS + 4
@@ -194,6 +205,8 @@
         except CallFailedError:
             status, body = 0, b""
         self.seen.append(Seen(call.attempt, call.route, status, body, key_ended))
+        number = int(call.attempt.partition(".")[0].removeprefix("relay-"))
+        self.partitions.record(number, sent_at, status, body)
 
     async def _recover(self) -> None:
         """End all faults; then everything must serve again."""
