--- a/pondpin/standins/partitions.py
+++ b/pondpin/standins/partitions.py
@@ -30,6 +30,9 @@
         self._factory = factory
         self._timer = reactor.callLater(timeout, self._fail, ConnectTimeoutError())
 
+    def getDestination(self) -> None:
+        """See IConnector."""
+
     def stopConnecting(self) -> None:
         """See IConnector."""
         if self._timer.active():
