Show operators which upstreams are reached through peers only

GET /upstreams and pondpinctl standings: unreachable is true for an upstream to which the own links are lost. The test of whose fault a cut is also covers cold starts: no upstream is cold after its connections were reset by a cut.

--- a/pondpin/relay/lazy_components.py
+++ b/pondpin/relay/lazy_components.py
@@ -108,7 +108,7 @@
 
     @cached_property
     def paths(self) -> "UpstreamPaths":
-        """Paths to upstreams once connections have failed."""
+        """Paths to upstreams."""
         from pondpin.relay.paths.setup import make_paths
 
         return make_paths(
@@ -117,7 +117,7 @@
 
     @cached_property
     def tunnels(self) -> "TunnelFactory":
-        """Tunnels of peers to upstreams, once a peer requests one."""
+        """Tunnels of peers to upstreams."""
         from pondpin.relay.paths.setup import make_tunnels
 
         return make_tunnels(self._settings(), self._connector, self._gossip, self._metrics)
@@ -205,6 +205,7 @@
             lambda: self._gossip.slots if self._gossip.table.contention else None,
             steady_now,
             self._gossip.evacuations,
+            self._connector.is_unreachable,
         )
 
     def update_cold_starts(self, configuration: "RelayConfiguration") -> None:
--- a/pondpin/relay/operator_api.py
+++ b/pondpin/relay/operator_api.py
@@ -12,6 +12,7 @@
 from pondpin.errors import PondpinError
 from pondpin.http_reply import IncomingRequest, Reply
 from pondpin.metrics import Metrics
+from pondpin.network import Endpoint
 from pondpin.quarantine import Verdict
 from pondpin.relay.attempts.crash_guard import CrashGuard
 from pondpin.relay.lazy_components import PUBLISHED_PATH, QUARANTINE_PATH, UPSTREAMS_PATH
@@ -64,7 +65,8 @@
     limit: requests a second from all instances, reported or while it is cold, -1 for none; home:
     the instance that issues its permits; share: its part of the limit. contended: requests need
     one of its slots from their owner; slots_granted, slots_waiting: by this instance, -1 where it
-    has not been asked for any.
+    has not been asked for any. unreachable: the own links to it are lost, so that requests go
+    through peers.
     """
 
     id: str
@@ -83,6 +85,7 @@
     contended: bool = False
     slots_granted: int = -1
     slots_waiting: int = -1
+    unreachable: bool = False
 
 
 class OrderStatus(msgspec.Struct, frozen=True):
@@ -134,12 +137,19 @@
 
 
 def upstream_statuses(
-    table: UpstreamTable, issuer: PermitIssuerSource, slots: SlotSource, now: float
+    table: UpstreamTable,
+    issuer: PermitIssuerSource,
+    slots: SlotSource,
+    now: float,
+    is_unreachable: Callable[[Endpoint], bool] = lambda upstream: False,
 ) -> UpstreamStatuses:
     """Show the status of every upstream."""
-    states, found = table.by_id.values(), slots()
+    found = slots()
     return UpstreamStatuses(
-        tuple(_status_of(state, issuer, table.cold_starts, found, now) for state in states)
+        tuple(
+            _status_of(state, issuer, table.cold_starts, found, now, is_unreachable(state.endpoint))
+            for state in table.by_id.values()
+        )
     )
 
 
@@ -175,6 +185,7 @@
     cold_starts: "ColdStarts | None",
     slots: "SlotEnforcement | None",
     now: float,
+    is_unreachable: bool,
 ) -> UpstreamStatus:
     kind, source, age, left = _state_of(state, cold_starts, now)
     listed = state.listed
@@ -197,6 +208,7 @@
         slots is not None and slots.contention.is_contended(state.life, now),
         -1 if granted is None else granted.granted,
         -1 if granted is None else granted.waiting,
+        is_unreachable,
     )
 
 
@@ -254,15 +266,17 @@
     slots: SlotSource
     clock: Clock
     evacuations: "Evacuations | None" = None
+    is_unreachable: Callable[[Endpoint], bool] = lambda upstream: False
 
     async def handle(self, incoming: IncomingRequest, reply: Reply) -> None:
         """Dispatch a request by its path."""
         if incoming.path.startswith(QUARANTINE_PATH):
             self._show_or_lift(incoming, reply)
         elif incoming.path.startswith(UPSTREAMS_PATH):
-            reply.send_json(
-                upstream_statuses(self.table, self.permit_issuer, self.slots, self.clock())
+            statuses = upstream_statuses(
+                self.table, self.permit_issuer, self.slots, self.clock(), self.is_unreachable
             )
+            reply.send_json(statuses)
         elif incoming.path.startswith(PUBLISHED_PATH):
             reply.send_json(published_status(self.publication, self.clock(), self.evacuations))
         else:
--- a/pondpin/tests/test_relay_partition.py
+++ b/pondpin/tests/test_relay_partition.py
@@ -11,9 +11,10 @@
 from pondpin.http_streams import CallFailedError
 from pondpin.relay.log_events import Ended, LogEvent
 from pondpin.relay.mechanisms import Mechanism
+from pondpin.relay.operator_api import upstream_statuses
 from pondpin.relay.paths.events import UpstreamsUnreachable
 from pondpin.runtime import steady_now
-from pondpin.standins.local_platform import LocalPlatform
+from pondpin.standins.local_platform import LocalPlatform, cold_services
 from pondpin.standins.partitions import Cut
 from pondpin.standins.worker import WorkerFault
 from pondpin.tests.support import RelayTest, ask, busy, fail_next, runs
@@ -25,6 +26,8 @@
 REFUSED_SECONDS = 0.1
 # What a caller left must end at the upstream within this time.
 CANCEL_SECONDS = 0.5
+COLD_SECONDS = 20.0
+COLD_RATE = 1.0
 REQUESTS = 30
 ROUTES = ("again", "once", "stream")
 
@@ -85,9 +88,13 @@
 
         self.play(work)
 
-    def test_cut_ejects_no_upstream_and_ends_no_life(self) -> None:
+    def test_cut_ejects_chills_and_ends_no_upstream(self) -> None:
         async def work(platform: LocalPlatform) -> None:
             entry = platform.entries[0]
+            platform.publish(2, services=cold_services(COLD_SECONDS, COLD_RATE))
+            await platform.until(
+                lambda: all(item.table.cold_starts is not None for item in platform.entries)
+            )
             for cut in (Cut.RESET, Cut.REFUSE, Cut.SILENT):
                 for worker in platform.workers_by_id.values():
                     worker.call_seconds = worker.event_seconds = 0.1
@@ -106,6 +113,7 @@
                 for instance in platform.entries:
                     states = instance.table.by_id.values()
                     self.assertTrue(all(item.looks_healthy(now) for item in states), cut)
+                    self.assertFalse(any(item.is_cold for item in states), cut)
                 platform.cut_from_workers(0, Cut.NONE)
                 await platform.until(lambda: not entry.connector.is_degraded)
 
@@ -185,6 +193,14 @@
             platform.cut_from_workers(0, Cut.REFUSE)
             for route in ROUTES:
                 await served(platform, route, 0, "cut")
+            shown = upstream_statuses(
+                entry.table,
+                lambda: entry.gossip.limits.issuer,
+                lambda: None,
+                steady_now(),
+                entry.connector.is_unreachable,
+            )
+            self.assertTrue(any(item.unreachable for item in shown.upstreams))
             paths = {item.path for item in events if isinstance(item, Ended)}
             self.assertLessEqual(paths, {"", "relay-1", "relay-2"})
             self.assertNotEqual(paths, {""})
