Count a request against an ended upstream only once it was sent

A run counted from its plan on.

The run is marked when its request goes out, after the last check; ends count for marked runs only. The new test failed before (both runs counted).

--- a/pondpin/relay/attempts/handler.py
+++ b/pondpin/relay/attempts/handler.py
@@ -221,7 +221,7 @@
         try:
             await self.crash_guard.finish(call, progress, plan, end, run)
         finally:
-            # Afterwards, as a check of the upstream shows whether the own link broke.
+            # The check shows whether the own link broke.
             blames_upstream = not is_failure(end) or self.retries.blames_upstream(
                 plan, end, progress
             )
@@ -319,9 +319,11 @@
     def withhold_reason(self, connection: Any) -> str:
         self.connection = connection
         self.progress.path = connection.path
-        return self.handler.send_checks.withhold_reason(
+        reason = self.handler.send_checks.withhold_reason(
             self.call, self.progress, self.plan, is_begun=True
         )
+        self.run.is_sent = not reason
+        return reason
 
     def is_partitioned(self, now: float) -> bool:
         lead = self.plan.lead
--- a/pondpin/relay/attempts/liveness_checks.py
+++ b/pondpin/relay/attempts/liveness_checks.py
@@ -79,7 +79,8 @@
     ) -> None:
         now = self._tracker.clock()
         runs = self._tracker.runs_by_life.pop(state.life, [])
-        found = tuple(run for run in runs if run.was_running(now, seconds) and includes(run))
+        sent = (run for run in runs if run.is_sent and run.was_running(now, seconds))
+        found = tuple(run for run in sent if includes(run))
         # A request that is still open may yet show that the life goes on.
         still_open = [run for run in runs if run.ended_at is None]
         if still_open:
--- a/pondpin/relay/attempts/passive_health.py
+++ b/pondpin/relay/attempts/passive_health.py
@@ -47,10 +47,7 @@
     def observe_end(
         self, plan: Plan, end: AttemptEnd, began: float, blames_upstream: bool = True
     ) -> None:
-        """Update an upstream's health after an attempt.
-
-        blames_upstream: False if the path to it may have failed instead.
-        """
+        """Update an upstream's health after an attempt, unless the path to it may have failed."""
         now = self._clock()
         result = end.kind.value
         self._metrics.attempts.inc({"upstream": plan.lead.listed.service, "result": result})
--- a/pondpin/relay/attempts/run_tracker.py
+++ b/pondpin/relay/attempts/run_tracker.py
@@ -35,7 +35,8 @@
 class Run:
     """A request on the upstreams of one attempt; times are monotonic.
 
-    prefill_seconds: forecast for the prefill of its part of the prompt, 0 if not known.
+    prefill_seconds: forecast for the prefill of its part of the prompt, 0 if not known. is_sent:
+    False while it is planned or connecting; it can't have ended an upstream then.
     """
 
     identity: int
@@ -46,6 +47,7 @@
     last_data_at: float = 0.0
     ended_at: float | None = None
     broken: bool = False
+    is_sent: bool = False
 
     def is_answered_by(self, life: int) -> bool:
         """Whether a life answers it rather than only prefilling a part."""
--- a/pondpin/relay/call.py
+++ b/pondpin/relay/call.py
@@ -85,8 +85,7 @@
     """The result of an attempt.
 
     failed_endpoint: the upstream that caused the failure. A withheld attempt was not sent, because
-    a send check failed once its connection was open. unconfirmed: there was no path to the
-    upstream, which says nothing of the upstream itself.
+    a send check failed once its connection was open. unconfirmed: no path to the upstream.
     """
 
     kind: EndKind
--- a/pondpin/relay/paths/connector.py
+++ b/pondpin/relay/paths/connector.py
@@ -19,7 +19,7 @@
 
 
 class UpstreamConnector:
-    """The connector of an instance; load_paths: None without tunnels through peers."""
+    """The connector of an instance; load_paths: None without tunnels."""
 
     def __init__(self, reactor: Any, load_paths: "Callable[[], UpstreamPaths] | None") -> None:
         self.reactor = reactor
@@ -44,12 +44,12 @@
 
     @property
     def is_cut(self) -> bool:
-        """Whether this instance has probably lost its links to all upstreams."""
+        """Whether the links to all upstreams are probably lost."""
         return self.paths is not None and self.paths.is_cut
 
     @property
     def is_degraded(self) -> bool:
-        """Whether any upstream is not known to be reached directly."""
+        """Whether direct connections fail."""
         return self.paths is not None and self.paths.is_active
 
     def is_unreachable(self, upstream: Endpoint) -> bool:
@@ -66,7 +66,7 @@
 
 
 class TunnelPort(Factory):
-    """Listens for peers' requests for tunnels; load_server: called with the first connection."""
+    """Accepts peers' requests for tunnels; load_server: called with the first."""
 
     noisy = False
 
--- a/pondpin/relay/upstreams/table.py
+++ b/pondpin/relay/upstreams/table.py
@@ -158,8 +158,7 @@
     def find(self, endpoint: Endpoint) -> UpstreamState | None:
         """The listed upstream at an endpoint."""
         for state in self.by_id.values():
-            listed = state.listed
-            if listed.port == endpoint.port and listed.host == endpoint.host:
+            if state.listed.port == endpoint.port and state.listed.host == endpoint.host:
                 return state
         return None
 
--- a/pondpin/tests/test_run_tracker.py
+++ b/pondpin/tests/test_run_tracker.py
@@ -10,7 +10,7 @@
 import unittest
 
 from pondpin.http_client import ConnectOutcome
-from pondpin.relay.attempts.run_tracker import RunTracker
+from pondpin.relay.attempts.run_tracker import ObservedEnd, RunTracker
 from pondpin.relay.log import EventLog
 from pondpin.relay.model import ListedUpstream
 from pondpin.relay.upstreams.table import UpstreamTable
@@ -41,6 +41,20 @@
         self.assertTrue(tracker.active_since(lead.life, ended_at))
         self.assertFalse(tracker.active_since(helper.life, ended_at))
 
+    def test_request_that_is_still_connecting_did_not_end_its_upstream(self) -> None:
+        clock = FakeClock()
+        log = EventLog("x", clock, clock, os.open(os.devnull, os.O_WRONLY))
+        table = UpstreamTable("north")
+        table.apply_list([ListedUpstream("a", "plain", "10.0.0.1", 80, "north", 8, False)], [])
+        ends: list[ObservedEnd] = []
+        tracker = RunTracker(reach, table, log, clock, ends.append)
+        state = table.by_id["a"]
+        connecting, sent = (tracker.begin(identity, (state,), 0.0) for identity in (7, 8))
+        sent.is_sent = True
+        tracker.record_refused(state)
+        self.assertEqual([end.runs for end in ends], [(sent,)])
+        self.assertIn(connecting, tracker.runs(state))
+
 
 if __name__ == "__main__":
     unittest.main()
