Pass parts of messages through tunnels without delay

A request through a tunnel took 39 ms (streams) and 32 ms (unsafe calls) where a direct one took 7 and 15: small writes waited for the acknowledgement of the one before (Nagle).

--- a/pondpin/relay/paths/tunnel_client.py
+++ b/pondpin/relay/paths/tunnel_client.py
@@ -53,6 +53,7 @@
 
     def connectionMade(self) -> None:
         """Send the head."""
+        self.transport.setTcpNoDelay(True)
         self.transport.write(self._head)
 
     def dataReceived(self, data: bytes) -> None:
--- a/pondpin/relay/paths/tunnel_server.py
+++ b/pondpin/relay/paths/tunnel_server.py
@@ -151,6 +151,8 @@
     def connectionMade(self) -> None:
         """Wait for the head."""
         self._server.ends.add(self)
+        # Parts of messages are passed on as they come.
+        self.transport.setTcpNoDelay(True)
         self._set_timeout(HEAD_SECONDS)
 
     def dataReceived(self, data: bytes) -> None:
@@ -262,6 +264,10 @@
     def __init__(self, peer: PeerEnd) -> None:
         self._peer: PeerEnd | None = peer
 
+    def connectionMade(self) -> None:
+        """See PeerEnd."""
+        self.transport.setTcpNoDelay(True)
+
     def dataReceived(self, data: bytes) -> None:
         """Pass bytes on."""
         if self._peer is not None:
