--- a/pondpin/soak/instance.py
+++ b/pondpin/soak/instance.py
@@ -1,45 +1,18 @@
-"""python -m pondpin.soak.instance: a relaying instance whose links to the workers can be cut."""
+"""python -m pondpin.soak.instance: a relaying instance whose links to the workers can be cut.
+
+Like `pondpin.main` it imports nothing else before it ignores SIGHUP.
+"""
 
-import asyncio
 import gc
 import signal
-from typing import TYPE_CHECKING, Any
-
-if TYPE_CHECKING:
-    from pondpin.runtime import ParsedCommand
-
-
-async def serve(reactor: Any, path: str, control: str, workers: str) -> int:
-    """Serve with links that follow the lines received at the control address."""
-    from pondpin.launch import serve_relay
-    from pondpin.network import parse_endpoint
-    from pondpin.relay_settings import read_relay_settings
-    from pondpin.standins.partitions import Cut, PartitionableReactor
-
-    links = PartitionableReactor(reactor, lambda host, port: host == workers)
-
-    async def follow(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        links.set_cut(Cut((await reader.readline()).decode().strip()))
-        writer.close()
-
-    place = parse_endpoint(control)
-    async with await asyncio.start_server(follow, place.host, place.port):
-        return await serve_relay(links, read_relay_settings(path), path)
-
-
-def instance(settings: str, control: str, workers: str) -> "ParsedCommand":
-    """Run an instance; control: address for cuts; workers: the host that cuts concern."""
-    from pondpin.runtime import ParsedCommand, run, set_up_logs
-
-    set_up_logs("info")
-    return ParsedCommand(lambda: run(lambda reactor: serve(reactor, settings, control, workers)))
 
 
 def main() -> None:
-    """As `pondpin.main`: ignore SIGHUP first, then load and run the program."""
+    """Ignore SIGHUP, then load and run the instance."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     gc.disable()
     from pondpin.runtime import run_command
+    from pondpin.soak.cuttable import instance
 
     run_command(instance, "pondpin-soak-instance")
 
