--- a/pondpin/tests/test_relay_partition.py
+++ b/pondpin/tests/test_relay_partition.py
@@ -9,6 +9,7 @@
 from pondpin.codes import Code
 from pondpin.http_client import HttpResponse
 from pondpin.http_streams import CallFailedError
+from pondpin.relay.entry import RelayEntry
 from pondpin.relay.log_events import Ended, LogEvent
 from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.operator_api import upstream_statuses
@@ -49,6 +50,10 @@
     return statuses.count(200)
 
 
+def open_tunnels(entry: RelayEntry) -> int:
+    return entry.connector.paths.open_tunnels if entry.connector.paths is not None else 0
+
+
 class PartitionTest(RelayTest):
     instances = 3
 
@@ -270,6 +275,56 @@
 
         self.play(work)
 
+    def test_instance_that_starts_while_it_is_cut_serves(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            platform.cut_from_workers(0, Cut.SILENT)
+            await platform.entries[0].stop()
+            await platform.restart_instance(0)
+            await platform.until(lambda: platform.entries[0].ready)
+            await platform.until(lambda: platform.entries[0].gossip.has_live_peers)
+            await try_once(platform, "again", "first", 0)
+            for route in ROUTES:
+                self.assertGreaterEqual(
+                    await served(platform, route, 0, "started"), SERVED_SHARE * REQUESTS
+                )
+
+        self.play(work)
+
+    def test_instance_that_is_also_cut_from_the_store_serves(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            source = platform.source
+            links, is_worker = platform.links[0], platform.links[0].is_cut
+            links.is_cut = lambda host, port: (
+                is_worker(host, port) or (host, port) == (source.host, source.port)
+            )
+            platform.cut_from_workers(0, Cut.RESET)
+            await try_once(platform, "again", "first", 0)
+            await asyncio.sleep(SETTLED_SECONDS)
+            for route in ROUTES:
+                self.assertGreaterEqual(
+                    await served(platform, route, 0, "cut"), SERVED_SHARE * REQUESTS
+                )
+
+        self.play(work)
+
+    def test_cuts_in_a_series_leave_no_detours_behind(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            entry = platform.entries[0]
+            for number, cut in enumerate((Cut.RESET, Cut.SILENT, Cut.REFUSE) * 2):
+                platform.cut_from_workers(0, cut)
+                await asyncio.gather(
+                    *(try_once(platform, route, f"{number}{route}", 0) for route in ROUTES)
+                )
+                platform.cut_from_workers(0, Cut.NONE)
+            await platform.until(lambda: not entry.connector.is_degraded, seconds=SETTLED_SECONDS)
+            for route in ROUTES:
+                self.assertEqual(await served(platform, route, 0, "healed"), REQUESTS)
+            for place in platform.place_by_id.values():
+                entry.http.close_idle(place.host, place.port)
+            await platform.until(lambda: not open_tunnels(entry))
+
+        self.play(work)
+
 
 class WithoutTunnelsTest(RelayTest):
     instances = 2
