--- a/pondpin/relay/paths/upstream_paths.py
+++ b/pondpin/relay/paths/upstream_paths.py
@@ -103,14 +103,8 @@
         return failure
 
     def _record_unacknowledged(self, upstream: Endpoint) -> None:
-        """Handle bytes on an open direct connection that were not acknowledged for long."""
-        now = self._clock()
-        is_known = upstream in self._reachability.failed_at
-        if (
-            is_known
-            or self._reachability.is_confirmed(upstream, now)
-            or not self._tunnels.alive_peers()
-        ):
+        """Handle bytes on an open direct connection that are not acknowledged."""
+        if upstream in self._reachability.failed_at or not self._can_ask(upstream):
             return
         self._record_failure(upstream, ConnectTimeoutError())
         self._spawn(self._verify(upstream))
@@ -174,15 +168,12 @@
                     _discard(item, winner)
 
     def _can_ask(self, upstream: Endpoint) -> bool:
-        """Whether there are peers, which have not just told that the upstream is at fault."""
+        """Whether there are peers, and none has just confirmed a fault of the upstream."""
         is_confirmed = self._reachability.is_confirmed(upstream, self._clock())
         return not is_confirmed and bool(self._tunnels.alive_peers())
 
     async def _ask_peers(self, upstream: Endpoint, factory: Any, error: Exception) -> Any:
-        if (
-            self._reachability.is_confirmed(upstream, self._clock())
-            or not self._tunnels.alive_peers()
-        ):
+        if not self._can_ask(upstream):
             raise error
         self._record_failure(upstream, error)
         return await self._open_tunnel(upstream, factory)
