Wait for the confirmation of a refusal before a retry

A request under which upstreams end must not be retried after the second end. The retry waited 60 ms for the check of the upstream, which is now confirmed by two peers in turn: direct connection, request to a peer, its connection, its check of others, twice, each up to 11 ms between data centres.

--- a/pondpin/relay/attempts/liveness_checks.py
+++ b/pondpin/relay/attempts/liveness_checks.py
@@ -15,8 +15,9 @@
 from pondpin.relay.upstreams.state import UpstreamState
 from pondpin.request_identity import format_identity
 
-# A retry waits this long for the result of a check: a round trip takes 4 ms.
-ANSWER_SECONDS = 0.06
+# A retry waits this long for the result of a check. A refusal is confirmed by two peers, one after
+# the other: eight round trips of up to 11 ms between data centres, and time to decide.
+ANSWER_SECONDS = 0.15
 MILLISECONDS = 1000
 
 
