Answer every open request when a relay stops

Cause, two parts. `drain` waited for the end of the grace period whatever a request waited for. `RelayEntry.stop` then cancelled the handlers' tasks, and `RelayHandler` took each cancellation for a caller that had left: it logged that and sent nothing.

Now a cancelled request has a reason. While an instance drains, one function (`shutdown.can_finish`) compares the forecast end of each wait and of the answer with the end of the drain: at SIGTERM, every 0.1 s, and before a send. What can't be done is refused then, as not run. What is open at the end is answered: 503 if it was not sent, 502 or 504 with an unknown outcome if it was; a stream is broken off after its last event. Connections are closed once their replies are written, for up to 0.25 s.

Ruled out: that the queue or the leases held the prompts back (without the signal they are served or refused). The runner of attempts is loaded with the first attempt, as the code loaded by a start was at its bound.

--- a/pondpin/http_reply.py
+++ b/pondpin/http_reply.py
@@ -133,6 +133,18 @@
             self.is_closed = True
             self._request.abort_connection()
 
+    def truncate(self) -> None:
+        """End a started reply so that it can't pass for complete, after what was written."""
+        # Without a length or chunks, a closed connection marks the end of a complete body.
+        is_framed = self._request.chunked or self._request.responseHeaders.hasHeader(
+            "content-length"
+        )
+        if not is_framed:
+            self.abort()
+        elif not self.is_closed:
+            self.is_closed = True
+            self._request.channel.loseConnection()
+
     @property
     def channel(self) -> Any:
         """The connection's HTTP channel, None once it is closed."""
--- a/pondpin/http_server.py
+++ b/pondpin/http_server.py
@@ -77,16 +77,16 @@
         """Create the body buffer; refuse a declared length above the limit."""
         self.content = io.BytesIO()
         if length is not None and length > self.server.limits.body_bytes:
-            self._refuse(PondpinError(Code.BODY_TOO_LARGE))
+            self.refuse(PondpinError(Code.BODY_TOO_LARGE))
 
     def handleContentChunk(self, data: bytes) -> None:
         """Store a part of the body, or drop it after a refusal."""
         if self.refused:
             return
         if self.held_bytes + len(data) > self.server.limits.body_bytes:
-            self._refuse(PondpinError(Code.BODY_TOO_LARGE))
+            self.refuse(PondpinError(Code.BODY_TOO_LARGE))
         elif not self.server.budget.reserve(len(data)):
-            self._refuse(PondpinError(Code.BODIES_HELD, retry_after=1.0))
+            self.refuse(PondpinError(Code.BODIES_HELD, retry_after=1.0))
         else:
             self.held_bytes += len(data)
             cast(io.BytesIO, self.content).write(data)
@@ -133,6 +133,11 @@
         finally:
             self._release()
 
+    @property
+    def is_receiving_body(self) -> bool:
+        """Whether the head was received and the body is not complete."""
+        return self.send_timer is not None and self.content is not None and not self.refused
+
     def connectionLost(self, reason: Failure) -> None:
         """Clean up, also of an incomplete request."""
         self._cancel_timer()
@@ -163,9 +168,9 @@
         self.send_timer = None
 
     def _on_send_timeout(self) -> None:
-        self._refuse(PondpinError(Code.SLOW_SENDER, retry_after=1.0))
+        self.refuse(PondpinError(Code.SLOW_SENDER, retry_after=1.0))
 
-    def _refuse(self, error: PondpinError) -> None:
+    def refuse(self, error: PondpinError) -> None:
         """Reply before the body is complete; close when the caller could read it."""
         if any(self.requestHeaders.hasHeader(name) for name in IDEMPOTENCY_HEADERS):
             error.ran = Ran.UNKNOWN
--- a/pondpin/relay/attempts/handler.py
+++ b/pondpin/relay/attempts/handler.py
@@ -1,6 +1,7 @@
 """Serves relayed requests."""
 
 import asyncio
+import enum
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -13,7 +14,6 @@
 from pondpin.http_reply import IncomingRequest, Reply
 from pondpin.metrics import Metrics
 from pondpin.relay.attempts.admission import AdmissionState, Admitted, admit, check_not_behind
-from pondpin.relay.attempts.attempt import AttemptRunner
 from pondpin.relay.attempts.attempt_ends import (
     FIRST_SERVER_ERROR,
     correct_ran,
@@ -39,6 +39,7 @@
 from pondpin.request_identity import identify
 
 if TYPE_CHECKING:
+    from pondpin.relay.attempts.attempt import AttemptRunner
     from pondpin.relay.attempts.passive_health import LoadRecorder, PassiveHealth
     from pondpin.relay.attempts.retries import Retries
     from pondpin.relay.upstreams.leases import LeaseGroup, LeaseManager
@@ -52,12 +53,34 @@
 PREFILL_SLACK_SECONDS = 0.4
 
 
+class CancelReason(enum.StrEnum):
+    """Why an open request is cancelled."""
+
+    CALLER_LEFT = "caller left"
+    STOPPING = "instance stops"
+
+
+@dataclass(eq=False, slots=True)
+class ServedRequest:
+    """An admitted request and the task that serves it."""
+
+    call: RelayCall
+    progress: Progress
+    task: "asyncio.Task[None]"
+    cancel_reason: CancelReason | None = None
+
+    def cancel(self, reason: CancelReason) -> None:
+        """Cancel the task; the first reason counts."""
+        self.cancel_reason = self.cancel_reason or reason
+        self.task.cancel()
+
+
 @dataclass
 class RelayHandler:
     """Relays the requests of callers."""
 
     dialect: Dialect
-    runner: AttemptRunner
+    make_runner: Callable[[], "AttemptRunner"]
     planner: Planner
     placer: Placer
     table: UpstreamTable
@@ -80,6 +103,7 @@
 
     def __post_init__(self) -> None:
         self.open_requests = 0
+        self.served: set[ServedRequest] = set()
         self.request_log = RequestLog(self.log, self.metrics, self.clock)
         self._windows: dict[str, RetryWindow] = {}
 
@@ -143,19 +167,30 @@
         if call.reply.is_closed:
             self.request_log.caller_disconnected(call)
             return
-        task = asyncio.ensure_future(self._serve(call))
+        progress = Progress(last_event_number=call.resume_event_number)
+        task = asyncio.get_running_loop().create_task(self._serve(call, progress))
+        served = ServedRequest(call, progress, task)
+        self.served.add(served)
         if call.route.kind is not RouteKind.UNSAFE:
-            call.reply.on_disconnect = lambda: _cancel(task)
+            call.reply.on_disconnect = lambda: served.cancel(CancelReason.CALLER_LEFT)
         try:
             await task
         except asyncio.CancelledError:
-            if not task.cancelled():
+            if served.cancel_reason is None:
                 task.cancel()
                 raise
-            self.request_log.caller_disconnected(call)
+            if served.cancel_reason is CancelReason.CALLER_LEFT:
+                self.request_log.caller_disconnected(call)
+                return
+            from pondpin.relay.attempts.shutdown import stop_error
 
-    async def _serve(self, call: RelayCall) -> None:
-        progress = Progress(last_event_number=call.resume_event_number)
+            if call.reply.started:
+                call.reply.truncate()
+            raise stop_error(call, progress, self.clock()) from None
+        finally:
+            self.served.discard(served)
+
+    async def _serve(self, call: RelayCall, progress: Progress) -> None:
         try:
             await self._serve_by_attempts(call, progress)
         finally:
@@ -170,6 +205,7 @@
                 raise correct_ran(error, progress) from None
             self.placer.release_permit(progress)
             progress.may_have_run = progress.may_have_run or end.may_have_run
+            progress.is_sent = False
             progress.sends += end.was_sent
             if end.kind is EndKind.DONE:
                 self._finish_stream(call, progress)
@@ -267,6 +303,11 @@
         call.reply.finish()
         self.request_log.ended(call, progress, 200, Code.OK)
 
+    @cached_property
+    def runner(self) -> "AttemptRunner":
+        """Loaded with the first attempt."""
+        return self.make_runner()
+
     @cached_property
     def _health(self) -> "PassiveHealth":
         """Imported with the first response."""
@@ -332,7 +373,7 @@
         reason = self.handler.send_checks.withhold_reason(
             self.call, self.progress, self.plan, is_begun=True
         )
-        self.run.is_sent = not reason
+        self.run.is_sent = self.progress.is_sent = not reason
         self.run.sent_at = self.handler.clock()
         return reason
 
@@ -343,7 +384,3 @@
         if self.connection is None:
             return False
         return self.handler.connector.is_lost(lead.endpoint, self.connection)
-
-
-def _cancel(task: "asyncio.Future[None]") -> None:
-    task.cancel()
--- a/pondpin/relay/attempts/permit_acquirer.py
+++ b/pondpin/relay/attempts/permit_acquirer.py
@@ -8,7 +8,7 @@
 from pondpin.metrics import Metrics
 from pondpin.pacer import Permit
 from pondpin.relay.attempts.attempt_ends import RETRY_SECONDS
-from pondpin.relay.call import Progress, RelayCall
+from pondpin.relay.call import Progress, RelayCall, Wait, WaitPlace
 from pondpin.relay.choosing.jobs import is_light_call, make_job
 from pondpin.relay.peers.permit_broker import MAX_OWNERS_ASKED, NoPermit, PermitBroker
 from pondpin.relay.upstreams.state import UpstreamState
@@ -52,6 +52,7 @@
             return False
         self.metrics.permits.inc({"result": "taken"})
         progress.permit = found
+        progress.wait = Wait(WaitPlace.PERMIT, None, lambda now: found.valid_from - now)
         await asyncio.sleep(max(0.0, found.valid_from - self.clock()))
         return True
 
--- a/pondpin/relay/attempts/placer.py
+++ b/pondpin/relay/attempts/placer.py
@@ -12,7 +12,7 @@
 from pondpin.errors import PondpinError
 from pondpin.relay.attempts.attempt_ends import RETRY_SECONDS
 from pondpin.relay.attempts.send_checks import SendChecks
-from pondpin.relay.call import Progress, RelayCall
+from pondpin.relay.call import Progress, RelayCall, Wait, WaitPlace
 from pondpin.relay.choosing.jobs import make_job
 from pondpin.relay.choosing.planner import Plan, Planner
 from pondpin.relay.upstreams.state import UpstreamState
@@ -46,14 +46,18 @@
     slots: Callable[[], "SlotAcquirer"]
     clock: Clock
     rng: random.Random
+    drain_ends_at: Callable[[], float | None] = lambda: None
 
     async def place(self, call: RelayCall, progress: Progress) -> tuple[Plan, "LeaseGroup | None"]:
         """Plan an attempt that passes the send checks; long prompts may queue."""
         while True:
             self.check_evacuated(call)
+            progress.wait = Wait(WaitPlace.PLACEMENT)
             await self.send_checks.crash_guard.admit(call, progress)
             plan, group = await self._plan(call, progress)
             if not self.send_checks.withhold_reason(call, progress, plan, is_begun=False):
+                self._check_drain(call, progress, plan, group)
+                progress.wait = None
                 return plan, group
             if group is not None:
                 self.leases().release(group)
@@ -66,6 +70,22 @@
             # Plan and checks use the same state; if they ever differ, let other tasks run.
             await asyncio.sleep(0)
 
+    def _check_drain(
+        self, call: RelayCall, progress: Progress, plan: Plan, group: "LeaseGroup | None"
+    ) -> None:
+        """Raise PondpinError if this instance stops before a request would be answered."""
+        ends_at = self.drain_ends_at()
+        if ends_at is None:
+            return
+        from pondpin.relay.attempts.shutdown import check_drain
+
+        try:
+            check_drain(call, progress, Wait(WaitPlace.PLACEMENT, plan), ends_at, self.clock())
+        except PondpinError:
+            if group is not None:
+                self.leases().release(group)
+            raise
+
     def check_evacuated(self, call: RelayCall) -> None:
         """Raise PondpinError if every upstream of a call's service is evacuated."""
         if self.table.evacuated:
@@ -132,6 +152,8 @@
             wait = self._rest_wait(call, progress)
             if wait is None:
                 raise self.unavailable_error(call, progress)
+            ends_at = self.clock() + wait
+            progress.wait = Wait(WaitPlace.REST, None, _until(ends_at))
             await asyncio.sleep(wait)
 
     def has_limited(self, call: RelayCall) -> bool:
@@ -200,8 +222,13 @@
                     wait = dispatcher.retry_after(call, progress, plan)
                     raise too_late_error(call, plan, wait, self.clock())
                 entry = dispatcher.update_queue(call, progress, plan, entry, decision)
+                progress.wait = dispatcher.make_wait(plan, entry)
                 await dispatcher.wait_to_replan(plan, entry, decision)
                 plan = self.planner.plan(call, progress, avoid)
             return None
         finally:
             dispatcher.dequeue(entry)
+
+
+def _until(ends_at: float) -> Callable[[float], float]:
+    return lambda now: ends_at - now
--- a/pondpin/relay/attempts/slot_acquirer.py
+++ b/pondpin/relay/attempts/slot_acquirer.py
@@ -11,7 +11,7 @@
 from pondpin.metrics import Metrics
 from pondpin.overload.slots import SlotRequest
 from pondpin.relay.attempts.attempt_ends import RETRY_SECONDS
-from pondpin.relay.call import Progress, RelayCall
+from pondpin.relay.call import Progress, RelayCall, Wait, WaitPlace
 from pondpin.relay.choosing.jobs import make_job
 from pondpin.relay.choosing.planner import Plan, RelayPolicy
 from pondpin.relay.mechanisms import Mechanism
@@ -107,7 +107,14 @@
         """Ask the owner of a plan's lead; None if the attempt may go on."""
         is_last = is_last_owner and not probes
         request = self._request(call, progress, plan, is_last, PROBE_SHARE if probes else 1.0)
-        result = await self.slots.broker.acquire(plan.lead, request)
+        broker = self.slots.broker
+        progress.wait = Wait(
+            WaitPlace.SLOT,
+            plan,
+            lambda now: broker.forecast_wait(request.key, now),
+            request.cost_seconds,
+        )
+        result = await broker.acquire(plan.lead, request)
         if isinstance(result, SlotRefusal):
             self.metrics.slot_grants.inc({"result": "refused"})
             return result
--- a/pondpin/relay/call.py
+++ b/pondpin/relay/call.py
@@ -1,6 +1,7 @@
 """An admitted request, the results of its attempts and its progress."""
 
 import enum
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -10,6 +11,7 @@
 
 if TYPE_CHECKING:
     from pondpin.pacer import Permit
+    from pondpin.relay.choosing.planner import Plan
     from pondpin.relay.slot_results import SlotGrant
 
 # The longest of these seconds, latency targets and gap targets counts, also before the first event.
@@ -113,6 +115,26 @@
     return end.kind in (EndKind.NOT_SENT, EndKind.BROKEN, EndKind.STALLED)
 
 
+class WaitPlace(enum.Enum):
+    """What a request waits for before it is sent."""
+
+    PLACEMENT = "placement"
+    PREFILL_QUEUE = "prefill queue"
+    SLOT = "slot"
+    PERMIT = "permit"
+    REST = "rest"
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """A wait; forecast: seconds until it ends, at a given time; run_seconds: of what follows."""
+
+    place: WaitPlace
+    plan: "Plan | None" = None
+    forecast: Callable[[float], float] = lambda now: 0.0
+    run_seconds: float | None = None
+
+
 @dataclass(slots=True)
 class Progress:
     """The state of a request over its attempts."""
@@ -120,6 +142,10 @@
     attempts: int = 0
     sends: int = 0
     may_have_run: bool = False
+    # Whether the present attempt was sent.
+    is_sent: bool = False
+    # Before each attempt is sent.
+    wait: Wait | None = None
     # Lives that later attempts avoid: those tried, and helpers at fault.
     tried_lives: frozenset[int] = frozenset()
     last_upstream: str = ""
--- a/pondpin/relay/choosing/dispatch.py
+++ b/pondpin/relay/choosing/dispatch.py
@@ -9,7 +9,7 @@
 import xxhash
 
 from pondpin.clocks import Clock
-from pondpin.relay.call import Progress, RelayCall
+from pondpin.relay.call import Progress, RelayCall, Wait, WaitPlace
 from pondpin.relay.choosing.heavy_choice import LATEST_SHARE, meets_caller_timeout, should_hold
 from pondpin.relay.choosing.jobs import make_job
 from pondpin.relay.choosing.planner import Plan, RelayPolicy
@@ -217,6 +217,27 @@
             if self._start_delay(waiting, order, now) > waiting.latest_start - now:
                 wake.set()
 
+    def make_wait(self, plan: Plan, entry: QueueEntry | None) -> Wait:
+        """The wait of a queued or held prompt, with the forecast of its start."""
+        planned_at = self._clock()
+        return Wait(
+            WaitPlace.PREFILL_QUEUE,
+            plan,
+            lambda now: self._forecast_start(plan, entry, planned_at, now),
+        )
+
+    def _forecast_start(
+        self, plan: Plan, entry: QueueEntry | None, planned_at: float, now: float
+    ) -> float:
+        """Seconds until a prompt starts: once its engines are free, and after those before it."""
+        delay = plan.choice.start_delay if plan.choice is not None else 0.0
+        left = max(0.0, planned_at + delay - now)
+        waiting = self._waiting_by_key.get(entry.key) if entry is not None else None
+        if waiting is None:
+            return left
+        order = self._queue.forecast_order(now, waiting.engines)
+        return max(left, self._start_delay(waiting, order, now))
+
     def retry_after(self, call: RelayCall, progress: Progress, plan: Plan) -> float:
         """Seconds after which a refused prompt may start, spread over the callers."""
         if not self._uses_shares:
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -18,7 +18,6 @@
 from pondpin.platform.store import PlatformStore
 from pondpin.policies import PlacementPolicy
 from pondpin.relay.attempts.admission import AdmissionState, is_ready
-from pondpin.relay.attempts.attempt import AttemptRunner
 from pondpin.relay.attempts.crash_guard import CrashGuard
 from pondpin.relay.attempts.handler import RelayHandler
 from pondpin.relay.attempts.placer import Placer
@@ -75,6 +74,7 @@
         self.boot = secrets.randbits(48)
         self.rng = random.Random(self.boot)
         self.stopping_at: float | None = None
+        self.drain_ends_at: float | None = None
         self._tunnel_port: Any = None
         self._created_at = steady_now()
         self._make_state()
@@ -190,10 +190,11 @@
             slots=lambda: self.lazy.slots,
             clock=steady_now,
             rng=self.rng,
+            drain_ends_at=lambda: self.drain_ends_at,
         )
         self.handler = RelayHandler(
             dialect=dialect,
-            runner=AttemptRunner(self.http, dialect, steady_now),
+            make_runner=lambda: self.lazy.make_runner(dialect),
             planner=planner,
             placer=placer,
             table=self.table,
@@ -352,7 +353,7 @@
         return bound
 
     async def drain_and_stop(self) -> None:
-        """Become unready at once, drain open requests for the grace period, then stop."""
+        """Become unready, drain open requests for the grace period, then stop."""
         from pondpin.relay.draining import drain
 
         self.stopping_at = steady_now()
@@ -361,15 +362,22 @@
 
     def refuses_new(self, now: float) -> bool:
         """New requests may outlast the process."""
-        return self.stopping_at is not None and now - self.stopping_at >= BALANCER_REMOVAL_SECONDS
+        if self.stopping_at is None or self.drain_ends_at is None:
+            return False
+        return now >= min(self.stopping_at + BALANCER_REMOVAL_SECONDS, self.drain_ends_at)
 
     @property
     def _servers(self) -> tuple[WebServer, ...]:
         return (self.caller_server, self.ready_server, self.metrics_server, self.document_server)
 
     async def stop(self) -> None:
-        """Stop the controllers, close the servers and cancel open requests."""
-        self.log.write(Stopped(open_requests=self.handler.open_requests))
+        """End open requests with a reply, stop the controllers and close the servers."""
+        if len(self.caller_server.channels) or self.caller_server.tasks:
+            from pondpin.relay.draining import end_connections
+
+            self.log.write(await end_connections(self))
+        else:
+            self.log.write(Stopped(open_requests=0))
         for controller in self.controllers:
             await controller.stop()
         if self._tunnel_port is not None:
@@ -377,9 +385,6 @@
         self.lazy.close_tunnels()
         for server in self._servers:
             await server.close()
-        for task in list(self.caller_server.tasks):
-            task.cancel()
-        await asyncio.gather(*self.caller_server.tasks, return_exceptions=True)
         await self.lazy.wait_released()
         self.gossip.close()
         self.log.flush()
--- a/pondpin/relay/lazy_components.py
+++ b/pondpin/relay/lazy_components.py
@@ -19,6 +19,7 @@
 from pondpin.runtime import steady_now
 
 if TYPE_CHECKING:
+    from pondpin.relay.attempts.attempt import AttemptRunner
     from pondpin.relay.attempts.permit_acquirer import PermitAcquirer
     from pondpin.relay.attempts.slot_acquirer import SlotAcquirer
     from pondpin.relay.choosing.dispatch import Dispatcher
@@ -27,6 +28,7 @@
     from pondpin.relay.operator_api import OperatorApi
     from pondpin.relay.paths.tunnel_server import TunnelFactory
     from pondpin.relay.paths.upstream_paths import UpstreamPaths
+    from pondpin.relay.ports import Dialect
     from pondpin.relay.published.document_server import DocumentServer
     from pondpin.relay.published.pieces import FetchPieceReply, FetchPieceRequest, HttpPieceClient
     from pondpin.relay.upstreams.leases import LeaseManager
@@ -91,6 +93,12 @@
         self._connector = connector
         self._settings = settings
 
+    def make_runner(self, dialect: "Dialect") -> "AttemptRunner":
+        """Create the runner of attempts."""
+        from pondpin.relay.attempts.attempt import AttemptRunner
+
+        return AttemptRunner(self._http, dialect, steady_now)
+
     @cached_property
     def dispatcher(self) -> "Dispatcher":
         """Dispatch and queue of long prompts."""
--- a/pondpin/relay/log_events.py
+++ b/pondpin/relay/log_events.py
@@ -25,10 +25,26 @@
     grace: float
 
 
+class RequestsRefused(LogEvent, frozen=True, kw_only=True, tag="waiting_refused"):
+    """Waiting requests were refused that can't be answered before the drain ends, by what for.
+
+    left_ms: until its end.
+    """
+
+    left_ms: int
+    places: dict[str, int]
+
+
 class Stopped(LogEvent, frozen=True, kw_only=True, tag="stopped"):
-    """The process is ending."""
+    """The process is ending.
+
+    open_requests: ended before their upstreams had answered. unanswered: requests without a reply.
+    unread: connections whose callers did not read their replies in time.
+    """
 
     open_requests: int
+    unanswered: int = 0
+    unread: int = 0
 
 
 class Reloaded(LogEvent, frozen=True, kw_only=True, tag="reloaded"):
--- a/pondpin/relay/peers/slot_broker.py
+++ b/pondpin/relay/peers/slot_broker.py
@@ -60,11 +60,14 @@
 class _Pending:
     """An ask of this instance.
 
+    bound: until when it waits. granted_at: its owner's forecast, None before the first.
     is_heard: its owner acknowledged the last message. is_late: the own event loop was late, so that
     the owner may have answered in time.
     """
 
     answer: "asyncio.Future[SlotAnswer]"
+    bound: float
+    granted_at: float | None = None
     is_heard: bool = False
     is_late: bool = False
 
@@ -119,6 +122,15 @@
                 self.owners.bypass(owner.host, UNSETTLED_SECONDS)
         return undecided
 
+    def forecast_wait(self, key: int, now: float) -> float:
+        """Seconds until an ask is granted; a forecast that was exceeded gives way to its bound."""
+        pending = self._pending.get(key)
+        if pending is None:
+            return 0.0
+        if pending.granted_at is None or pending.granted_at < now:
+            return max(0.0, pending.bound - now)
+        return pending.granted_at - now
+
     def _host_of(self, owner: PermitOwner) -> str:
         """The host of an owner, "" for this instance."""
         return "" if owner.host == self.host else owner.host
@@ -127,7 +139,8 @@
         self, state: UpstreamState, request: SlotRequest, host: str
     ) -> SlotAnswer | None:
         """The final answer of an owner, "" for this instance; None if it stays silent."""
-        pending = _Pending(asyncio.get_running_loop().create_future())
+        bound = self.clock() + request.max_wait_seconds
+        pending = _Pending(asyncio.get_running_loop().create_future(), bound)
         self._pending[request.key] = pending
         is_silent = False
         try:
@@ -315,6 +328,7 @@
             return
         if answer.outcome is SlotOutcomeCode.WAITING:
             pending.is_heard = True
+            pending.granted_at = self.clock() + answer.wait / MILLISECONDS
         else:
             pending.answer.set_result(answer)
 
