Require a key while the configuration lists tenants without any

Cause: `needs_key` asked whether the table of keys was empty, which it is for two reasons: a document without a list of tenants, and one whose tenants have no keys. "Keys are required" is now decoded where the document is read.

The same cause on related paths: `check_key` skipped requests without an account, so that one admitted while no key was needed was sent after keys were required; and it compared only validity, so that a key that moved to another tenant sent the request under the former name (now refused as not run, 4013). Blank keys, keys that are not strings and keys of two tenants match nothing; a key of another type no longer rejects the document, which would have left revoked keys in force.

Ruled out: that proofs or peers' copies were at fault; the case's instances had the version in force when they admitted the requests.

--- a/pondpin/codes.py
+++ b/pondpin/codes.py
@@ -80,6 +80,7 @@
     TUNNEL_DENIED = 4010
     TUNNEL_TARGET = 4011
     TUNNEL_BUSY = 4012
+    ACCOUNT_CHANGED = 4013
     INTERNAL = 4999
 
 
@@ -173,5 +174,8 @@
     ),
     Code.TUNNEL_TARGET: CodeInfo(403, "A tunnel leads to listed upstreams only.", False),
     Code.TUNNEL_BUSY: CodeInfo(503, "The instance has as many tunnels open as it may.", True),
+    Code.ACCOUNT_CHANGED: CodeInfo(
+        503, "The request's key was moved to another account while it waited.", True
+    ),
     Code.INTERNAL: CodeInfo(500, "A fault in pondpin itself.", True),
 }
--- a/pondpin/platform/documents.py
+++ b/pondpin/platform/documents.py
@@ -99,21 +99,21 @@
 
 
 class WireTenant(msgspec.Struct, frozen=True, rename="camel"):
-    """A tenant: the platform's name for a client account."""
+    """A tenant: the platform's name for a client account. Keys of other types match nothing."""
 
     name: str
-    api_keys: tuple[str, ...] = ()
+    api_keys: tuple[object, ...] = ()
     priority: int | None = None
 
 
 class WireConfiguration(msgspec.Struct, frozen=True):
-    """The operator's configuration document."""
+    """The operator's configuration document; without a list of tenants no keys are required."""
 
     version: int
     routes: tuple[WireRoute, ...]
     services: tuple[WireService, ...]
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
-    tenants: tuple[WireTenant, ...] = ()
+    tenants: tuple[WireTenant, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 class WireServer(msgspec.Struct, frozen=True, rename="camel"):
@@ -155,11 +155,8 @@
             version=wire.version,
             routes_by_host={host: tuple(group) for host, group in routes.items()},
             services_by_name={item.name: _decode_service(item) for item in wire.services},
-            accounts_by_key={
-                key: ClientAccount(tenant.name, tenant.priority)
-                for tenant in wire.tenants
-                for key in tenant.api_keys
-            },
+            accounts_by_key=_decode_accounts(wire.tenants or ()),
+            keys_required=wire.tenants is not msgspec.UNSET,
             bounds=CallerBounds(
                 header_bytes=wire.limits.max_header_bytes,
                 body_bytes=wire.limits.max_body_bytes,
@@ -201,6 +198,20 @@
         raise ValueError("nested too deeply") from None
 
 
+def _decode_accounts(tenants: tuple[WireTenant, ...]) -> dict[str, ClientAccount]:
+    """Accounts by key; a blank key, or one of several tenants, belongs to none."""
+    accounts: dict[str, ClientAccount] = {}
+    ambiguous: set[str] = set()
+    for tenant in tenants:
+        account = ClientAccount(tenant.name, tenant.priority)
+        for key in tenant.api_keys:
+            if not isinstance(key, str) or not key.strip():
+                continue
+            if accounts.setdefault(key, account) is not account:
+                ambiguous.add(key)
+    return {key: account for key, account in accounts.items() if key not in ambiguous}
+
+
 def _decode_route(wire: WireRoute) -> Route:
     kind = KIND_BY_TYPE.get(wire.route_type)
     if kind is None:
--- a/pondpin/relay/attempts/send_checks.py
+++ b/pondpin/relay/attempts/send_checks.py
@@ -10,8 +10,15 @@
 
 from pondpin.availability import BlockReason
 from pondpin.clocks import Clock
+from pondpin.codes import Code
 from pondpin.errors import PondpinError
-from pondpin.relay.attempts.admission import AdmissionState, admit, check_proof, check_ready
+from pondpin.relay.attempts.admission import (
+    RETRY_SECONDS,
+    AdmissionState,
+    admit,
+    check_proof,
+    check_ready,
+)
 from pondpin.relay.attempts.crash_guard import CrashGuard
 from pondpin.relay.call import Progress, RelayCall
 from pondpin.relay.choosing.planner import Plan
@@ -30,13 +37,18 @@
     clock: Clock
 
     def check_key(self, call: RelayCall) -> None:
-        """Raise PondpinError if the key is no longer valid, or its proof too old."""
-        if call.account:
-            state, now = self.admission_state(), self.clock()
-            admit(state, call.metadata, call.incoming.path, now)
+        """Raise PondpinError unless the request would be admitted now, for the same account.
+
+        Its account and rank are those of the configuration that admitted it. If its key was moved
+        since, its caller comes back and is admitted anew.
+        """
+        state, now = self.admission_state(), self.clock()
+        if check_ready(state) is not call.configuration:
+            admitted = admit(state, call.metadata, call.incoming.path, now)
+            if admitted.account != call.account:
+                raise PondpinError(Code.ACCOUNT_CHANGED, retry_after=RETRY_SECONDS)
+        elif call.account:
             check_proof(state, call.metadata, now)
-        else:
-            check_ready(self.admission_state())
 
     def withhold_reason(
         self, call: RelayCall, progress: Progress, plan: Plan, is_begun: bool
--- a/pondpin/relay/choosing/routing.py
+++ b/pondpin/relay/choosing/routing.py
@@ -16,12 +16,12 @@
 
 def find_account(configuration: RelayConfiguration, key: str) -> ClientAccount | None:
     """Find the account of an API key."""
-    return configuration.accounts_by_key.get(key) if key else None
+    return configuration.accounts_by_key.get(key)
 
 
 def needs_key(configuration: RelayConfiguration, route: Route) -> bool:
     """Whether requests of the route need an API key."""
-    return bool(configuration.accounts_by_key) and not route.public
+    return configuration.keys_required and not route.public
 
 
 def service_gap_target(configuration: RelayConfiguration, service: str) -> float:
--- a/pondpin/relay/model.py
+++ b/pondpin/relay/model.py
@@ -114,6 +114,7 @@
 class RelayConfiguration:
     """A decoded version of the configuration; a host's routes have the longest prefix first.
 
+    keys_required: whether routes that aren't public need an API key, also while no key is valid.
     shortest_gap_by_service: the strictest gap target of each service's streams, computed once as
     placement needs it.
     """
@@ -123,6 +124,7 @@
     services_by_name: Mapping[str, Service]
     accounts_by_key: Mapping[str, ClientAccount]
     bounds: CallerBounds = field(default_factory=CallerBounds)
+    keys_required: bool = True
     shortest_gap_by_service: Mapping[str, float] = field(init=False)
 
     def __post_init__(self) -> None:
