--- a/pondpin/relay/attempts/permit_acquirer.py
+++ b/pondpin/relay/attempts/permit_acquirer.py
@@ -52,7 +52,7 @@
             return False
         self.metrics.permits.inc({"result": "taken"})
         progress.permit = found
-        progress.wait = Wait(WaitPlace.PERMIT, None, lambda now: found.valid_from - now)
+        progress.wait = Wait(WaitPlace.PERMIT, lambda now: found.valid_from - now)
         await asyncio.sleep(max(0.0, found.valid_from - self.clock()))
         return True
 
--- a/pondpin/relay/attempts/placer.py
+++ b/pondpin/relay/attempts/placer.py
@@ -79,8 +79,10 @@
             return
         from pondpin.relay.attempts.shutdown import check_drain
 
+        delay = plan.choice.start_delay if plan.choice is not None else 0.0
+        wait = Wait(WaitPlace.PLACEMENT, lambda now: delay, plan.prefill_seconds)
         try:
-            check_drain(call, progress, Wait(WaitPlace.PLACEMENT, plan), ends_at, self.clock())
+            check_drain(call, progress, wait, ends_at, self.clock())
         except PondpinError:
             if group is not None:
                 self.leases().release(group)
@@ -153,7 +155,7 @@
             if wait is None:
                 raise self.unavailable_error(call, progress)
             ends_at = self.clock() + wait
-            progress.wait = Wait(WaitPlace.REST, None, _until(ends_at))
+            progress.wait = Wait(WaitPlace.REST, _until(ends_at))
             await asyncio.sleep(wait)
 
     def has_limited(self, call: RelayCall) -> bool:
--- a/pondpin/relay/attempts/shutdown.py
+++ b/pondpin/relay/attempts/shutdown.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
 
 from pondpin.codes import Code, Ran
 from pondpin.errors import PondpinError
@@ -17,31 +16,28 @@
 from pondpin.relay.call import Progress, RelayCall, Wait
 from pondpin.relay.log_events import RequestsRefused
 
-if TYPE_CHECKING:
-    from pondpin.relay.choosing.planner import Plan
-
 STOP_DETAIL = "the instance stops"
 
 
 def can_finish(call: RelayCall, wait: Wait, ends_at: float, now: float) -> bool:
     """Whether a waiting request is forecast to be answered by ends_at, the end of the drain."""
-    run = run_seconds(call, wait.plan) if wait.run_seconds is None else wait.run_seconds
-    return now + max(0.0, wait.forecast(now)) + run <= ends_at
+    waits = max(0.0, wait.forecast(now))
+    return now + waits + run_seconds(call, wait.first_seconds) <= ends_at
+
 
+def run_seconds(call: RelayCall, first_seconds: float | None) -> float:
+    """Forecast seconds from the end of a wait to the end of the answer.
 
-def run_seconds(call: RelayCall, plan: "Plan | None") -> float:
-    """Forecast seconds from the end of a wait to the end of the answer."""
+    first_seconds: to the first event, or to a plain answer; None if it isn't known.
+    """
     service = call.configuration.services_by_name.get(call.service)
     profile = service.engine if service is not None else None
+    target = call.route.latency_target
     if profile is None:
-        return FIRST_RUN_SHARE * call.route.latency_target
-    choice = plan.choice if plan is not None else None
-    # Without a plan, what its route expects.
-    first_event = call.route.latency_target
-    if choice is not None:
-        first_event = choice.first_event_seconds - choice.start_delay
+        return FIRST_RUN_SHARE * target if first_seconds is None else first_seconds
     passes = call.metadata.answer_tokens / max(1, profile.stride)
-    return first_event + passes * full_pass_seconds(profile)
+    first = target if first_seconds is None else first_seconds
+    return first + passes * full_pass_seconds(profile)
 
 
 def check_drain(
--- a/pondpin/relay/attempts/slot_acquirer.py
+++ b/pondpin/relay/attempts/slot_acquirer.py
@@ -110,9 +110,8 @@
         broker = self.slots.broker
         progress.wait = Wait(
             WaitPlace.SLOT,
-            plan,
             lambda now: broker.forecast_wait(request.key, now),
-            request.cost_seconds,
+            self._forecast(call, plan)[0],
         )
         result = await broker.acquire(plan.lead, request)
         if isinstance(result, SlotRefusal):
--- a/pondpin/relay/call.py
+++ b/pondpin/relay/call.py
@@ -11,7 +11,6 @@
 
 if TYPE_CHECKING:
     from pondpin.pacer import Permit
-    from pondpin.relay.choosing.planner import Plan
     from pondpin.relay.slot_results import SlotGrant
 
 # The longest of these seconds, latency targets and gap targets counts, also before the first event.
@@ -127,12 +126,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Wait:
-    """A wait; forecast: seconds until it ends, at a given time; run_seconds: of what follows."""
+    """A wait; forecast: seconds until it ends, at a given time.
+
+    first_seconds: then until the first event, or a plain answer; None if no upstream is chosen yet.
+    """
 
     place: WaitPlace
-    plan: "Plan | None" = None
     forecast: Callable[[float], float] = lambda now: 0.0
-    run_seconds: float | None = None
+    first_seconds: float | None = None
 
 
 @dataclass(slots=True)
--- a/pondpin/relay/choosing/dispatch.py
+++ b/pondpin/relay/choosing/dispatch.py
@@ -222,8 +222,8 @@
         planned_at = self._clock()
         return Wait(
             WaitPlace.PREFILL_QUEUE,
-            plan,
             lambda now: self._forecast_start(plan, entry, planned_at, now),
+            plan.prefill_seconds,
         )
 
     def _forecast_start(
--- a/pondpin/relay/choosing/planner.py
+++ b/pondpin/relay/choosing/planner.py
@@ -70,6 +70,12 @@
     is_long: bool = False
     local_count: int = 0
 
+    @property
+    def prefill_seconds(self) -> float | None:
+        """Forecast seconds from the start of the prefill to the first event."""
+        choice = self.choice
+        return choice.first_event_seconds - choice.start_delay if choice is not None else None
+
     @property
     def helper_endpoints(self) -> tuple[PartAssignment, ...]:
         """Addresses of the helpers."""
--- a/pondpin/relay/draining.py
+++ b/pondpin/relay/draining.py
@@ -56,7 +56,6 @@
     entry.stopping_at = now if entry.stopping_at is None else entry.stopping_at
     entry.drain_ends_at = now if entry.drain_ends_at is None else min(now, entry.drain_ends_at)
     refuse_incomplete(server, stopping_error())
-    await server.close()
     await end_requests(entry.handler)
     # Replies are sent by the tasks of the server, which run until now.
     await asyncio.sleep(0)
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -1,6 +1,7 @@
 """Composition of a relaying instance."""
 
 import asyncio
+import math
 import random
 import secrets
 import sys
@@ -325,7 +326,7 @@
 
     async def start(self) -> Endpoint:
         """Listen and start the controllers."""
-        settings = self.settings
+        settings, reactor = self.settings, self.reactor
         self.log.open()
         self.log.write(
             Started(data_center=settings.data_center, boot=self.boot, version=pondpin.__version__)
@@ -334,15 +335,12 @@
         self.document_server.listen(self.reactor, documents)
         self.gossip.listen()
         if self.has_tunnels:
-            self._tunnel_port = self.reactor.listenTCP(
-                settings.peers.ports[0],
-                TunnelPort(lambda: self.lazy.tunnels),
-                interface=documents.host,
-            )
+            tunnels = TunnelPort(lambda: self.lazy.tunnels)
+            port = settings.peers.ports[0]
+            self._tunnel_port = reactor.listenTCP(port, tunnels, interface=documents.host)
         self.ready_server.listen(self.reactor, parse_endpoint(settings.ready))
         if settings.metrics_port:
-            endpoint = Endpoint(documents.host, settings.metrics_port)
-            self.metrics_server.listen(self.reactor, endpoint)
+            self.metrics_server.listen(reactor, Endpoint(documents.host, settings.metrics_port))
         bound = self.caller_server.listen(self.reactor, parse_endpoint(settings.callers))
         asyncio.get_running_loop().call_later(
             PEERS_FIRST_SECONDS, lambda: self.publication.apply_pending(steady_now())
@@ -362,16 +360,12 @@
 
     def refuses_new(self, now: float) -> bool:
         """New requests may outlast the process."""
-        if self.stopping_at is None or self.drain_ends_at is None:
-            return False
-        return now >= min(self.stopping_at + BALANCER_REMOVAL_SECONDS, self.drain_ends_at)
-
-    @property
-    def _servers(self) -> tuple[WebServer, ...]:
-        return (self.caller_server, self.ready_server, self.metrics_server, self.document_server)
+        at, ends_at = self.stopping_at, self.drain_ends_at
+        return at is not None and now >= min(at + BALANCER_REMOVAL_SECONDS, ends_at or math.inf)
 
     async def stop(self) -> None:
         """End open requests with a reply, stop the controllers and close the servers."""
+        await self.caller_server.close()
         if len(self.caller_server.channels) or self.caller_server.tasks:
             from pondpin.relay.draining import end_connections
 
@@ -383,7 +377,7 @@
         if self._tunnel_port is not None:
             self._tunnel_port.stopListening()
         self.lazy.close_tunnels()
-        for server in self._servers:
+        for server in (self.ready_server, self.metrics_server, self.document_server):
             await server.close()
         await self.lazy.wait_released()
         self.gossip.close()
--- a/pondpin/tests/test_relay_shutdown.py
+++ b/pondpin/tests/test_relay_shutdown.py
@@ -318,7 +318,7 @@
 class DecisionTest(unittest.TestCase):
     def test_a_wait_and_the_answer_must_fit_into_the_drain(self) -> None:
         call = make_call(5000)
-        wait = Wait(WaitPlace.REST, None, lambda now: 105.0 - now)
+        wait = Wait(WaitPlace.REST, lambda now: 105.0 - now)
         self.assertTrue(can_finish(call, wait, 110.0, 100.0))
         self.assertFalse(can_finish(call, wait, 105.0, 100.0))
         # A wait that should be over counts as over.
