Bound what is read of responses

Callers saw: while upstreams sent bytes without end, 504 after 2 s or more, also from sound upstreams, and the instance grew without limit.

Cause: a buffered body could take 64 MiB, each of many; a head had no bound of lines, bytes, interim responses or time, and its parser took the event loop.

Now a head, with the interim responses before it, has 64 KiB, 256 lines and 1 s from its first byte; a buffered body 16 MiB (64 KiB for liveness checks, reports and orders); all bodies that a client buffers 32 MiB together, beyond which the largest gives way. The connection is reset at once. The end counts as a failure of the upstream that may have run the request, is counted by bound (pondpin_responses_over_limit_total) and is named in the log.

A slow head still costs its caller up to the second that it may take.

--- a/pondpin/http_client.py
+++ b/pondpin/http_client.py
@@ -21,7 +21,15 @@
 from zope.interface import implementer
 
 from pondpin.http_connections import CheckedConnectionPool
-from pondpin.http_streams import CallFailedError, StreamedResponse, WithheldError, close_if_answered
+from pondpin.http_streams import (
+    BufferBudget,
+    CallFailedError,
+    ResponseLimits,
+    StreamedResponse,
+    WithheldError,
+    close_if_answered,
+    find_fault,
+)
 
 # Idle connections are closed after this time, or sooner if the server says so.
 IDLE_SECONDS = 30.0
@@ -210,16 +218,19 @@
         endpoints: Any = None,
         idle_seconds: float = IDLE_SECONDS,
         connector: Connector | None = None,
+        limits: ResponseLimits | None = None,
     ) -> None:
+        self._limits = limits or ResponseLimits()
+        self.budget = BufferBudget(self._limits.buffered_bytes)
         pool = CheckedConnectionPool(reactor, idle_seconds, per_host)
         self._pool = pool
         self._connector = connector or DirectConnector(reactor, connect_timeout)
         endpoints = endpoints or NumericEndpoints(self._connector)
         self._pooled = Agent.usingEndpointFactory(reactor, endpoints, pool)
-        self._fresh = Agent.usingEndpointFactory(reactor, endpoints)
         make_raw: Any = _RawAgent.usingEndpointFactory
         self._raw = make_raw(reactor, _UnusedEndpoints(), pool)
         single_use = CheckedConnectionPool(reactor, 0.0, 0, persistent=False)
+        self._fresh = Agent.usingEndpointFactory(reactor, endpoints, single_use)
         self._raw_fresh = make_raw(reactor, _UnusedEndpoints(), single_use)
 
     async def open(
@@ -272,12 +283,13 @@
             close_if_answered(future)
             raise
         except Exception as error:
-            raise CallFailedError(type(error).__name__, sent=True) from None
+            fault = find_fault(error)
+            raise CallFailedError(type(error).__name__, sent=True, fault=fault) from None
         names = {
             name.decode("latin-1").lower(): b", ".join(values).decode("latin-1")
             for name, values in response.headers.getAllRawHeaders()
         }
-        return StreamedResponse(response.code, names, response)
+        return StreamedResponse(response.code, names, response, self._limits, self.budget)
 
     async def try_connect(self, host: str, port: int) -> ConnectOutcome:
         """Check whether a server listens: connect and close."""
@@ -301,16 +313,18 @@
         timeout: float = 5.0,
         fresh: bool = False,
         on_head: Callable[[StreamedResponse], None] = lambda response: None,
+        limit: int | None = None,
     ) -> HttpResponse:
         """Make a call and read the whole response; raises CallFailedError.
 
-        on_head is called with status and headers, also when the body fails later.
+        on_head is called with status and headers, also when the body fails later. limit: of the
+        body's bytes, the client's own by default.
         """
         try:
             async with asyncio.timeout(timeout):
                 response = await self.open(method, url, headers, body, fresh)
                 on_head(response)
-                content = await response.read()
+                content = await response.read(limit)
         except TimeoutError:
             raise CallFailedError("no answer in time", sent=True) from None
         return HttpResponse(response.status, response.headers, content)
--- a/pondpin/http_connections.py
+++ b/pondpin/http_connections.py
@@ -7,9 +7,12 @@
 
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory
-from twisted.web._newclient import HTTP11ClientProtocol
+from twisted.python.failure import Failure
+from twisted.web._newclient import HEADER, STATUS, HTTP11ClientProtocol
 from twisted.web.client import HTTPConnectionPool
 
+from pondpin.http_streams import DEFAULT_LIMITS, ResponseFault, ResponseLimitError
+
 # Idle connections are closed this long before the server's announced time, to avoid a race.
 KEEP_ALIVE_MARGIN_SECONDS = 0.5
 _TIMEOUT = re.compile(rb"timeout=(\d+)")
@@ -23,11 +26,53 @@
 
     closed_cleanly is set on the response when the server closed without a reset, since a response
     without a length ends with its connection. keep_alive_seconds: the server's idle timeout, None
-    when it sent none. path: the peer through which it goes, empty for a direct one.
+    when it sent none. path: the peer through which it goes, empty for a direct one. limits: a head
+    that exceeds them ends the connection.
     """
 
     keep_alive_seconds: float | None = None
     path: str = ""
+    limits = DEFAULT_LIMITS
+
+    def request(self, request: Any) -> Any:
+        """Send a request; the head of its response is bounded."""
+        started = super().request(request)
+        parser: Any = self._parser
+        if parser is not None:
+            receive = parser.lineReceived
+            left = [self.limits.head_lines, self.limits.head_bytes]
+
+            def receive_line(line: bytes) -> None:
+                left[0] -= 1
+                left[1] -= len(line)
+                if left[0] < 0:
+                    raise ResponseLimitError(ResponseFault.HEAD_LINES)
+                if left[1] < 0:
+                    raise ResponseLimitError(ResponseFault.HEAD_BYTES)
+                receive(line)
+
+            parser.lineReceived = receive_line
+            self._timed_parser = None
+        return started
+
+    def dataReceived(self, data: bytes) -> None:
+        """Receive data; a head that is incomplete by now must end soon."""
+        super().dataReceived(data)  # type: ignore[no-untyped-call]
+        parser: Any = self._parser
+        if parser is None or parser is self._timed_parser:
+            return
+        if parser.state in (STATUS, HEADER):
+            self._timed_parser = parser
+            loop: Any = self.transport.reactor  # type: ignore[union-attr]
+            loop.callLater(self.limits.head_seconds, self._end_slow_head, parser)
+
+    def _end_slow_head(self, parser: Any) -> None:
+        is_current = self._parser is parser
+        if is_current and parser.state in (STATUS, HEADER):
+            error = ResponseLimitError(ResponseFault.HEAD_SECONDS)
+            self._giveUp(Failure(error))  # type: ignore[no-untyped-call]
+
+    _timed_parser: Any = None
 
     def _finishResponse(self, rest: bytes) -> None:
         if rest and self._currentRequest is not None:
--- a/pondpin/http_streams.py
+++ b/pondpin/http_streams.py
@@ -1,8 +1,9 @@
-"""Responses whose body is received as a stream."""
+"""Responses whose body is received as a stream, and bounds on what is read of them."""
 
 import asyncio
+import enum
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from twisted.internet.protocol import Protocol as TwistedProtocol
@@ -10,20 +11,110 @@
 from twisted.web.client import ResponseDone
 from twisted.web.http import PotentialDataLoss
 
-MAX_RESPONSE_BYTES = 64 << 20
+
+class ResponseFault(enum.StrEnum):
+    """Which bound a response exceeded."""
+
+    HEAD_BYTES = "head_bytes"
+    HEAD_LINES = "head_lines"
+    HEAD_SECONDS = "head_seconds"
+    BODY_BYTES = "body_bytes"
+    BUFFERED_BYTES = "buffered_bytes"
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseLimits:
+    """Bounds of a client's responses.
+
+    head_bytes, head_lines: of a head with the interim responses before it. head_seconds: from its
+    first byte to its end. body_bytes: of one buffered body. buffered_bytes: of all together.
+    """
+
+    head_bytes: int = 64 << 10
+    head_lines: int = 256
+    head_seconds: float = 1.0
+    body_bytes: int = 16 << 20
+    buffered_bytes: int = 32 << 20
+
+
+DEFAULT_LIMITS = ResponseLimits()
+# Enough for liveness checks, reports and orders.
+SMALL_BODY_BYTES = 64 << 10
+
+
+class ResponseLimitError(Exception):
+    """A response exceeded a bound."""
+
+    def __init__(self, fault: ResponseFault) -> None:
+        super().__init__(fault.value)
+        self.fault = fault
+
+
+def find_fault(error: BaseException) -> ResponseFault | None:
+    """The exceeded bound behind an error of Twisted's client, which wraps the parser's."""
+    if isinstance(error, ResponseLimitError):
+        return error.fault
+    for reason in getattr(error, "reasons", ()):
+        cause = reason.value if isinstance(reason, Failure) else reason
+        found = find_fault(cause) if isinstance(cause, BaseException) else None
+        if found is not None:
+            return found
+    return None
+
+
+class Buffer(Protocol):
+    """A body that is being buffered."""
+
+    size: int
+
+    def give_way(self) -> None:
+        """End the response and drop what was buffered of it."""
+        ...
+
+
+@dataclass(eq=False)
+class BufferBudget:
+    """Budget of the bytes that a client buffers of all bodies; the largest one gives way."""
+
+    limit: int
+    held: int = 0
+    buffers: set[Buffer] = field(default_factory=set)
+
+    def add(self, buffer: Buffer, amount: int) -> bool:
+        """Add bytes to a buffer; False if it had to give way."""
+        self.buffers.add(buffer)
+        buffer.size += amount
+        self.held += amount
+        while self.held > self.limit:
+            largest = max(self.buffers, key=lambda item: item.size)
+            self.remove(largest)
+            largest.give_way()
+        return buffer in self.buffers
+
+    def remove(self, buffer: Buffer) -> None:
+        """Release the bytes of a buffer."""
+        if buffer in self.buffers:
+            self.buffers.discard(buffer)
+            self.held -= buffer.size
 
 
 class CallFailedError(Exception):
     """A call got no complete response; sent: whether any byte of it may have been sent.
 
     refused: the connection was refused. unconfirmed: there was no path to the server, which says
-    nothing of the server itself.
+    nothing of the server itself. fault: the bound that the response exceeded.
     """
 
     def __init__(
-        self, cause: str, sent: bool, refused: bool = False, unconfirmed: bool = False
+        self,
+        cause: str,
+        sent: bool,
+        refused: bool = False,
+        unconfirmed: bool = False,
+        fault: ResponseFault | None = None,
     ) -> None:
-        super().__init__(cause)
+        super().__init__(cause if fault is None else f"response exceeds {fault.value}")
+        self.fault = fault
         self.sent = sent
         self.refused = refused
         self.unconfirmed = unconfirmed
@@ -123,6 +214,8 @@
     status: int
     headers: dict[str, str]
     response: Any
+    limits: ResponseLimits = DEFAULT_LIMITS
+    budget: BufferBudget | None = None
 
     def deliver(self, sink: StreamSink) -> ResponseStream:
         """Stream the body into a sink."""
@@ -156,22 +249,25 @@
         """Drop the body, so that the connection can be reused."""
         self.response.deliverBody(ResponseStream(_NullSink()))
 
-    async def read(self, limit: int = MAX_RESPONSE_BYTES) -> bytes:
+    async def read(self, limit: int | None = None) -> bytes:
         """Read the whole body; raises CallFailedError when it breaks or is too large."""
-        collector = _Collector(limit)
-        collector.stream = self.deliver(collector)
+        collector = self._collect(limit)
         try:
             return await collector.done
-        except asyncio.CancelledError:
-            collector.stream.abort()
-            raise
+        finally:
+            collector.close()
+
+    def _collect(self, limit: int | None) -> "_Collector":
+        budget = self.budget or BufferBudget(self.limits.buffered_bytes)
+        collector = _Collector(self.limits.body_bytes if limit is None else limit, budget)
+        collector.attach(self.deliver(collector))
+        return collector
 
     async def read_with_stall_timeout(
-        self, stall: float, max_seconds: float, limit: int = MAX_RESPONSE_BYTES
+        self, stall: float, max_seconds: float, limit: int | None = None
     ) -> bytes:
         """Like read; fails after stall seconds without data, or max_seconds in all."""
-        collector = _Collector(limit)
-        collector.stream = self.deliver(collector)
+        collector = self._collect(limit)
         try:
             for _ in range(math.ceil(max_seconds / stall)):
                 before = collector.size
@@ -182,8 +278,7 @@
                     break
             raise CallFailedError(f"response incomplete after {collector.size} bytes", sent=True)
         finally:
-            if not collector.done.done():
-                collector.stream.abort()
+            collector.close()
 
 
 class _NullSink:
@@ -195,28 +290,55 @@
 
 
 class _Collector:
-    def __init__(self, limit: int) -> None:
+    """Buffers a body within a limit of its own and a budget of all."""
+
+    def __init__(self, limit: int, budget: BufferBudget) -> None:
         self.done: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
-        self.stream: ResponseStream | None = None
+        self.size = 0
+        self._stream: ResponseStream | None = None
         self._limit = limit
+        self._budget = budget
         self._parts: list[bytes] = []
-        self.size = 0
+
+    def attach(self, stream: ResponseStream) -> None:
+        """Set the stream, which may have delivered data already."""
+        self._stream = stream
+        if self._is_failed:
+            stream.abort()
 
     def on_data(self, data: bytes) -> None:
-        self.size += len(data)
-        if self.size <= self._limit:
-            self._parts.append(data)
+        if self.done.done():
             return
-        if self.stream is not None:
-            self.stream.close()
-        self._fail("the answer is larger than the limit")
+        if self.size + len(data) > self._limit:
+            self._fail(CallFailedError("", sent=True, fault=ResponseFault.BODY_BYTES))
+        elif self._budget.add(self, len(data)):
+            self._parts.append(data)
+
+    def give_way(self) -> None:
+        self._fail(CallFailedError("", sent=True, fault=ResponseFault.BUFFERED_BYTES))
 
     def on_end(self, whole: bool) -> None:
         if whole and not self.done.done():
             self.done.set_result(b"".join(self._parts))
         else:
-            self._fail("the answer broke off")
+            self._fail(CallFailedError("the answer broke off", sent=True))
+
+    def close(self) -> None:
+        """Release the buffer; reset the connection unless the body is complete."""
+        self._budget.remove(self)
+        self._parts.clear()
+        if self._stream is not None and (not self.done.done() or self._is_failed):
+            self._stream.abort()
+
+    @property
+    def _is_failed(self) -> bool:
+        done = self.done
+        return done.done() and (done.cancelled() or done.exception() is not None)
 
-    def _fail(self, cause: str) -> None:
+    def _fail(self, error: CallFailedError) -> None:
+        self._budget.remove(self)
+        self._parts.clear()
         if not self.done.done():
-            self.done.set_exception(CallFailedError(cause, sent=True))
+            self.done.set_exception(error)
+        if self._stream is not None:
+            self._stream.abort()
--- a/pondpin/metrics.py
+++ b/pondpin/metrics.py
@@ -24,6 +24,10 @@
         self.attempts = self._counter(
             "pondpin_upstream_attempts_total", "Attempts at upstreams, by upstream and result."
         )
+        self.responses_over_limit = self._counter(
+            "pondpin_responses_over_limit_total",
+            "Responses of upstreams that were ended as they exceeded a bound, by bound.",
+        )
         self.configurations = self._counter(
             "pondpin_configuration_offers_total", "Configurations offered, by source and result."
         )
--- a/pondpin/platform/leases.py
+++ b/pondpin/platform/leases.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from pondpin.http_client import HttpClient
-from pondpin.http_streams import CallFailedError
+from pondpin.http_streams import SMALL_BODY_BYTES, CallFailedError
 from pondpin.platform.headers import head_observer
 from pondpin.relay.ports import HeadCallback, LeaseResponse
 
@@ -74,6 +74,7 @@
             body,
             timeout,
             on_head=head_observer(on_head),
+            limit=SMALL_BODY_BYTES,
         )
         if response.status >= 500:
             raise CallFailedError(f"status {response.status}", sent=True)
--- a/pondpin/platform/reports.py
+++ b/pondpin/platform/reports.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from pondpin.http_client import HttpClient
-from pondpin.http_streams import CallFailedError
+from pondpin.http_streams import SMALL_BODY_BYTES, CallFailedError
 from pondpin.platform.headers import head_observer
 from pondpin.relay.model import EngineReport
 from pondpin.relay.ports import HeadCallback
@@ -35,6 +35,7 @@
             f"http://{host}:{port}{REPORT_PATH}",
             timeout=timeout,
             on_head=head_observer(on_head),
+            limit=SMALL_BODY_BYTES,
         )
         if response.status != OK:
             raise CallFailedError(f"status {response.status}", sent=True)
@@ -60,5 +61,6 @@
             f"http://{host}:{port}{path}",
             timeout=timeout,
             on_head=head_observer(on_head),
+            limit=SMALL_BODY_BYTES,
         )
         return response.status == OK
--- a/pondpin/relay/attempts/attempt.py
+++ b/pondpin/relay/attempts/attempt.py
@@ -143,7 +143,11 @@
         except CallFailedError as error:
             kind = EndKind.BROKEN if error.sent else EndKind.NOT_SENT
             return AttemptEnd(
-                kind, str(error), connection_refused=error.refused, unconfirmed=error.unconfirmed
+                kind,
+                str(error),
+                connection_refused=error.refused,
+                unconfirmed=error.unconfirmed,
+                fault=error.fault,
             )
         if start is None:
             return AttemptEnd(EndKind.STALLED, "no answer in time")
@@ -252,7 +256,7 @@
         try:
             body = await asyncio.wait_for(start.read(), self._time_left(call, None, began))
         except CallFailedError as error:
-            return AttemptEnd(EndKind.BROKEN, str(error))
+            return AttemptEnd(EndKind.BROKEN, str(error), fault=error.fault)
         except TimeoutError:
             return AttemptEnd(EndKind.STALLED, "the answer stopped")
         if head.not_executed:
--- a/pondpin/relay/attempts/passive_health.py
+++ b/pondpin/relay/attempts/passive_health.py
@@ -51,6 +51,8 @@
         now = self._clock()
         result = end.kind.value
         self._metrics.attempts.inc({"upstream": plan.lead.listed.service, "result": result})
+        if end.fault is not None:
+            self._metrics.responses_over_limit.inc({"bound": end.fault.value})
         helper = helper_at_fault(plan, end)
         if helper is not None:
             # It may only be leaving; then the list shows it in a moment.
--- a/pondpin/relay/call.py
+++ b/pondpin/relay/call.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from pondpin.http_reply import IncomingRequest, Reply
+from pondpin.http_streams import ResponseFault
 from pondpin.network import Endpoint
 from pondpin.relay.model import RelayConfiguration, RequestMetadata, Route
 
@@ -87,7 +88,7 @@
 
     failed_endpoint: the upstream that caused the failure. A withheld attempt was not sent, because
     a send check failed once its connection was open. unconfirmed: no path to the upstream.
-    close_delimited: the response ended with its connection.
+    close_delimited: the response ended with its connection. fault: the bound that it exceeded.
     """
 
     kind: EndKind
@@ -97,6 +98,7 @@
     connection_refused: bool = False
     unconfirmed: bool = False
     close_delimited: bool = False
+    fault: ResponseFault | None = None
 
     @property
     def may_have_run(self) -> bool:
