Refuse requests by their heads before reading large bodies

A body of more than 16 KiB, declared or received, is now read on only after the head was admitted. A refusal also carries Retry-After. Smaller bodies are read as before.

Not bounded here: what admitted callers send together still shares the budget of bodies without regard to accounts.

--- a/pondpin/http_server.py
+++ b/pondpin/http_server.py
@@ -22,6 +22,8 @@
 from pondpin.network import Endpoint
 
 CLOSE_DELAY_SECONDS = 1.0
+# Smaller bodies are read before their heads are checked: most requests are admitted.
+UNCHECKED_BODY_BYTES = 16 << 10
 # A request with one of these may be a retry: whether earlier attempts ran is not known here.
 IDEMPOTENCY_HEADERS = ("pondpin-token", "idempotency-key")
 
@@ -70,6 +72,7 @@
         self.server = cast("WebFactory", channel.factory).server
         self.held_bytes = 0
         self.refused = False
+        self._is_head_checked = False
         seconds = self.server.limits.send_seconds
         self.send_timer: Any = self.server.clock.callLater(seconds, self._on_send_timeout)
 
@@ -78,6 +81,24 @@
         self.content = io.BytesIO()
         if length is not None and length > self.server.limits.body_bytes:
             self.refuse(PondpinError(Code.BODY_TOO_LARGE))
+        elif length is not None and length > UNCHECKED_BODY_BYTES:
+            self._check_head()
+
+    def _check_head(self) -> None:
+        """Refuse a request that its head alone refuses, before the rest of a large body is read."""
+        self._is_head_checked = True
+        if self.server.check_head is None:
+            return
+        # Twisted sets the request's own path once the body is complete.
+        target: bytes = cast(Any, self.channel)._path
+        try:
+            self.server.check_head(target, self._raw_headers())
+        except PondpinError as error:
+            self.refuse(error)
+
+    def _raw_headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        headers = self.requestHeaders.getAllRawHeaders()
+        return tuple((name, value) for name, values in headers for value in values)
 
     def handleContentChunk(self, data: bytes) -> None:
         """Store a part of the body, or drop it after a refusal."""
@@ -90,6 +111,8 @@
         else:
             self.held_bytes += len(data)
             cast(io.BytesIO, self.content).write(data)
+            if self.held_bytes > UNCHECKED_BODY_BYTES and not self._is_head_checked:
+                self._check_head()
 
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
         """Process the complete request, without parsing forms."""
@@ -117,11 +140,7 @@
             headers=headers,
             body=body,
             target=self.uri,
-            raw_headers=tuple(
-                (name, value)
-                for name, values in self.requestHeaders.getAllRawHeaders()
-                for value in values
-            ),
+            raw_headers=self._raw_headers(),
         )
         reply = Reply(self)
         self.notifyFinish().addErrback(lambda _: reply.mark_disconnected())
@@ -182,10 +201,12 @@
         head = (
             f"HTTP/1.1 {error.status} {error.code.name}\r\ncontent-type: {JSON}\r\n"
             f"pondpin-ran: {error.ran.value}\r\nconnection: close\r\n"
-            f"content-length: {len(body)}\r\n\r\n"
+            f"content-length: {len(body)}\r\n"
         )
+        if error.retry_after is not None:
+            head += f"retry-after: {error.retry_after:.2f}\r\n"
         channel = self.channel
-        channel.write(head.encode() + body)
+        channel.write(head.encode() + b"\r\n" + body)
         self.server.clock.callLater(CLOSE_DELAY_SECONDS, channel.loseConnection)
 
 
@@ -221,6 +242,8 @@
     refusals_by_code: dict[Code, int] = field(default_factory=dict)
     port: Any = None
     stopping: bool = False
+    # Raises PondpinError for a target and headers that are refused in any case.
+    check_head: "Callable[[bytes, tuple[tuple[bytes, bytes], ...]], None] | None" = None
     channels: "weakref.WeakSet[Any]" = field(default_factory=weakref.WeakSet)
 
     def __post_init__(self) -> None:
--- a/pondpin/relay/attempts/handler.py
+++ b/pondpin/relay/attempts/handler.py
@@ -114,11 +114,7 @@
         route: Route | None = None
         self.open_requests += 1
         try:
-            if self.refuses_new(arrived):
-                raise PondpinError(Code.DRAINING, retry_after=STOPPING_RETRY_SECONDS)
-            state = self.admission_state()
-            check_not_behind(state)
-            admitted = admit(state, metadata, incoming.path, arrived)
+            admitted = self._admit(metadata, incoming.path, arrived)
             route = admitted.route
             call = self._make_call(incoming, reply, metadata, admitted, arrived)
             self.window(call.service).record_request(arrived)
@@ -129,6 +125,22 @@
         finally:
             self.open_requests -= 1
 
+    def check_head(self, target: bytes, headers: tuple[tuple[bytes, bytes], ...]) -> None:
+        """Raise PondpinError for a request that is refused whatever its body is."""
+        now, metadata = self.clock(), self.dialect.read_request(headers)
+        try:
+            self._admit(metadata, target.partition(b"?")[0].decode("latin-1"), now)
+        except PondpinError as error:
+            self.request_log.refused(metadata, None, error, now, self.admission_state())
+            raise
+
+    def _admit(self, metadata: RequestMetadata, path: str, now: float) -> Admitted:
+        if self.refuses_new(now):
+            raise PondpinError(Code.DRAINING, retry_after=STOPPING_RETRY_SECONDS)
+        state = self.admission_state()
+        check_not_behind(state)
+        return admit(state, metadata, path, now)
+
     def _make_call(
         self,
         incoming: IncomingRequest,
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -232,6 +232,7 @@
             lambda configuration: self.lazy.update_cold_starts(configuration),
         )
         self.caller_server.route("", self.handler.handle)
+        self.caller_server.check_head = self.handler.check_head
         self.ready_server = WebServer(self.reactor)
         self.ready_server.route(READY_PATH, self._show_ready)
         self.metrics_server = WebServer(self.reactor)
