Answer open calls when the callers' own interface stops

The cause of the relay's fault on the related path: Entry.stop cancelled the tasks of open calls, and Callers took that for callers that had left. Callers got no answer.

What waits for an engine is now refused as not run; other calls end with an unknown outcome, a stream is broken off; connections are closed once replies are written, for up to 0.25 s.

test_open_calls_are_answered_when_their_instance_stops fails on (no answer in 10 s) and passes; test_lifecycle, test_entry, test_callers and test_scheduler pass. A drain does not yet refuse by forecast here.

--- a/pondpin/callers.py
+++ b/pondpin/callers.py
@@ -87,6 +87,7 @@
         self.ids = CallIds(self.identity)
         self.open_calls = 0
         self.serving: set[asyncio.Task[Outcome]] = set()
+        self.stopping = False
 
     def attach(self, server: WebServer) -> None:
         """Serve the callers' paths."""
@@ -151,6 +152,8 @@
         try:
             outcome = await task
         except asyncio.CancelledError:
+            if self.stopping:
+                self._send_stopped(call)
             return
         except PondpinError as error:
             if not call.the_reply.started:
@@ -158,6 +161,15 @@
             return
         self._send(call, outcome)
 
+    def _send_stopped(self, call: Call) -> None:
+        """Answer a call that was cancelled as the instance stops: it may have been sent."""
+        reply = call.the_reply
+        if reply.started:
+            reply.truncate()
+            return
+        error = PondpinError(Code.OUTCOME_UNKNOWN, "the instance stops", Ran.UNKNOWN)
+        reply.send_error(error, call.id, self._next_token(call))
+
     async def run(self, call: Call, chain: Proceed) -> Outcome:
         """Send a call through a chain; count and record how it ends."""
         self.open_calls += 1
--- a/pondpin/entry.py
+++ b/pondpin/entry.py
@@ -57,6 +57,7 @@
 from pondpin.resumes import Resumer
 from pondpin.runtime import steady_now, wall_now
 from pondpin.scheduler import Scheduler
+from pondpin.server_shutdown import close_connections, refuse_incomplete, stopping_error
 from pondpin.service_client import HttpServices
 from pondpin.settings import Settings
 from pondpin.signing import make_signer
@@ -66,6 +67,8 @@
 from pondpin.wire.peer_pb2 import HeartbeatRequest
 
 CALL_SECONDS = 2.0
+# Callers may read their replies for this long when the instance stops.
+FLUSH_SECONDS = 0.25
 DRAIN_POLL_SECONDS = 0.1
 # The balancer goes on sending calls for a while after /readyz says no.
 BALANCER_SECONDS = 1.0
@@ -390,15 +393,25 @@
         self.peers.close()
 
     async def stop(self) -> None:
-        """Close everything now."""
+        """Answer what is open, and close everything now."""
+        self.caller_server.stopping = self.callers.stopping = True
+        await self.caller_server.close()
+        refuse_incomplete(self.caller_server, stopping_error())
+        self.scheduler.refuse_waiting(stopping_error())
+        # Lets the refused calls answer before the others are cancelled.
+        await asyncio.sleep(0)
         for controller in (*self.controllers, self.watch):
             await controller.stop()
-        await self.caller_server.close()
         await self.operator_server.close()
         self.peer_server.close()
-        for task in (*self.callers.serving, *self.caller_server.tasks):
-            task.cancel()
+        for serving in self.callers.serving:
+            serving.cancel()
         await asyncio.gather(*self.callers.serving, return_exceptions=True)
+        await asyncio.sleep(0)
+        for task in self.caller_server.tasks:
+            task.cancel()
+        until = steady_now() + FLUSH_SECONDS
+        await close_connections(self.caller_server, until, steady_now)
         await asyncio.gather(*self.attempts.cancels, return_exceptions=True)
         self.peers.close()
         await self.http.close()
--- a/pondpin/http_server.py
+++ b/pondpin/http_server.py
@@ -22,6 +22,8 @@
 from pondpin.network import Endpoint
 
 CLOSE_DELAY_SECONDS = 1.0
+# The caller of a stopping instance finds another one at once.
+STOPPING_RETRY_SECONDS = 0.05
 # Smaller bodies are read before their heads are checked: most requests are admitted.
 UNCHECKED_BODY_BYTES = 16 << 10
 # A request with one of these may be a retry: whether earlier attempts ran is not known here.
--- a/pondpin/relay/attempts/handler.py
+++ b/pondpin/relay/attempts/handler.py
@@ -12,6 +12,7 @@
 from pondpin.codes import Code
 from pondpin.errors import PondpinError
 from pondpin.http_reply import IncomingRequest, Reply
+from pondpin.http_server import STOPPING_RETRY_SECONDS
 from pondpin.metrics import Metrics
 from pondpin.relay.attempts.admission import AdmissionState, Admitted, admit, check_not_behind
 from pondpin.relay.attempts.attempt_ends import (
@@ -47,8 +48,6 @@
 
 # Including attempts that sent nothing.
 MAX_ATTEMPTS = 5
-# The caller of a stopping instance finds another one at once.
-STOPPING_RETRY_SECONDS = 0.05
 # Forecasts of prefills err by a few hundred milliseconds.
 PREFILL_SLACK_SECONDS = 0.4
 
--- a/pondpin/relay/attempts/shutdown.py
+++ b/pondpin/relay/attempts/shutdown.py
@@ -5,13 +5,9 @@
 
 from pondpin.codes import Code, Ran
 from pondpin.errors import PondpinError
+from pondpin.http_server import STOPPING_RETRY_SECONDS
 from pondpin.relay.attempts.attempt_ends import correct_ran
-from pondpin.relay.attempts.handler import (
-    STOPPING_RETRY_SECONDS,
-    CancelReason,
-    RelayHandler,
-    ServedRequest,
-)
+from pondpin.relay.attempts.handler import CancelReason, RelayHandler, ServedRequest
 from pondpin.relay.attempts.slot_acquirer import FIRST_RUN_SHARE, full_pass_seconds
 from pondpin.relay.call import Progress, RelayCall, Wait
 from pondpin.relay.log_events import RequestsRefused
--- a/pondpin/relay/draining.py
+++ b/pondpin/relay/draining.py
@@ -3,13 +3,10 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from pondpin.codes import Code
-from pondpin.errors import PondpinError
-from pondpin.relay.attempts.handler import STOPPING_RETRY_SECONDS
 from pondpin.relay.attempts.shutdown import end_requests, refuse_waiting
 from pondpin.relay.log_events import Stopped, Stopping
 from pondpin.runtime import steady_now
-from pondpin.server_shutdown import close_connections, refuse_incomplete
+from pondpin.server_shutdown import close_connections, refuse_incomplete, stopping_error
 
 if TYPE_CHECKING:
     from pondpin.relay.entry import RelayEntry
@@ -65,8 +62,3 @@
     await asyncio.gather(*server.tasks, return_exceptions=True)
     unread = await close_connections(server, now + FLUSH_SECONDS, steady_now)
     return Stopped(open_requests=open_requests, unanswered=unanswered, unread=unread)
-
-
-def stopping_error() -> PondpinError:
-    """The refusal of a request that was not run, for a retry at another instance."""
-    return PondpinError(Code.DRAINING, retry_after=STOPPING_RETRY_SECONDS)
--- a/pondpin/scheduler.py
+++ b/pondpin/scheduler.py
@@ -160,6 +160,12 @@
         finally:
             self.queue.remove(waiting.place)
 
+    def refuse_waiting(self, error: PondpinError) -> None:
+        """Refuse all requests that wait for engines: nothing of them was run."""
+        for queued in self.queue.items():
+            if not queued.item.granted.done():
+                queued.item.granted.set_exception(error)
+
     def _take_back(self, waiting: _Waiting) -> None:
         """Return a grant that came just as its request stopped waiting."""
         granted = waiting.granted
--- a/pondpin/server_shutdown.py
+++ b/pondpin/server_shutdown.py
@@ -4,12 +4,18 @@
 from typing import Any, cast
 
 from pondpin.clocks import Clock
+from pondpin.codes import Code
 from pondpin.errors import PondpinError
-from pondpin.http_server import BoundedRequest, WebServer
+from pondpin.http_server import STOPPING_RETRY_SECONDS, BoundedRequest, WebServer
 
 POLL_SECONDS = 0.01
 
 
+def stopping_error() -> PondpinError:
+    """The refusal of a request that was not run, for a retry at another instance."""
+    return PondpinError(Code.DRAINING, retry_after=STOPPING_RETRY_SECONDS)
+
+
 def refuse_incomplete(server: WebServer, error: PondpinError) -> int:
     """Reply to the requests whose bodies are still being received; returns their number."""
     count = 0
--- a/pondpin/tests/test_lifecycle.py
+++ b/pondpin/tests/test_lifecycle.py
@@ -3,10 +3,13 @@
 import asyncio
 import dataclasses
 
+import msgspec
+
 from pondpin.codes import Ran
 from pondpin.standins.faults import Faults
 from pondpin.tests.support import (
     KEY,
+    MODEL,
     FleetCase,
     question,
     sample_document,
@@ -118,6 +121,30 @@
         self.drive(test)
 
 
+class StopTest(FleetCase):
+    def test_open_calls_are_answered_when_their_instance_stops(self) -> None:
+        # Guards against calls that are cancelled like those of callers that left.
+        async def test() -> None:
+            a1 = self.fleet.entries_by_name["a1"].instance
+            body = msgspec.json.encode(
+                {"model": MODEL, "prompt": "long", "max_tokens": 1500, "stream": False}
+            )
+            headers = {"authorization": f"Bearer {KEY}", "content-type": "application/json"}
+            url = f"http://{self.callers['a1']}/v1/completions"
+            asking = [
+                asyncio.create_task(self.client.call("POST", url, headers, body, timeout=10.0))
+                for _ in range(3)
+            ]
+            await wait_until(lambda: len(a1.callers.serving) == len(asking))
+            await a1.stop()
+            for answer in await asyncio.gather(*asking):
+                self.assertIn(answer.status, (502, 503))
+                ran = {502: "outcome unknown", 503: "not run"}[answer.status]
+                self.assertEqual(answer.headers["pondpin-ran"], ran)
+
+        self.drive(test)
+
+
 class PlannedStopTest(FleetCase):
     def test_open_streams_end_whole_on_the_stopping_instance(self) -> None:
         async def test() -> None:
