Soak: stop instances by series of signals, and check that all was answered

Instances are stopped by SIGTERM, twice, after or before SIGHUP, at times with a second one 1 s later; a log of a stop with unanswered requests breaks the run.

--- a/pondpin/soak/breaking.py
+++ b/pondpin/soak/breaking.py
@@ -5,12 +5,14 @@
 import signal
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 from pondpin.http_streams import CallFailedError
 from pondpin.soak.deployment import STORE_PORT, Deployment, Place, Size
 from pondpin.soak.notices import NoticeLoad
+from pondpin.soak.processes import Managed
 from pondpin.soak.proxy import Link, Proxy
 from pondpin.soak.standin import Restore, Say, Steer
 from pondpin.standins.worker import WorkerFault
@@ -30,6 +32,15 @@
 RESTART_SHARE = 0.5
 BESIDE_SHARE = 0.5
 ODD_NAME = "odd"
+# Signals come in series, and stops overlap.
+STOP_SIGNALS = (
+    (signal.SIGTERM,),
+    (signal.SIGTERM, signal.SIGTERM),
+    (signal.SIGHUP, signal.SIGTERM),
+    (signal.SIGTERM, signal.SIGHUP),
+)
+SECOND_STOP_SHARE = 0.3
+SECOND_STOP_SECONDS = 1.0
 ODD_CHANGES: tuple[dict[str, Any], ...] = (
     {"state": "retired"},
     {"slots": 0},
@@ -51,6 +62,8 @@
         super().__init__(reactor, size, place, folder, seeds)
         self.rng = random.Random(seed)
         self.seed = seed
+        # Draws of its own, so that a seed's other faults stay what they were.
+        self._stop_rng = random.Random(f"{seed} stop")
         self.faults: list[str] = []
         # Keys that were taken away, and when.
         self.ended_at_by_key: dict[str, float] = {}
@@ -190,10 +203,20 @@
 
     async def _stop_instance(self) -> str:
         instance = self.rng.choice(self.instances)
-        instance.send(signal.SIGTERM)
+        signals = self._stop_rng.choice(STOP_SIGNALS)
+        self._stop(instance, signals)
+        names = " ".join(number.name for number in signals)
+        if self._stop_rng.random() >= SECOND_STOP_SHARE:
+            return f"{instance.name} stopped by {names}"
+        second = self._stop_rng.choice(self.instances)
+        self._later(SECOND_STOP_SECONDS, partial(self._stop, second, (signal.SIGTERM,)))
+        return f"{instance.name} stopped by {names}, then {second.name}"
+
+    def _stop(self, instance: Managed, signals: tuple[signal.Signals, ...]) -> None:
+        for number in signals:
+            instance.send(number)
         self.notices.troubles.note(instance.name, STOP_SECONDS)
         self._later(STOP_SECONDS, instance.start)
-        return f"{instance.name} stopped"
 
     async def _reload_instance(self) -> str:
         instance = self.rng.choice(self.instances)
--- a/pondpin/soak/promises.py
+++ b/pondpin/soak/promises.py
@@ -1,11 +1,15 @@
 """What callers and workers saw, and which promises it breaks."""
 
+import re
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from pathlib import Path
 
 NOT_RUN = (408, 421, 429, 503)
 OK = 200
+# Left out of the log line while it is 0.
+UNANSWERED = re.compile(rb'"unanswered":([1-9][0-9]*)')
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +67,14 @@
         findings.add("an answer belongs to its request", f"{item.attempt}: {item.body[:80]!r}")
 
 
+def check_stops(logs: Iterable[Path], findings: Findings) -> None:
+    """Check that each instance that stopped had answered all requests that it had read."""
+    for path in logs:
+        for line in path.read_bytes().splitlines():
+            if b'"stopped"' in line and (found := UNANSWERED.search(line)) is not None:
+                findings.add("a stop leaves no request unanswered", f"{path.name}: {found[1]!r}")
+
+
 def stream_body(events: int) -> bytes:
     """The whole stream as the workers write it."""
     return b"".join(f"id: {i}\ndata: piece {i}\n\n".encode() for i in range(1, events + 1))
--- a/pondpin/soak/run.py
+++ b/pondpin/soak/run.py
@@ -29,7 +29,7 @@
 )
 from pondpin.soak.evacuations import EvacuationLoad
 from pondpin.soak.partitions import PartitionLoad
-from pondpin.soak.promises import Seen, check_attempts, count_statuses
+from pondpin.soak.promises import Seen, check_attempts, check_stops, count_statuses
 from pondpin.soak.proxy import Link
 from pondpin.soak.restores import RestoreLoad
 from pondpin.soak.standin import Audit, Death
@@ -150,6 +150,8 @@
                 self.deadly.check(self.deaths, self.seen, self.findings)
         finally:
             await self.end()
+        logs = (self.folder / f"{instance.name}.log" for instance in self.instances)
+        check_stops(logs, self.findings)
 
     async def _load(self, end: float) -> None:
         number = 0
--- a/pondpin/tests/test_relay_shutdown.py
+++ b/pondpin/tests/test_relay_shutdown.py
@@ -3,19 +3,25 @@
 import asyncio
 import json
 import socket
+import tempfile
 import unittest
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 from unittest import mock
 
+import msgspec
+
 from pondpin.http_client import HttpResponse
 from pondpin.http_reply import Reply
 from pondpin.relay.attempts.shutdown import can_finish, check_drain
 from pondpin.relay.call import Progress, Wait, WaitPlace
 from pondpin.relay.entry import RelayEntry
+from pondpin.relay.log_events import Stopped
 from pondpin.relay.upstreams.contention import OWNER_ANSWER
 from pondpin.relay_settings import RelayLimits
 from pondpin.runtime import steady_now
+from pondpin.soak.promises import Findings, check_stops
 from pondpin.standins.local_platform import (
     HOST,
     KEY,
@@ -329,5 +335,16 @@
         check_drain(make_call(5000), Progress(events=3), wait, 100.0, 200.0)
 
 
+class StopLogTest(unittest.TestCase):
+    def test_a_stop_that_left_requests_unanswered_is_found(self) -> None:
+        lines = (Stopped(open_requests=3), Stopped(open_requests=3, unanswered=2))
+        for line, count in zip(lines, (0, 1), strict=True):
+            path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "relay-0.log"
+            path.write_bytes(msgspec.json.encode(line) + b"\n")
+            findings = Findings()
+            check_stops([path], findings)
+            self.assertEqual(len(findings.lines), count)
+
+
 if __name__ == "__main__":
     unittest.main()
