--- a/pondpin/relay/peers/slot_broker.py
+++ b/pondpin/relay/peers/slot_broker.py
@@ -57,17 +57,16 @@
 
 
 @dataclass(slots=True)
-class PendingAsk:
+class _Pending:
     """An ask of this instance.
 
-    granted_at: its owner's forecast, None before the first. run_seconds: forecast of its own run.
+    bound: until when it waits. granted_at: its owner's forecast, None before the first.
     is_heard: its owner acknowledged the last message. is_late: the own event loop was late, so that
     the owner may have answered in time.
     """
 
     answer: "asyncio.Future[SlotAnswer]"
-    asked_at: float
-    run_seconds: float
+    bound: float
     granted_at: float | None = None
     is_heard: bool = False
     is_late: bool = False
@@ -87,7 +86,7 @@
 
     def __post_init__(self) -> None:
         self._count = 0
-        self._pending: dict[int, PendingAsk] = {}
+        self._pending: dict[int, _Pending] = {}
         self._scarce_until_by_service: dict[str, float] = {}
         self.bytes_out = 0
 
@@ -124,16 +123,13 @@
         return undecided
 
     def forecast_wait(self, key: int, now: float) -> float:
-        """Seconds until an ask is granted, for a request that then takes its forecast run time.
-
-        Once a forecast is exceeded, runs take at least as long as the ask has waited.
-        """
+        """Seconds until an ask is granted; a forecast that was exceeded gives way to its bound."""
         pending = self._pending.get(key)
-        if pending is None or pending.granted_at is None:
+        if pending is None:
             return 0.0
-        if now <= pending.granted_at:
-            return pending.granted_at - now
-        return max(0.0, now - pending.asked_at - pending.run_seconds)
+        if pending.granted_at is None or pending.granted_at < now:
+            return max(0.0, pending.bound - now)
+        return pending.granted_at - now
 
     def _host_of(self, owner: PermitOwner) -> str:
         """The host of an owner, "" for this instance."""
@@ -143,8 +139,8 @@
         self, state: UpstreamState, request: SlotRequest, host: str
     ) -> SlotAnswer | None:
         """The final answer of an owner, "" for this instance; None if it stays silent."""
-        answer_future = asyncio.get_running_loop().create_future()
-        pending = PendingAsk(answer_future, self.clock(), request.cost_seconds)
+        bound = self.clock() + request.max_wait_seconds
+        pending = _Pending(asyncio.get_running_loop().create_future(), bound)
         self._pending[request.key] = pending
         is_silent = False
         try:
@@ -172,7 +168,7 @@
         return SlotAnswer(request.key, SlotOutcomeCode.REFUSED, 0, retry_after)
 
     async def _ask_self(
-        self, pending: PendingAsk, state: UpstreamState, request: SlotRequest
+        self, pending: _Pending, state: UpstreamState, request: SlotRequest
     ) -> None:
         load = self._recent_load(state)
         self.owner.decide(state, request, "", load)
@@ -180,7 +176,7 @@
             self.owner.decide(state, replace(request, max_wait_seconds=0.0), "", load)
 
     async def _ask(
-        self, pending: PendingAsk, state: UpstreamState, request: SlotRequest, host: str
+        self, pending: _Pending, state: UpstreamState, request: SlotRequest, host: str
     ) -> bool:
         """Send an ask until it is decided on or its wait is over; False if the owner is silent.
 
@@ -229,7 +225,7 @@
         is_recent = self.clock() - state.reported_load_at < REPORTED_LOAD_SECONDS
         return state.reported_load if is_recent else None
 
-    async def _catch_up(self, pending: PendingAsk) -> bool:
+    async def _catch_up(self, pending: _Pending) -> bool:
         """Whether an answer had arrived, but was not read yet, as the own event loop is late.
 
         Without it, a busy instance takes all owners for silent, and sends all requests without a
@@ -241,7 +237,7 @@
             await asyncio.sleep(0)
         return pending.answer.done()
 
-    async def _wait(self, pending: PendingAsk, seconds: float) -> bool:
+    async def _wait(self, pending: _Pending, seconds: float) -> bool:
         if not pending.answer.done():
             began = self.clock()
             await asyncio.wait((pending.answer,), timeout=seconds)
--- a/pondpin/tests/test_relay_shutdown.py
+++ b/pondpin/tests/test_relay_shutdown.py
@@ -18,8 +18,6 @@
 from pondpin.relay.call import Progress, Wait, WaitPlace
 from pondpin.relay.entry import RelayEntry
 from pondpin.relay.log_events import Stopped
-from pondpin.relay.peers.slot_broker import PendingAsk, SlotBroker
-from pondpin.relay.peers.slot_messages import SlotAnswer
 from pondpin.relay.upstreams.contention import OWNER_ANSWER
 from pondpin.relay_settings import RelayLimits
 from pondpin.runtime import steady_now
@@ -40,7 +38,6 @@
     engines,
     fail_next,
     runs,
-    the_loop,
 )
 from pondpin.tests.test_relay_planner import make_call
 
@@ -333,19 +330,6 @@
         # A wait that should be over counts as over.
         self.assertTrue(can_finish(call, wait, 110.0, 108.0))
 
-    def test_a_wait_for_a_slot_beyond_its_forecast_counts_as_long_as_the_runs_before_it(
-        self,
-    ) -> None:
-        nothing: Any = None
-        broker = SlotBroker(1, "", nothing, nothing, nothing, nothing)
-        future: asyncio.Future[SlotAnswer] = the_loop()[0].create_future()
-        broker._pending[7] = pending = PendingAsk(future, 100.0, 2.0)
-        self.assertEqual(broker.forecast_wait(7, 101.0), 0.0)
-        pending.granted_at = 103.0
-        self.assertEqual(broker.forecast_wait(7, 101.0), 2.0)
-        # With its own run of 2 s it takes 5 s more: the runs before it took that already.
-        self.assertEqual(broker.forecast_wait(7, 105.0), 3.0)
-
     def test_a_started_stream_goes_on(self) -> None:
         wait = Wait(WaitPlace.PLACEMENT)
         check_drain(make_call(5000), Progress(events=3), wait, 100.0, 200.0)
