--- a/pondpin/http_client.py
+++ b/pondpin/http_client.py
@@ -207,7 +207,8 @@
     """Makes HTTP calls by IP address, without retries.
 
     endpoints: factory for calls by URL; see `pondpin.secure_endpoints` for https. connector: opens
-    all other connections, directly by default.
+    all other connections, directly by default. limits: of bodies; the heads of pooled connections
+    have those of CheckedConnection.
     """
 
     def __init__(
--- a/pondpin/http_connections.py
+++ b/pondpin/http_connections.py
@@ -33,6 +33,8 @@
     keep_alive_seconds: float | None = None
     path: str = ""
     limits = DEFAULT_LIMITS
+    # The parser whose head is being timed.
+    _timed_parser: Any = None
 
     def request(self, request: Any) -> Any:
         """Send a request; the head of its response is bounded."""
@@ -72,8 +74,6 @@
             error = ResponseLimitError(ResponseFault.HEAD_SECONDS)
             self._giveUp(Failure(error))  # type: ignore[no-untyped-call]
 
-    _timed_parser: Any = None
-
     def _finishResponse(self, rest: bytes) -> None:
         if rest and self._currentRequest is not None:
             self._currentRequest.persistent = False
--- a/pondpin/tests/test_endless_responses.py
+++ b/pondpin/tests/test_endless_responses.py
@@ -15,9 +15,7 @@
 from pondpin.tests.support import RelayTest, ask, run_async, the_loop
 
 # Small, so that the bounds are met soon.
-LIMITS = ResponseLimits(
-    head_bytes=8192, head_lines=64, head_seconds=0.3, body_bytes=1 << 20, buffered_bytes=4 << 20
-)
+LIMITS = ResponseLimits(body_bytes=1 << 20, buffered_bytes=4 << 20)
 FAULT_BY_KIND = {
     Endless.BODY: ResponseFault.BODY_BYTES,
     Endless.CHUNKS: ResponseFault.BODY_BYTES,
