Log and count how upstreams' responses end and what shows them complete

From the lines of a request on-call could not tell how its upstream framed the response, how the connection ended, whether the request had leases and when they would have lapsed, or what its completeness was based on. ended and attempt_ended have response_end now, and pondpin_response_ends_total counts by framing, end of the connection, path and evidence. Behaviour is unchanged: a close-delimited response is whole after an orderly close, if the upstream's address accepts connections or its upstream is leaving.

--- /dev/null
+++ b/pondpin/body_ends.py
@@ -0,0 +1,59 @@
+"""How the bodies of responses end."""
+
+import enum
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone
+from twisted.web.http import PotentialDataLoss
+from twisted.web.iweb import UNKNOWN_LENGTH
+
+
+class Framing(enum.StrEnum):
+    """How the end of a response's body is marked (RFC 9112, section 6.3)."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE_DELIMITED = "close_delimited"
+
+
+class ConnectionEnd(enum.StrEnum):
+    """What happened to a response's connection by the end of its body.
+
+    CLOSED: the server closed it in order. RESET: any other end.
+    """
+
+    OPEN = "open"
+    CLOSED = "closed"
+    RESET = "reset"
+
+
+@dataclass(frozen=True, slots=True)
+class BodyEnd:
+    """The end of a body; is_framed: whether its length or last chunk proves it complete."""
+
+    framing: Framing
+    connection: ConnectionEnd
+    is_framed: bool
+
+    @property
+    def may_be_whole(self) -> bool:
+        """Whether it is complete by its framing, or ended with a connection closed in order."""
+        is_close_delimited = self.framing is Framing.CLOSE_DELIMITED
+        return self.is_framed or (is_close_delimited and self.connection is ConnectionEnd.CLOSED)
+
+
+BROKEN_OFF = BodyEnd(Framing.CLOSE_DELIMITED, ConnectionEnd.RESET, False)
+
+
+def describe_body_end(response: Any, reason: Failure | None) -> BodyEnd:
+    """Describe the end of a body; reason: as Twisted gives it to the body's protocol."""
+    if reason is None:
+        return BROKEN_OFF
+    connection = getattr(response, "connection_end", ConnectionEnd.OPEN)
+    if reason.check(PotentialDataLoss) is not None:
+        return BodyEnd(Framing.CLOSE_DELIMITED, connection, False)
+    has_length = getattr(response, "length", UNKNOWN_LENGTH) is not UNKNOWN_LENGTH
+    framing = Framing.LENGTH if has_length else Framing.CHUNKED
+    return BodyEnd(framing, connection, reason.check(ResponseDone) is not None)
--- a/pondpin/http_connections.py
+++ b/pondpin/http_connections.py
@@ -24,10 +24,9 @@
 class CheckedConnection(HTTP11ClientProtocol):
     """A connection that is not reused when data follows a complete response.
 
-    closed_cleanly is set on the response when the server closed without a reset, since a response
-    without a length ends with its connection. keep_alive_seconds: the server's idle timeout, None
-    when it sent none. path: the peer through which it goes, empty for a direct one. limits: a head
-    that exceeds them ends the connection.
+    connection_end is set on a response that ends with its connection. keep_alive_seconds: the
+    server's idle timeout, None when it sent none. path: the peer through which it goes, empty for a
+    direct one. limits: a head that exceeds them ends the connection.
     """
 
     keep_alive_seconds: float | None = None
@@ -84,9 +83,10 @@
         """Record how the connection ended before the parser ends the response."""
         response = getattr(self._parser, "response", None)
         if response is not None:
-            response.closed_cleanly = (
-                reason is not None and reason.check(ConnectionDone) is not None
-            )
+            from pondpin.body_ends import ConnectionEnd
+
+            is_closed = reason is not None and reason.check(ConnectionDone) is not None
+            response.connection_end = ConnectionEnd.CLOSED if is_closed else ConnectionEnd.RESET
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
 
     def _record_keep_alive(self) -> None:
--- a/pondpin/http_streams.py
+++ b/pondpin/http_streams.py
@@ -4,12 +4,13 @@
 import enum
 import math
 from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from twisted.internet.protocol import Protocol as TwistedProtocol
 from twisted.python.failure import Failure
-from twisted.web.client import ResponseDone
-from twisted.web.http import PotentialDataLoss
+
+if TYPE_CHECKING:
+    from pondpin.body_ends import BodyEnd
 
 
 class ResponseFault(enum.StrEnum):
@@ -134,8 +135,8 @@
         """Receive a part of the body."""
         ...
 
-    def on_end(self, whole: bool) -> None:
-        """Receive the end; whole is False when the connection broke."""
+    def on_end(self, end: "BodyEnd") -> None:
+        """Receive the end, which may be an early one."""
         ...
 
 
@@ -159,17 +160,12 @@
         if self._closed:
             return
         self._closed = True
-        self._sink.on_end(reason is not None and self._is_complete(reason))
-
-    def _is_complete(self, reason: Failure) -> bool:
-        """Whether the body is complete by its framing; without a length, a clean close ends it."""
-        if reason.check(ResponseDone) is not None:
-            return True
-        if reason.check(PotentialDataLoss) is None:
-            return False
+        from pondpin.body_ends import describe_body_end
+
+        end = describe_body_end(self._response, reason)
         if self._response is not None:
-            self._response.close_delimited = True
-        return bool(getattr(self._response, "closed_cleanly", False))
+            self._response.body_end = end
+        self._sink.on_end(end)
 
     def pause(self) -> None:
         """Pause reading."""
@@ -233,9 +229,9 @@
         )
 
     @property
-    def is_close_delimited(self) -> bool:
-        """Whether the body, once it is complete, ended with its connection."""
-        return bool(getattr(self.response, "close_delimited", False))
+    def body_end(self) -> "BodyEnd | None":
+        """The end of the body, None until it came."""
+        return getattr(self.response, "body_end", None)
 
     def close_unread(self) -> None:
         """Close the connection without reading the body."""
@@ -285,7 +281,7 @@
     def on_data(self, data: bytes) -> None:
         """Drop the data."""
 
-    def on_end(self, whole: bool) -> None:
+    def on_end(self, end: "BodyEnd") -> None:
         """No effect."""
 
 
@@ -317,8 +313,8 @@
     def give_way(self) -> None:
         self._fail(CallFailedError("", sent=True, fault=ResponseFault.BUFFERED_BYTES))
 
-    def on_end(self, whole: bool) -> None:
-        if whole and not self.done.done():
+    def on_end(self, end: "BodyEnd") -> None:
+        if end.may_be_whole and not self.done.done():
             self.done.set_result(b"".join(self._parts))
         else:
             self._fail(CallFailedError("the answer broke off", sent=True))
--- a/pondpin/metrics.py
+++ b/pondpin/metrics.py
@@ -28,6 +28,10 @@
             "pondpin_responses_over_limit_total",
             "Responses of upstreams that were ended as they exceeded a bound, by bound.",
         )
+        self.response_ends = self._counter(
+            "pondpin_response_ends_total",
+            "Ends of upstreams' responses, by framing, end of the connection, path and evidence.",
+        )
         self.configurations = self._counter(
             "pondpin_configuration_offers_total", "Configurations offered, by source and result."
         )
--- a/pondpin/relay/attempts/attempt.py
+++ b/pondpin/relay/attempts/attempt.py
@@ -4,15 +4,28 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from pondpin.body_ends import BodyEnd
 from pondpin.clocks import Clock
 from pondpin.http_client import HttpClient, RawRequest
-from pondpin.http_streams import CallFailedError, ResponseStream, StreamedResponse, WithheldError
+from pondpin.http_streams import (
+    CallFailedError,
+    ResponseStream,
+    StreamedResponse,
+    WithheldError,
+)
 from pondpin.relay.attempts.events import EventSplitter
-from pondpin.relay.call import AttemptEnd, BufferedResponse, EndKind, Progress, RelayCall
+from pondpin.relay.call import (
+    AttemptEnd,
+    BufferedResponse,
+    EndKind,
+    Progress,
+    RelayCall,
+)
 from pondpin.relay.choosing.planner import Plan
 from pondpin.relay.choosing.stall_timeouts import StallTimeouts
 from pondpin.relay.model import ResponseHead
 from pondpin.relay.ports import Dialect, ForwardMetadata, PartAssignment
+from pondpin.relay.response_ends import ResponseEnd, describe_end
 
 OK = 200
 # Silence may take this share of the caller's timeout; a retry needs the rest.
@@ -78,6 +91,7 @@
         self._splitter = EventSplitter()
         self._has_events = False
         self.last_data_at = clock()
+        self.response_end: ResponseEnd | None = None
         self.ended: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         self.stream: ResponseStream | None = None
 
@@ -104,9 +118,10 @@
     def _is_new(self, number: int) -> bool:
         return number < 0 or number > self._progress.last_event_number
 
-    def on_end(self, whole: bool) -> None:
+    def on_end(self, end: BodyEnd) -> None:
         """Handle the end; a partial event at the end means a truncated response."""
-        self._finish(whole and not self._splitter.has_partial)
+        self.response_end = describe_end(end, self._clock(), self.last_data_at)
+        self._finish(end.may_be_whole and not self._splitter.has_partial)
 
     def _finish(self, whole: bool) -> None:
         if not self.ended.done():
@@ -264,9 +279,9 @@
                 EndKind.NOT_EXECUTED, f"status {head.status}", failed_endpoint=head.failed_endpoint
             )
         response = BufferedResponse(head.status, head.headers, body)
-        return AttemptEnd(
-            EndKind.ANSWERED, response=response, close_delimited=start.is_close_delimited
-        )
+        now = self._clock()
+        end = describe_end(start.body_end, now, now) if start.body_end is not None else None
+        return AttemptEnd(EndKind.ANSWERED, response=response, response_end=end)
 
     async def _relay_events(
         self,
@@ -297,9 +312,11 @@
         if whole is None:
             return AttemptEnd(EndKind.STALLED, "no event in time")
         if not whole:
-            return AttemptEnd(EndKind.BROKEN, "the stream broke off")
+            return AttemptEnd(
+                EndKind.BROKEN, "the stream broke off", response_end=sink.response_end
+            )
         start_reply()
-        return AttemptEnd(EndKind.DONE, close_delimited=start.is_close_delimited)
+        return AttemptEnd(EndKind.DONE, response_end=sink.response_end)
 
     async def wait_for_end(
         self,
--- a/pondpin/relay/attempts/handler.py
+++ b/pondpin/relay/attempts/handler.py
@@ -219,7 +219,7 @@
             progress.is_sent = False
             progress.sends += end.was_sent
             if end.kind is EndKind.DONE:
-                self._finish_stream(call, progress)
+                self._finish_stream(call, progress, end)
                 return
             reason = self.retries.final_reason(call, progress, end)
             self.request_log.attempt_ended(call, progress, end, reason)
@@ -260,8 +260,11 @@
             if renewal is not None and group is not None:
                 renewal.cancel()
                 self.leases().release(group)
+        if group is not None and end.response_end is not None:
+            end.response_end.record_leases(group)
         try:
             end = await self.crash_guard.finish(call, plan, end, run)
+            self.request_log.response_ended(progress, end)
         finally:
             # The check shows whether the own link broke.
             blames_upstream = not is_failure(end) or self.retries.blames_upstream(
@@ -308,11 +311,11 @@
         progress.first_event_at = self.clock()
         call.reply.send_raw(response.status, response.headers, response.body)
         code = Code.OK if response.status < FIRST_SERVER_ERROR else Code.UPSTREAM_REFUSED
-        self.request_log.ended(call, progress, response.status, code)
+        self.request_log.ended(call, progress, response.status, code, end.response_end)
 
-    def _finish_stream(self, call: RelayCall, progress: Progress) -> None:
+    def _finish_stream(self, call: RelayCall, progress: Progress, end: AttemptEnd) -> None:
         call.reply.finish()
-        self.request_log.ended(call, progress, 200, Code.OK)
+        self.request_log.ended(call, progress, 200, Code.OK, end.response_end)
 
     @cached_property
     def runner(self) -> "AttemptRunner":
--- a/pondpin/relay/attempts/request_log.py
+++ b/pondpin/relay/attempts/request_log.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from pondpin.clocks import Clock
 from pondpin.codes import Code, Ran
 from pondpin.errors import PondpinError
@@ -11,11 +13,18 @@
 from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall
 from pondpin.relay.choosing.planner import Plan
 from pondpin.relay.log import EventLog
-from pondpin.relay.log_events import AttemptEnded, CallerDisconnected, Ended, Placed, Refused
+from pondpin.relay.log_events import (
+    AttemptEnded,
+    CallerDisconnected,
+    Ended,
+    Placed,
+    Refused,
+)
 from pondpin.relay.model import RequestMetadata, Route
 from pondpin.request_identity import format_identity
 
 if TYPE_CHECKING:
+    from pondpin.relay.response_ends import ResponseEnd
     from pondpin.relay.upstreams.leases import LeaseGroup
 
 MILLISECONDS = 1000
@@ -30,8 +39,15 @@
     metrics: Metrics
     clock: Clock
 
-    def ended(self, call: RelayCall, progress: Progress, status: int, code: Code) -> None:
-        """Record a complete response."""
+    def ended(
+        self,
+        call: RelayCall,
+        progress: Progress,
+        status: int,
+        code: Code,
+        end: "ResponseEnd | None" = None,
+    ) -> None:
+        """Record a complete response; end: the upstream's."""
         now = self.clock()
         first = progress.first_event_at if progress.first_event_at is not None else now
         self.log.write(
@@ -49,6 +65,7 @@
                 target_ms=round(call.route.latency_target * MILLISECONDS),
                 gap_target_ms=round(call.route.gap_target * MILLISECONDS),
                 path=progress.path,
+                response_end=log_fields(end),
             )
         )
         self.metrics.ttft.observe({"class": call.route.kind.value}, first - call.arrived_at)
@@ -162,5 +179,19 @@
                 next="final answer" if reason else "elsewhere",
                 reason=reason,
                 path=progress.path if end.was_sent else "",
+                response_end=end.response_end.log_fields()
+                if end.response_end is not None
+                else None,
             )
         )
+
+    def response_ended(self, progress: Progress, end: AttemptEnd) -> None:
+        """Count the end of an upstream's response."""
+        if end.response_end is not None:
+            path = "peer" if progress.path else "direct"
+            self.metrics.response_ends.inc(end.response_end.labels | {"path": path})
+
+
+def log_fields(end: "ResponseEnd | None") -> msgspec.Struct | None:
+    """The log fields of a response's end."""
+    return end.log_fields() if end is not None else None
--- a/pondpin/relay/attempts/run_outcomes.py
+++ b/pondpin/relay/attempts/run_outcomes.py
@@ -8,11 +8,19 @@
 from pondpin.relay.attempts.run_tracker import Run
 from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall
 from pondpin.relay.choosing.planner import Plan
+from pondpin.relay.response_ends import Evidence
 
 if TYPE_CHECKING:
     from pondpin.relay.attempts.crash_guard import CrashGuard
 
 SUCCESSES = (EndKind.DONE, EndKind.ANSWERED)
+UNPROVED = (Evidence.NONE, Evidence.UNCHECKED)
+
+
+def _is_unproved(end: AttemptEnd) -> bool:
+    """Whether nothing shows yet that a response is complete."""
+    found = end.response_end
+    return found is not None and found.is_close_delimited and found.evidence in UNPROVED
 
 
 class RunOutcomes:
@@ -29,13 +37,13 @@
         finally:
             # Also on cancellation, or peers would take it for running.
             self._guard.end_suspect_run(run)
-        if end.kind in SUCCESSES and not end.close_delimited:
+        if end.kind in SUCCESSES and not _is_unproved(end):
             self._record_success(call, end, run)
         return end
 
     async def _check_upstream(self, plan: Plan, end: AttemptEnd, run: Run) -> AttemptEnd:
         helper = helper_at_fault(plan, end)
-        if end.kind in SUCCESSES and end.close_delimited:
+        if end.kind in SUCCESSES and _is_unproved(end):
             return await self._check_close_delimited(plan, end, run)
         if end.kind is EndKind.BROKEN:
             await self._tracker.check(run, plan.lead)
@@ -52,16 +60,26 @@
     async def _check_close_delimited(self, plan: Plan, end: AttemptEnd, run: Run) -> AttemptEnd:
         """Tell a response that ended with its connection from one cut off by a crash.
 
-        One of an upstream that is leaving is taken for whole, but is no success. The result is not
-        close-delimited any more if the upstream lives.
+        One of an upstream that is leaving is taken for whole, but is no success.
         """
         outcome = await self._tracker.check(run, plan.lead)
         if outcome is ConnectOutcome.CONNECTED:
             run.broken = False
             self._tracker.complete(run)
-            return replace(end, close_delimited=False)
+            return self._with_evidence(end, Evidence.ACCEPTS)
         if run.broken:
-            return AttemptEnd(EndKind.BROKEN, "the upstream may have ended with its response")
+            return replace(
+                end,
+                kind=EndKind.BROKEN,
+                detail="the upstream may have ended with its response",
+                response=None,
+            )
+        return self._with_evidence(end, Evidence.UNCHECKED)
+
+    def _with_evidence(self, end: AttemptEnd, evidence: Evidence) -> AttemptEnd:
+        assert end.response_end is not None, "only responses have evidence"
+        end.response_end.evidence = evidence
+        end.response_end.evidence_at = self._guard.clock()
         return end
 
     def _record_success(self, call: RelayCall, end: AttemptEnd, run: Run) -> None:
--- a/pondpin/relay/call.py
+++ b/pondpin/relay/call.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from pondpin.pacer import Permit
+    from pondpin.relay.response_ends import ResponseEnd
     from pondpin.relay.slot_results import SlotGrant
 
 # The longest of these seconds, latency targets and gap targets counts, also before the first event.
@@ -88,7 +89,7 @@
 
     failed_endpoint: the upstream that caused the failure. A withheld attempt was not sent, because
     a send check failed once its connection was open. unconfirmed: no path to the upstream.
-    close_delimited: the response ended with its connection. fault: the bound that it exceeded.
+    response_end: how the response ended, None without one. fault: the bound that it exceeded.
     """
 
     kind: EndKind
@@ -97,7 +98,7 @@
     failed_endpoint: Endpoint | None = None
     connection_refused: bool = False
     unconfirmed: bool = False
-    close_delimited: bool = False
+    response_end: "ResponseEnd | None" = None
     fault: ResponseFault | None = None
 
     @property
--- a/pondpin/relay/log_events.py
+++ b/pondpin/relay/log_events.py
@@ -242,6 +242,8 @@
     reason: str = ""
     # The peer through which it was sent, empty for a direct connection.
     path: str = ""
+    # See `pondpin.relay.response_ends`.
+    response_end: msgspec.Struct | None = None
 
 
 class Refused(LogEvent, frozen=True, kw_only=True, tag="refused"):
@@ -276,6 +278,8 @@
     gap_target_ms: int = 0
     detail: str = ""
     path: str = ""
+    # See `pondpin.relay.response_ends`.
+    response_end: msgspec.Struct | None = None
 
 
 class CallerDisconnected(LogEvent, frozen=True, kw_only=True, tag="caller_gone"):
--- /dev/null
+++ b/pondpin/relay/response_ends.py
@@ -0,0 +1,110 @@
+"""How responses of upstreams end, and what shows that they are complete."""
+
+import enum
+from collections.abc import Sized
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+
+from pondpin.body_ends import BodyEnd, Framing
+
+MILLISECONDS = 1000
+
+
+class ResponseEndFields(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """How an upstream's response ended.
+
+    framing, connection: see `pondpin.http_streams`. evidence: see Evidence.
+    silence_ms: from its last data to its end. evidence_ms: from its end to the evidence. leases: of
+    the request; lease_ms: from the end to the first one's lapse, negative after it.
+    """
+
+    framing: str
+    connection: str
+    evidence: str
+    evidence_ms: int = 0
+    silence_ms: int = 0
+    leases: int = 0
+    lease_ms: int = 0
+
+
+class LeaseGroup(Protocol):
+    """The leases of a request."""
+
+    @property
+    def places(self) -> Sized:
+        """Where they are."""
+        ...
+
+    @property
+    def held_until(self) -> float:
+        """When the first of them lapses without another renewal."""
+        ...
+
+
+class Evidence(enum.StrEnum):
+    """What a response's completeness is based on.
+
+    FRAMING: its length or last chunk. ACCEPTS: something at the upstream's address accepts
+    connections after it. UNCHECKED: nothing, as its upstream is leaving.
+    """
+
+    NONE = "none"
+    FRAMING = "framing"
+    ACCEPTS = "accepts"
+    UNCHECKED = "unchecked"
+
+
+@dataclass(slots=True)
+class ResponseEnd:
+    """The end of a response; times are monotonic.
+
+    last_data_at: when the last data before it came. held_until: when the first of the request's
+    leases lapses without another renewal, None without leases.
+    """
+
+    body: BodyEnd
+    at: float
+    last_data_at: float
+    evidence: Evidence = Evidence.NONE
+    evidence_at: float | None = None
+    leases: int = 0
+    held_until: float | None = None
+
+    def record_leases(self, group: LeaseGroup) -> None:
+        """Record the state of the request's leases."""
+        self.leases = len(group.places)
+        self.held_until = group.held_until
+
+    @property
+    def labels(self) -> dict[str, str]:
+        """Labels of a metric."""
+        return {
+            "framing": self.body.framing.value,
+            "connection": self.body.connection.value,
+            "evidence": self.evidence.value,
+        }
+
+    def log_fields(self) -> ResponseEndFields:
+        """Fields of a log line."""
+        evidence_at = self.at if self.evidence_at is None else self.evidence_at
+        held_until = self.at if self.held_until is None else self.held_until
+        return ResponseEndFields(
+            **self.labels,
+            evidence_ms=round((evidence_at - self.at) * MILLISECONDS),
+            silence_ms=round((self.at - self.last_data_at) * MILLISECONDS),
+            leases=self.leases,
+            lease_ms=round((held_until - self.at) * MILLISECONDS),
+        )
+
+    @property
+    def is_close_delimited(self) -> bool:
+        """Whether only the end of its connection ended it."""
+        return self.body.framing is Framing.CLOSE_DELIMITED
+
+
+def describe_end(body: BodyEnd, at: float, last_data_at: float) -> ResponseEnd:
+    """Describe the end of a response, whose framing may prove it complete."""
+    evidence = Evidence.FRAMING if body.is_framed else Evidence.NONE
+    return ResponseEnd(body, at, last_data_at, evidence)
--- a/pondpin/relay/upstreams/leases.py
+++ b/pondpin/relay/upstreams/leases.py
@@ -7,7 +7,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from pondpin.http_streams import CallFailedError
 from pondpin.relay.engine_events import LeaseFailed
@@ -36,6 +36,13 @@
     request: str
     places: tuple[PartAssignment, ...]
     tokens: int
+    # By lease: when it lapses, by the last renewal that was answered; counted from its sending.
+    until_by_lease: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def held_until(self) -> float:
+        """When the first of the leases lapses without another renewal."""
+        return min(self.until_by_lease.get(place.lease, 0.0) for place in self.places)
 
 
 class LeaseManager:
@@ -72,7 +79,7 @@
             replace(place, lease=f"{name}-{index}") for index, place in enumerate(places)
         )
         group = LeaseGroup(request, leased, tokens)
-        answers = await asyncio.gather(*(self._reserve(place, tokens) for place in leased))
+        answers = await asyncio.gather(*(self._reserve(group, place) for place in leased))
         failed = tuple(place for place, held in zip(leased, answers, strict=True) if not held)
         if not failed:
             return group, ()
@@ -100,7 +107,7 @@
                 return
             # A later life at that place has nothing of this prompt: a lease would waste its memory.
             current = [place for place in group.places if not self._has_ended(place.life)]
-            await asyncio.gather(*(self._reserve(place, group.tokens, hold) for place in current))
+            await asyncio.gather(*(self._reserve(group, place, hold) for place in current))
 
     def release(self, group: LeaseGroup) -> None:
         """Release all leases in background tasks."""
@@ -116,23 +123,27 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _reserve(
-        self, place: PartAssignment, tokens: int, hold: float = HOLD_SECONDS
+        self, group: LeaseGroup, place: PartAssignment, hold: float = HOLD_SECONDS
     ) -> bool:
         self.calls_sent += 1
+        sent_at = asyncio.get_running_loop().time()
         self._on_sent(place.life)
         try:
             answer = await self._port.reserve(
                 place.host,
                 place.port,
                 place.lease,
-                tokens,
+                group.tokens,
                 hold,
                 CALL_TIMEOUT_SECONDS,
                 self._head_callback(place),
             )
         except CallFailedError:
             return False
-        return answer is LeaseResponse.HELD
+        if answer is not LeaseResponse.HELD:
+            return False
+        group.until_by_lease[place.lease] = sent_at + hold
+        return True
 
     def _head_callback(self, place: PartAssignment) -> HeadCallback:
         sent_at = asyncio.get_running_loop().time()
--- a/pondpin/stream_attempt.py
+++ b/pondpin/stream_attempt.py
@@ -7,6 +7,7 @@
 
 from pondpin.answer_writers import AnswerWriter
 from pondpin.attempts import Failure, stall_limit
+from pondpin.body_ends import BodyEnd
 from pondpin.clocks import Clock
 from pondpin.engine_client import FrameReader
 from pondpin.frames import FrameGate, GapError
@@ -61,7 +62,7 @@
         except (CallFailedError, GapError):
             self.fail(Failure.GAP)
 
-    def on_end(self, whole: bool) -> None:
+    def on_end(self, end: BodyEnd) -> None:
         """The connection ended."""
         self.fail(Failure.BROKEN)
 
--- a/pondpin/tests/test_relay_stall_timeouts.py
+++ b/pondpin/tests/test_relay_stall_timeouts.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import Any
 
+from pondpin.body_ends import BodyEnd, ConnectionEnd, Framing
 from pondpin.relay.attempts.attempt import AttemptRunner, EventSink
 from pondpin.relay.call import Progress
 from pondpin.relay.choosing.engine_choice import EngineChoice
@@ -17,6 +18,8 @@
 from pondpin.tests.test_relay_planner import make_call
 from pondpin.tools.virtual_time import run_virtual
 
+WHOLE = BodyEnd(Framing.CHUNKED, ConnectionEnd.OPEN, is_framed=True)
+
 ENGINE = UpstreamState(ListedUpstream("e0", "engines", "10.0.0.1", 80, "north", 8, False))
 PLAN = Plan(ENGINE, (), EngineChoice("e0", (), 0.02, 0, 0.1, 0.0, 2), 9)
 POLICY = RelayPolicy()
@@ -87,7 +90,7 @@
             progress = Progress(events=3)
             observer = ScriptedObserver(can_retry)
             sink = EventSink(call, progress, loop.time, lambda: None, observer)
-            loop.call_later(3.0, sink.on_end, True)
+            loop.call_later(3.0, sink.on_end, WHOLE)
             started_at = loop.time()
             attempts = AttemptRunner(http, dialect, loop.time)
             is_complete = await attempts.wait_for_end(call, sink, progress, timeouts, observer)
--- a/pondpin/tools/caller.py
+++ b/pondpin/tools/caller.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from pondpin.body_ends import BodyEnd
 from pondpin.clocks import Clock
 from pondpin.codes import Code, Ran
 from pondpin.http_client import HttpClient
@@ -105,7 +106,7 @@
         for event in events:
             self._take(event)
 
-    def on_end(self, whole: bool) -> None:
+    def on_end(self, end: BodyEnd) -> None:
         """The connection ended."""
         self._asked.text = "".join(self._parts)
         if not self.ended.done():
--- a/pondpin/tools/log_story.py
+++ b/pondpin/tools/log_story.py
@@ -105,7 +105,7 @@
     ),
     "attempt_ended": (
         "attempt {attempt} at {upstream} ended after {after_ms} ms and {events} events: "
-        "{result}, {detail}; next: {next} {reason} {path}"
+        "{result}, {detail}; next: {next} {reason} {path} {response_end}"
     ),
     "upstreams_unreachable": (
         "the own links to upstreams fail: {begins}, for {seconds} s; {failing} of {of} upstreams; "
@@ -116,7 +116,8 @@
     "refused": "refused after {after_ms} ms: {code} ({detail}); come back in {retry_after} s",
     "ended": (
         "answered {status} by {upstream} after {attempts} attempt(s): first byte after "
-        "{first_ms} ms, {total_ms} ms in all, {events} events, longest pause {longest_gap_ms} ms"
+        "{first_ms} ms, {total_ms} ms in all, {events} events, longest pause {longest_gap_ms} ms "
+        "{path} {response_end}"
     ),
     "caller_gone": "the caller closed its connection after {after_ms} ms",
     "upstream_leaving": "{upstream} gets no new work: {source}",
--- a/pondpin/tools/measure_bare.py
+++ b/pondpin/tools/measure_bare.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from pondpin.body_ends import BodyEnd
 from pondpin.engine_client import HttpEngines
 from pondpin.engine_protocol import StreamRequest
 from pondpin.http_client import HttpClient
@@ -25,7 +26,7 @@
         """Take a piece."""
         self._reply.write(data)
 
-    def on_end(self, whole: bool) -> None:
+    def on_end(self, end: BodyEnd) -> None:
         """The stream ended."""
         self._reply.finish()
         self.ended.set_result(None)
--- a/pondpin/tools/measure_hop.py
+++ b/pondpin/tools/measure_hop.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from pondpin.body_ends import BodyEnd
 from pondpin.engine_client import FrameReader, HttpEngines
 from pondpin.engine_protocol import StreamRequest
 from pondpin.http_client import HttpClient
@@ -68,7 +69,7 @@
         if self.first is None and self._reader.feed(data):
             self.first = steady_now() - self._started
 
-    def on_end(self, whole: bool) -> None:
+    def on_end(self, end: BodyEnd) -> None:
         """The stream ended."""
         if not self.ended.done():
             self.ended.set_result(None)
