--- a/pondpin/relay/attempts/handler.py
+++ b/pondpin/relay/attempts/handler.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import cached_property
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from pondpin.clocks import Clock
 from pondpin.codes import Code
@@ -22,9 +22,8 @@
     send_refusal,
 )
 from pondpin.relay.attempts.crash_guard import CrashGuard
+from pondpin.relay.attempts.observer import RequestObserver
 from pondpin.relay.attempts.placer import Placer
-from pondpin.relay.attempts.request_log import RequestLog
-from pondpin.relay.attempts.run_tracker import Run
 from pondpin.relay.attempts.send_checks import SendChecks
 from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall, is_failure
 from pondpin.relay.choosing.planner import Plan, Planner, RelayPolicy
@@ -42,14 +41,13 @@
 if TYPE_CHECKING:
     from pondpin.relay.attempts.attempt import AttemptRunner
     from pondpin.relay.attempts.passive_health import LoadRecorder, PassiveHealth
+    from pondpin.relay.attempts.request_log import RequestLog
     from pondpin.relay.attempts.retries import Retries
     from pondpin.relay.upstreams.leases import LeaseGroup, LeaseManager
     from pondpin.relay.upstreams.reports import ReportClient
 
 # Including attempts that sent nothing.
 MAX_ATTEMPTS = 5
-# Forecasts of prefills err by a few hundred milliseconds.
-PREFILL_SLACK_SECONDS = 0.4
 
 
 class CancelReason(enum.StrEnum):
@@ -103,7 +101,6 @@
     def __post_init__(self) -> None:
         self.open_requests = 0
         self.served: set[ServedRequest] = set()
-        self.request_log = RequestLog(self.log, self.metrics, self.clock)
         self._windows: dict[str, RetryWindow] = {}
 
     async def handle(self, incoming: IncomingRequest, reply: Reply) -> None:
@@ -248,7 +245,7 @@
                 group.places if group is not None else plan.helper_endpoints,
                 progress,
                 stall_timeouts_for(call, plan, self.policy, self.may_retry(call, progress)),
-                _Observer(self, call, progress, plan, key, run),
+                RequestObserver(self, call, progress, plan, key, run),
             )
         except BaseException:
             self.crash_guard.abandon(run)
@@ -317,6 +314,13 @@
         call.reply.finish()
         self.request_log.ended(call, progress, 200, Code.OK, end.response_end)
 
+    @cached_property
+    def request_log(self) -> "RequestLog":
+        """Imported with the first request."""
+        from pondpin.relay.attempts.request_log import RequestLog
+
+        return RequestLog(self.log, self.metrics, self.clock)
+
     @cached_property
     def runner(self) -> "AttemptRunner":
         """Loaded with the first attempt."""
@@ -350,51 +354,3 @@
             window = RetryWindow(self.retry_bounds())
             self._windows[service] = window
         return window
-
-
-@dataclass(slots=True)
-class _Observer:
-    handler: RelayHandler
-    call: RelayCall
-    progress: Progress
-    plan: Plan
-    key: int
-    run: Run
-    connection: Any = None
-
-    def on_head(self, head: ResponseHead) -> None:
-        self.handler.on_head(self.plan, head, self.run.began)
-
-    def on_first_event(self) -> None:
-        self.run.answered_at = self.handler.clock()
-        self.handler.planner.record_first_event(self.plan, self.key)
-
-    def on_data(self, now: float) -> None:
-        self.plan.lead.last_seen_at = self.run.last_data_at = now
-
-    def busy_until(self, now: float) -> float:
-        return self.plan.lead.prefill_end(now) + PREFILL_SLACK_SECONDS
-
-    async def query_status(self) -> bool:
-        return await self.handler.reports().query_status(self.plan.lead)
-
-    def may_retry(self) -> bool:
-        return self.handler.may_retry(self.call, self.progress)
-
-    def withhold_reason(self, connection: Any) -> str:
-        self.connection = connection
-        self.progress.path = connection.path
-        reason = self.handler.send_checks.withhold_reason(
-            self.call, self.progress, self.plan, is_begun=True
-        )
-        self.run.is_sent = self.progress.is_sent = not reason
-        self.run.sent_at = self.handler.clock()
-        return reason
-
-    def is_partitioned(self, now: float) -> bool:
-        lead = self.plan.lead
-        if lead.ended or lead.needs_probe or self.handler.table.is_partitioned(lead, now):
-            return True
-        if self.connection is None:
-            return False
-        return self.handler.connector.is_lost(lead.endpoint, self.connection)
