Take close-delimited responses for complete only if their upstream still lives

Cause: an orderly close of the connection was taken for the end of the response if something accepted connections at the upstream's address afterwards; for upstreams out of service nothing was asked. Class: evidence about another process, another life or another moment.

Now the upstream's liveness check, sent after the end, must be answered with the id that the request was meant for, whatever its status; only the process that wrote the response can do that, so the close was its own. The rule is the same in each state of the upstream. Without the answer the attempt is broken: streams are resumed, safe calls retried, others end as unknown. All events that a request can have are evidence as well. Responses that end within 5 ms share a check that is sent after them.

--- a/pondpin/platform/reports.py
+++ b/pondpin/platform/reports.py
@@ -5,11 +5,13 @@
 from pondpin.http_client import HttpClient
 from pondpin.http_streams import SMALL_BODY_BYTES, CallFailedError
 from pondpin.platform.headers import head_observer
-from pondpin.relay.model import EngineReport
+from pondpin.relay.model import EngineReport, ResponseHead
 from pondpin.relay.ports import HeadCallback
 
 OK = 200
 REPORT_PATH = "/v1/report"
+# Its caller bounds the time of all tries.
+IDENTIFY_SECONDS = 1.0
 
 
 class WireReport(msgspec.Struct, frozen=True, rename="camel"):
@@ -64,3 +66,25 @@
             limit=SMALL_BODY_BYTES,
         )
         return response.status == OK
+
+    async def identify(
+        self, host: str, port: int, path: str, upstream: str, fresh: bool, on_head: HeadCallback
+    ) -> str:
+        """See LivenessPort; raises CallFailedError without the head of a response."""
+        heads: list[ResponseHead] = []
+        observe = head_observer(heads.append)
+        try:
+            await self._http.call(
+                "GET",
+                f"http://{host}:{port}{path}",
+                {"X-Expect-Instance": upstream},
+                timeout=IDENTIFY_SECONDS,
+                fresh=fresh,
+                on_head=observe,
+                limit=SMALL_BODY_BYTES,
+            )
+        except CallFailedError:
+            if not heads:
+                raise
+        on_head(heads[0])
+        return heads[0].upstream_id
--- a/pondpin/relay/attempts/attempt.py
+++ b/pondpin/relay/attempts/attempt.py
@@ -120,7 +120,9 @@
 
     def on_end(self, end: BodyEnd) -> None:
         """Handle the end; a partial event at the end means a truncated response."""
-        self.response_end = describe_end(end, self._clock(), self.last_data_at)
+        self.response_end = describe_end(
+            end, self._clock(), self.last_data_at, self._progress.events
+        )
         self._finish(end.may_be_whole and not self._splitter.has_partial)
 
     def _finish(self, whole: bool) -> None:
--- a/pondpin/relay/attempts/crash_guard.py
+++ b/pondpin/relay/attempts/crash_guard.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from pondpin.relay.attempts.quarantine_records import QuarantineRecords
     from pondpin.relay.attempts.run_outcomes import RunOutcomes
+    from pondpin.relay.upstreams.prober import Prober
 
 POLL_SECONDS = 0.02
 # A starting instance waits this long for a peer's digest (sent every 0.2 s) and the peer's ends.
@@ -51,6 +52,8 @@
             source, ends
         )
         self._started_at = self.clock()
+        # Set by the components that are created later.
+        self.load_prober: Callable[[], Prober]
 
     async def admit(self, call: RelayCall, progress: Progress) -> None:
         """Admit a request to placement, or raise PondpinError.
@@ -120,7 +123,7 @@
     async def finish(self, call: RelayCall, plan: Plan, end: AttemptEnd, run: Run) -> AttemptEnd:
         """End a run, and evaluate its end for the upstream's life and the request.
 
-        Returns the end, broken if the upstream's life ended with a response of unknown length.
+        Returns the end, broken if nothing shows that its response is complete.
         """
         return await self.outcomes.finish(call, plan, end, run)
 
--- /dev/null
+++ b/pondpin/relay/attempts/identity_checks.py
@@ -0,0 +1,36 @@
+"""Asks upstreams which life answers, after responses that only their connections ended.
+
+An orderly close proves nothing: the kernel closes the connections of a process that was killed,
+and whoever accepts connections at the address afterwards may be another process.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from pondpin.relay.response_ends import Identity
+from pondpin.relay.upstreams.state import UpstreamState
+
+# Responses that end within this time share a check: a process that ends closes its connections
+# one after the other.
+SHARE_SECONDS = 0.005
+
+
+class IdentityChecks:
+    """Checks of identity, shared by the responses that ended before they are sent."""
+
+    def __init__(self, ask: Callable[[UpstreamState, str], Awaitable[Identity]]) -> None:
+        self._ask = ask
+        self._unsent_by_life: dict[int, asyncio.Task[Identity]] = {}
+
+    async def check(self, state: UpstreamState, path: str) -> Identity:
+        """Ask which life answers at an upstream's address; path: of its liveness checks."""
+        task = self._unsent_by_life.get(state.life)
+        if task is None:
+            task = asyncio.get_running_loop().create_task(self._ask_soon(state, path))
+            self._unsent_by_life[state.life] = task
+        return await asyncio.shield(task)
+
+    async def _ask_soon(self, state: UpstreamState, path: str) -> Identity:
+        await asyncio.sleep(SHARE_SECONDS)
+        del self._unsent_by_life[state.life]
+        return await self._ask(state, path)
--- a/pondpin/relay/attempts/retries.py
+++ b/pondpin/relay/attempts/retries.py
@@ -71,6 +71,9 @@
 
     def blames_upstream(self, plan: Plan, end: AttemptEnd, progress: Progress) -> bool:
         """Whether a failed attempt speaks against its upstream, not the path to it."""
+        found = end.response_end
+        if found is not None and found.doubt and not found.doubt.concerns_lives:
+            return False
         path = progress.path if end.was_sent else ""
         connector = self._handler.connector
         return not end.unconfirmed and connector.blames_upstream(plan.lead.endpoint, path)
--- a/pondpin/relay/lazy_components.py
+++ b/pondpin/relay/lazy_components.py
@@ -85,6 +85,7 @@
         self._gossip = gossip
         self._notice_handler = notice_handler
         self._crash_guard = crash_guard
+        crash_guard.load_prober = lambda: self.prober
         self._metrics = metrics
         self._log = log
         self._lease_prefix = lease_prefix
@@ -172,12 +173,13 @@
     @cached_property
     def prober(self) -> "Prober":
         """Liveness checks of ejected upstreams."""
-        from pondpin.platform.reports import PlatformLiveness
+        from pondpin.platform.reports import PlatformLiveness, PlatformReports
         from pondpin.relay.upstreams.prober import Prober
 
         return Prober(
             self._gossip.table,
             PlatformLiveness(self._http),
+            PlatformReports(self._http),
             self._notice_handler.handle_head,
             self._log,
             steady_now,
--- a/pondpin/relay/ports.py
+++ b/pondpin/relay/ports.py
@@ -171,3 +171,11 @@
         self, host: str, port: int, path: str, timeout: float, on_head: HeadCallback
     ) -> bool:
         """Whether an upstream reports that it is healthy."""
+
+    async def identify(
+        self, host: str, port: int, path: str, upstream: str, fresh: bool, on_head: HeadCallback
+    ) -> str:
+        """The id of the upstream that answers a liveness check, well or not; "" if it names none.
+
+        upstream: the expected one. fresh: on a new connection.
+        """
--- a/pondpin/relay/response_ends.py
+++ b/pondpin/relay/response_ends.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from pondpin.body_ends import BodyEnd, Framing
+from pondpin.body_ends import BodyEnd
 
 MILLISECONDS = 1000
 
@@ -15,7 +15,8 @@
 class ResponseEndFields(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """How an upstream's response ended.
 
-    framing, connection: see `pondpin.http_streams`. evidence: see Evidence.
+    framing, connection: see `pondpin.http_streams`. evidence, doubt: see
+    Evidence and Doubt.
     silence_ms: from its last data to its end. evidence_ms: from its end to the evidence. leases: of
     the request; lease_ms: from the end to the first one's lapse, negative after it.
     """
@@ -23,12 +24,22 @@
     framing: str
     connection: str
     evidence: str
+    doubt: str = ""
     evidence_ms: int = 0
     silence_ms: int = 0
     leases: int = 0
     lease_ms: int = 0
 
 
+class Identity(enum.StrEnum):
+    """What an upstream's address answers."""
+
+    SAME = "same"
+    OTHER = "other"
+    REFUSED = "refused"
+    NO_ANSWER = "no_answer"
+
+
 class LeaseGroup(Protocol):
     """The leases of a request."""
 
@@ -44,30 +55,51 @@
 
 
 class Evidence(enum.StrEnum):
-    """What a response's completeness is based on.
+    """What shows that a response is complete.
 
-    FRAMING: its length or last chunk. ACCEPTS: something at the upstream's address accepts
-    connections after it. UNCHECKED: nothing, as its upstream is leaving.
+    FRAMING: its length or last chunk. LAST_EVENT: all events that the request can have. SAME_LIFE:
+    the upstream's life, and those that hold memory of the prompt, answered a request that was sent
+    after the end.
     """
 
     NONE = "none"
     FRAMING = "framing"
-    ACCEPTS = "accepts"
-    UNCHECKED = "unchecked"
+    LAST_EVENT = "last_event"
+    SAME_LIFE = "same_life"
+
+
+class Doubt(enum.StrEnum):
+    """Why a response that looks complete is not taken for it.
+
+    OTHER_LIFE, REFUSED, NO_ANSWER: what answered at an upstream's address after the end.
+    """
+
+    NONE = ""
+    OTHER_LIFE = "other_life"
+    REFUSED = "refused"
+    NO_ANSWER = "no_answer"
+
+    @property
+    def concerns_lives(self) -> bool:
+        """Whether the life of an upstream may have ended."""
+        return self in (Doubt.OTHER_LIFE, Doubt.REFUSED, Doubt.NO_ANSWER)
 
 
 @dataclass(slots=True)
 class ResponseEnd:
     """The end of a response; times are monotonic.
 
-    last_data_at: when the last data before it came. held_until: when the first of the request's
-    leases lapses without another renewal, None without leases.
+    last_data_at: when the last data before it came. events: of a stream, from its start or from
+    where its caller resumed it; None for a plain response. held_until: when the first of the
+    request's leases lapses without another renewal, None without leases.
     """
 
     body: BodyEnd
     at: float
     last_data_at: float
+    events: int | None = None
     evidence: Evidence = Evidence.NONE
+    doubt: Doubt = Doubt.NONE
     evidence_at: float | None = None
     leases: int = 0
     held_until: float | None = None
@@ -84,6 +116,7 @@
             "framing": self.body.framing.value,
             "connection": self.body.connection.value,
             "evidence": self.evidence.value,
+            "doubt": self.doubt.value,
         }
 
     def log_fields(self) -> ResponseEndFields:
@@ -98,13 +131,10 @@
             lease_ms=round((held_until - self.at) * MILLISECONDS),
         )
 
-    @property
-    def is_close_delimited(self) -> bool:
-        """Whether only the end of its connection ended it."""
-        return self.body.framing is Framing.CLOSE_DELIMITED
-
 
-def describe_end(body: BodyEnd, at: float, last_data_at: float) -> ResponseEnd:
+def describe_end(
+    body: BodyEnd, at: float, last_data_at: float, events: int | None = None
+) -> ResponseEnd:
     """Describe the end of a response, whose framing may prove it complete."""
     evidence = Evidence.FRAMING if body.is_framed else Evidence.NONE
-    return ResponseEnd(body, at, last_data_at, evidence)
+    return ResponseEnd(body, at, last_data_at, events, evidence)
--- a/pondpin/relay/upstreams/prober.py
+++ b/pondpin/relay/upstreams/prober.py
@@ -1,4 +1,4 @@
-"""Liveness checks of upstreams."""
+"""Liveness checks of upstreams, also to learn which life answers."""
 
 import asyncio
 from collections.abc import Callable, Iterable
@@ -9,14 +9,17 @@
 from pondpin.http_streams import CallFailedError
 from pondpin.relay.log import EventLog
 from pondpin.relay.log_events import UpstreamRestored
-from pondpin.relay.model import RelayConfiguration
-from pondpin.relay.ports import LivenessPort
+from pondpin.relay.model import RelayConfiguration, ResponseHead
+from pondpin.relay.ports import LivenessPort, ReportPort
+from pondpin.relay.response_ends import Identity
 from pondpin.relay.upstreams.notice_handler import LIVENESS_CHECK, HeadHandler, SentRequest
 from pondpin.relay.upstreams.state import UpstreamState
 from pondpin.relay.upstreams.table import UpstreamTable
 
 # A check waits for a slot like a request; an upstream that takes longer is still unhealthy.
 PROBE_SECONDS = 0.5
+# A caller waits for the end of its response meanwhile, and gets a retry without an answer.
+IDENTIFY_SECONDS = 0.4
 # With these a failed check is a fault, and later ones come less often.
 FAULT_REASONS = (BlockReason.NONE, BlockReason.EVACUATED)
 
@@ -27,6 +30,7 @@
 
     table: UpstreamTable
     port: LivenessPort
+    reports: ReportPort
     on_head: HeadHandler
     log: EventLog
     clock: Clock
@@ -36,6 +40,46 @@
         """Probe upstreams concurrently."""
         await asyncio.gather(*(self._probe(state, configuration) for state in due))
 
+    async def identify(self, state: UpstreamState, path: str) -> Identity:
+        """Ask which life answers at an upstream's address, well or not.
+
+        An idle connection may have been closed by a sound upstream: then a new one is tried.
+        """
+        try:
+            async with asyncio.timeout(IDENTIFY_SECONDS):
+                try:
+                    return await self._identify(state, path, fresh=False)
+                except CallFailedError as error:
+                    if error.refused:
+                        return Identity.REFUSED
+                return await self._identify(state, path, fresh=True)
+        except CallFailedError as error:
+            return Identity.REFUSED if error.refused else Identity.NO_ANSWER
+        except TimeoutError:
+            return Identity.NO_ANSWER
+
+    async def _identify(self, state: UpstreamState, path: str, fresh: bool) -> Identity:
+        self.on_sent(state)
+        listed = state.listed
+        request = SentRequest(listed.id, listed.life, LIVENESS_CHECK, self.clock())
+
+        def on_head(head: ResponseHead) -> None:
+            self.on_head(request, head)
+
+        answering = await self.port.identify(
+            listed.host, listed.port, path, listed.id, fresh, on_head
+        )
+        if not answering:
+            return Identity.NO_ANSWER
+        if answering != listed.id:
+            return Identity.OTHER
+        if listed.born is None:
+            return Identity.SAME
+        # It keeps its id over a restart.
+        self.on_sent(state)
+        report = await self.reports.read_report(listed.host, listed.port, IDENTIFY_SECONDS, on_head)
+        return Identity.SAME if report.born == listed.born else Identity.OTHER
+
     async def _probe(self, state: UpstreamState, configuration: RelayConfiguration) -> None:
         service = configuration.services_by_name.get(state.listed.service)
         if service is None:
--- /dev/null
+++ b/pondpin/tests/test_response_completeness.py
@@ -0,0 +1,239 @@
+"""Evidence that responses of upstreams are complete."""
+
+import asyncio
+import itertools
+import unittest
+from dataclasses import replace
+from typing import Any
+
+from pondpin.body_ends import BodyEnd, ConnectionEnd, Framing
+from pondpin.http_streams import CallFailedError
+from pondpin.relay.attempts.completeness import Completeness
+from pondpin.relay.attempts.identity_checks import IdentityChecks
+from pondpin.relay.call import AttemptEnd, EndKind, RelayCall
+from pondpin.relay.choosing.planner import Plan
+from pondpin.relay.model import EngineReport, ListedUpstream
+from pondpin.relay.response_ends import Doubt, Evidence, Identity, ResponseEnd, describe_end
+from pondpin.relay.upstreams.prober import IDENTIFY_SECONDS, Prober
+from pondpin.relay.upstreams.state import UpstreamState
+from pondpin.tests.test_relay_planner import PROFILE, make_call
+from pondpin.tools.virtual_time import run_virtual
+
+CHUNKED = BodyEnd(Framing.CHUNKED, ConnectionEnd.OPEN, is_framed=True)
+CLOSED = BodyEnd(Framing.CLOSE_DELIMITED, ConnectionEnd.CLOSED, is_framed=False)
+AT = 50.0
+
+
+def make_state(name: str, born: int | None = None) -> UpstreamState:
+    return UpstreamState(ListedUpstream(name, "engines", name, 80, "north", 8, False, born))
+
+
+LEAD, HELPER = make_state("10.0.0.1"), make_state("10.0.0.2")
+
+
+def end_of(body: BodyEnd, silence: float = 0.0, **fields: Any) -> ResponseEnd:
+    return replace(describe_end(body, AT, AT - silence, 3), **fields)
+
+
+class VerifyTest(unittest.TestCase):
+    def verify(
+        self,
+        found: ResponseEnd,
+        lead: Identity = Identity.SAME,
+        call: RelayCall | None = None,
+    ) -> AttemptEnd:
+        """Verify the end of a response of LEAD."""
+        self.asked: list[str] = []
+
+        async def identify(state: UpstreamState, path: str) -> Identity:
+            self.asked.append(state.id)
+            return lead
+
+        async def work() -> AttemptEnd:
+            completeness = Completeness(identify, lambda: AT + 0.01)
+            end = AttemptEnd(EndKind.DONE, response_end=found)
+            plan = Plan(LEAD, (HELPER,), None, 2)
+            return await completeness.verify(call or make_call(5000), plan, end)
+
+        verified: AttemptEnd = run_virtual(work())
+        return verified
+
+    def assert_doubt(self, end: AttemptEnd, doubt: Doubt) -> None:
+        assert end.response_end is not None
+        self.assertEqual((end.kind, end.response_end.doubt), (EndKind.BROKEN, doubt))
+        self.assertIs(end.response_end.evidence, Evidence.NONE)
+
+    def assert_evidence(self, end: AttemptEnd, evidence: Evidence) -> None:
+        assert end.response_end is not None
+        self.assertEqual((end.kind, end.response_end.evidence), (EndKind.DONE, evidence))
+
+    def test_framed_response_needs_no_check(self) -> None:
+        self.assert_evidence(self.verify(end_of(CHUNKED)), Evidence.FRAMING)
+        self.assertEqual(self.asked, [])
+
+    def test_close_delimited_response_is_complete_if_its_upstream_still_lives(self) -> None:
+        end = self.verify(end_of(CLOSED))
+        self.assert_evidence(end, Evidence.SAME_LIFE)
+        self.assertEqual(self.asked, [LEAD.id])
+        assert end.response_end is not None and end.response_end.evidence_at is not None
+        self.assertGreater(end.response_end.evidence_at, AT)
+
+    def test_response_of_a_lost_upstream_is_not_complete(self) -> None:
+        for identity, doubt in (
+            (Identity.OTHER, Doubt.OTHER_LIFE),
+            (Identity.REFUSED, Doubt.REFUSED),
+            (Identity.NO_ANSWER, Doubt.NO_ANSWER),
+        ):
+            end = self.verify(end_of(CLOSED), identity)
+            self.assert_doubt(end, doubt)
+            self.assertIsNone(end.failed_endpoint)
+
+    def test_stream_with_all_its_events_is_complete(self) -> None:
+        whole = -(-800 // PROFILE.stride)
+        lost = Identity.REFUSED
+        end = self.verify(end_of(CLOSED, events=whole, leases=2), lost)
+        self.assert_evidence(end, Evidence.LAST_EVENT)
+        self.assert_doubt(self.verify(end_of(CLOSED, events=whole - 1), lost), Doubt.REFUSED)
+        self.assert_doubt(self.verify(end_of(CLOSED, events=None), lost), Doubt.REFUSED)
+
+    def test_events_before_a_callers_resumption_are_not_counted(self) -> None:
+        call = make_call(5000)
+        call = replace(call, metadata=replace(call.metadata, resume_after="4"))
+        end = self.verify(end_of(CLOSED, events=18), Identity.REFUSED, call=call)
+        self.assert_doubt(end, Doubt.REFUSED)
+
+    def test_stream_of_unknown_length_has_no_last_event(self) -> None:
+        call = make_call(5000)
+        call = replace(call, metadata=replace(call.metadata, answer_tokens=0))
+        end = self.verify(end_of(CLOSED, events=18), Identity.REFUSED, call=call)
+        self.assert_doubt(end, Doubt.REFUSED)
+
+
+class SharedChecksTest(unittest.TestCase):
+    def play(self, delays: tuple[float, ...], states: tuple[UpstreamState, ...]) -> list[float]:
+        """Check at moments; the answers come after 0.05 s. Returns when each was sent."""
+        sent_at: list[float] = []
+
+        async def work() -> None:
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+
+            async def ask(state: UpstreamState, path: str) -> Identity:
+                sent_at.append(loop.time() - began)
+                await asyncio.sleep(0.05)
+                return Identity.SAME
+
+            checks = IdentityChecks(ask)
+
+            async def check(delay: float, state: UpstreamState) -> None:
+                await asyncio.sleep(delay)
+                ended_at = loop.time() - began
+                before = len(sent_at)
+                await checks.check(state, "/healthz")
+                self.assertTrue(any(at >= ended_at for at in sent_at[before:]))
+
+            await asyncio.gather(*itertools.starmap(check, zip(delays, states, strict=True)))
+
+        run_virtual(work())
+        return sent_at
+
+    def test_responses_that_end_together_share_a_check(self) -> None:
+        self.assertEqual(len(self.play((0.0, 0.001, 0.004), (LEAD, LEAD, LEAD))), 1)
+
+    def test_response_that_ends_after_a_check_was_sent_gets_another(self) -> None:
+        self.assertEqual(len(self.play((0.0, 0.02), (LEAD, LEAD))), 2)
+
+    def test_upstreams_share_no_check(self) -> None:
+        self.assertEqual(len(self.play((0.0, 0.0), (LEAD, HELPER))), 2)
+
+    def test_cancelled_request_leaves_a_shared_check_to_the_others(self) -> None:
+        async def work() -> Identity:
+            async def ask(state: UpstreamState, path: str) -> Identity:
+                await asyncio.sleep(0.05)
+                return Identity.SAME
+
+            checks = IdentityChecks(ask)
+            first, second = (
+                asyncio.ensure_future(checks.check(LEAD, "/healthz")) for _ in range(2)
+            )
+            await asyncio.sleep(0.01)
+            first.cancel()
+            return await second
+
+        self.assertIs(run_virtual(work()), Identity.SAME)
+
+
+class ScriptedPort:
+    """Answers to checks of identity: an id, an error, or silence for None."""
+
+    def __init__(self, *answers: str | CallFailedError | None, born: int | None = None) -> None:
+        self._answers = list(answers)
+        self._born = born
+        self.fresh: list[bool] = []
+
+    async def is_healthy(self, *arguments: Any) -> bool:
+        raise NotImplementedError
+
+    async def identify(
+        self, host: str, port: int, path: str, upstream: str, fresh: bool, on_head: Any
+    ) -> str:
+        self.fresh.append(fresh)
+        answer = self._answers.pop(0)
+        if answer is None:
+            await asyncio.sleep(60.0)
+        if isinstance(answer, CallFailedError):
+            raise answer
+        assert answer is not None
+        return answer
+
+    async def read_report(self, *arguments: Any) -> EngineReport:
+        return EngineReport(0, 0, self._born)
+
+
+class IdentifyTest(unittest.TestCase):
+    def identify(self, port: ScriptedPort, state: UpstreamState = LEAD) -> Identity:
+        nothing: Any = None
+        sent: list[UpstreamState] = []
+        prober = Prober(nothing, port, port, nothing, nothing, lambda: AT, sent.append)
+        found: Identity = run_virtual(prober.identify(state, "/healthz"))
+        self.assertGreaterEqual(len(sent), len(port.fresh))
+        return found
+
+    def test_only_the_expected_id_is_the_same_life(self) -> None:
+        self.assertIs(self.identify(ScriptedPort(LEAD.id)), Identity.SAME)
+        self.assertIs(self.identify(ScriptedPort("i-other")), Identity.OTHER)
+        self.assertIs(self.identify(ScriptedPort("")), Identity.NO_ANSWER)
+
+    def test_upstream_that_keeps_its_id_is_told_by_its_start(self) -> None:
+        state = make_state("10.0.0.3", born=7)
+        for born, identity in ((7, Identity.SAME), (8, Identity.OTHER), (None, Identity.OTHER)):
+            self.assertIs(self.identify(ScriptedPort(state.id, born=born), state), identity)
+
+    def test_idle_connection_that_was_closed_is_replaced(self) -> None:
+        port = ScriptedPort(CallFailedError("closed", sent=True), LEAD.id)
+        self.assertIs(self.identify(port), Identity.SAME)
+        self.assertEqual(port.fresh, [False, True])
+
+    def test_refusal_and_silence_are_no_answer_of_the_life(self) -> None:
+        refused = CallFailedError("refused", sent=False, refused=True)
+        self.assertIs(self.identify(ScriptedPort(refused)), Identity.REFUSED)
+        closed = CallFailedError("closed", sent=True)
+        self.assertIs(self.identify(ScriptedPort(closed, refused)), Identity.REFUSED)
+        self.assertIs(self.identify(ScriptedPort(closed, closed)), Identity.NO_ANSWER)
+        self.assertIs(self.identify(ScriptedPort(None)), Identity.NO_ANSWER)
+
+    def test_silent_upstream_is_given_up_in_time(self) -> None:
+        async def work() -> float:
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            nothing: Any = None
+            port = ScriptedPort(None)
+            prober = Prober(nothing, port, port, nothing, nothing, loop.time, lambda state: None)
+            await prober.identify(LEAD, "/healthz")
+            return loop.time() - began
+
+        self.assertAlmostEqual(run_virtual(work()), IDENTIFY_SECONDS, places=3)
+
+
+if __name__ == "__main__":
+    unittest.main()
