Don't take a response for complete that lost memory of its prompt

Cause: an engine whose prompt lies at several engines ends the response itself when one of them is lost or a lease lapses, and lives on. Leases lapse after 3.4 s without a renewal, an instance that is cut off for 7 s can't renew them, and its streams end when the links are back. Only long prompts have leases.

The relay knows its leases: a response is broken if the last answered renewal of one doesn't reach its end, if it stood still before its end, or if the answer to a release, which is sent after the end and names its upstream, shows that another life or nobody is there. A close-delimited end needs those answers. None of this counts against the lead.

--- a/pondpin/platform/leases.py
+++ b/pondpin/platform/leases.py
@@ -4,7 +4,7 @@
 
 from pondpin.http_client import HttpClient
 from pondpin.http_streams import SMALL_BODY_BYTES, CallFailedError
-from pondpin.platform.headers import head_observer
+from pondpin.platform.headers import MISDIRECTED, head_observer
 from pondpin.relay.ports import HeadCallback, LeaseResponse
 
 HELD_STATUS = 200
@@ -50,11 +50,18 @@
         return LeaseResponse.HELD if status == HELD_STATUS else LeaseResponse.REFUSED
 
     async def release(
-        self, host: str, port: int, lease: str, timeout: float, on_head: HeadCallback
+        self,
+        host: str,
+        port: int,
+        upstream: str,
+        lease: str,
+        timeout: float,
+        on_head: HeadCallback,
     ) -> bool:
-        """Release a lease; False if the upstream refused. Raises CallFailedError."""
+        """Release a lease; False if another upstream answers. Raises CallFailedError."""
         order = WireRelease("release", lease)
-        return await self._order(host, port, order, timeout, on_head) == HELD_STATUS
+        expected = {"x-expect-instance": upstream}
+        return await self._order(host, port, order, timeout, on_head, expected) != MISDIRECTED
 
     async def _order(
         self,
@@ -63,9 +70,10 @@
         order: WireReserve | WireRelease,
         timeout: float,
         on_head: HeadCallback,
+        expected: dict[str, str] | None = None,
     ) -> int:
         url = f"http://{host}:{port}{ORDER_PATH}"
-        headers = {"content-type": "application/json"}
+        headers = {"content-type": "application/json"} | (expected or {})
         body = msgspec.json.encode(order)
         response = await self._http.call(
             "POST",
--- a/pondpin/relay/attempts/completeness.py
+++ b/pondpin/relay/attempts/completeness.py
@@ -3,15 +3,22 @@
 docs/design/response-ends.md says what each kind of evidence proves.
 """
 
+import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from pondpin.clocks import Clock
+from pondpin.network import Endpoint
 from pondpin.relay.call import AttemptEnd, EndKind, RelayCall
 from pondpin.relay.choosing.planner import Plan
 from pondpin.relay.response_ends import Doubt, Evidence, Identity, ResponseEnd
 from pondpin.relay.upstreams.state import UpstreamState
 
+# An engine that lost a part of a prompt stands still for longer before it ends the response; one
+# that has sent its last event ends it at once.
+STANDSTILL_SECONDS = 0.3
+# Releases of leases are answered in some ms.
+RELEASE_SECONDS = 0.1
 DOUBT_BY_IDENTITY = {
     Identity.SAME: Doubt.NONE,
     Identity.OTHER: Doubt.OTHER_LIFE,
@@ -41,13 +48,25 @@
             return end
         if has_all_events(call, found):
             return self._accept(end, found, Evidence.LAST_EVENT)
+        doubt, failed = await self._find_doubt(call, plan, found)
+        if doubt is not Doubt.NONE:
+            return _reject(end, found, doubt, failed)
+        return end if found.body.is_framed else self._accept(end, found, Evidence.SAME_LIFE)
+
+    async def _find_doubt(
+        self, call: RelayCall, plan: Plan, found: ResponseEnd
+    ) -> tuple[Doubt, Endpoint | None]:
+        """Find a reason against a response, and the other upstream at fault if there is one."""
+        doubt = find_known_doubt(found)
+        if doubt is not Doubt.NONE:
+            return doubt, None
+        lost = await find_lost_holder(found)
+        if lost is not None:
+            return DOUBT_BY_IDENTITY[lost.answer], lost.endpoint
         if found.body.is_framed:
-            return end
+            return Doubt.NONE, None
         path = call.configuration.services_by_name[call.service].health_path
-        doubt = DOUBT_BY_IDENTITY[await self._identify(plan.lead, path)]
-        if doubt is not Doubt.NONE:
-            return _reject(end, found, doubt)
-        return self._accept(end, found, Evidence.SAME_LIFE)
+        return DOUBT_BY_IDENTITY[await self._identify(plan.lead, path)], None
 
     def _accept(self, end: AttemptEnd, found: ResponseEnd, evidence: Evidence) -> AttemptEnd:
         found.evidence, found.evidence_at = evidence, self._clock()
@@ -63,11 +82,51 @@
     return 0 < call.metadata.answer_tokens <= tokens and call.resume_event_number < 0
 
 
-def _reject(end: AttemptEnd, found: ResponseEnd, doubt: Doubt) -> AttemptEnd:
+def find_known_doubt(found: ResponseEnd) -> Doubt:
+    """Why a response must not be taken for complete, by what is known without asking.
+
+    An engine ends a response whose memory lapsed or was lost elsewhere, and lives on.
+    """
+    if found.held_until is not None and found.held_until <= found.at:
+        return Doubt.LEASE_LAPSED
+    if found.leases and found.at - found.last_data_at >= STANDSTILL_SECONDS:
+        return Doubt.STOOD_STILL
+    return Doubt.NONE
+
+
+@dataclass(frozen=True, slots=True)
+class LostHolder:
+    """An upstream that may have lost its part of a prompt's memory."""
+
+    endpoint: Endpoint
+    answer: Identity
+
+
+async def find_lost_holder(found: ResponseEnd) -> LostHolder | None:
+    """Find an upstream that held memory and does not answer for it after the end.
+
+    A framed end needs no answers, but one of another life speaks against it.
+    """
+    if not found.releases:
+        return None
+    await asyncio.wait(found.releases.values(), timeout=RELEASE_SECONDS)
+    for endpoint, task in found.releases.items():
+        is_answered = task.done() and not task.cancelled()
+        answer = task.result() if is_answered else Identity.NO_ANSWER
+        is_tolerated = answer is Identity.NO_ANSWER and found.body.is_framed
+        if answer is not Identity.SAME and not is_tolerated:
+            return LostHolder(endpoint, answer)
+    return None
+
+
+def _reject(
+    end: AttemptEnd, found: ResponseEnd, doubt: Doubt, failed: Endpoint | None = None
+) -> AttemptEnd:
     found.evidence, found.doubt = Evidence.NONE, doubt
     return replace(
         end,
         kind=EndKind.BROKEN,
         detail=f"not shown to be complete: {doubt.value}",
         response=None,
+        failed_endpoint=failed,
     )
--- a/pondpin/relay/ports.py
+++ b/pondpin/relay/ports.py
@@ -159,9 +159,15 @@
         """Acquire or renew a lease; tokens: its size; hold: its duration."""
 
     async def release(
-        self, host: str, port: int, lease: str, timeout: float, on_head: HeadCallback
+        self,
+        host: str,
+        port: int,
+        upstream: str,
+        lease: str,
+        timeout: float,
+        on_head: HeadCallback,
     ) -> bool:
-        """Release a lease."""
+        """Release a lease; False if another upstream answers."""
 
 
 class LivenessPort(Protocol):
--- a/pondpin/relay/response_ends.py
+++ b/pondpin/relay/response_ends.py
@@ -1,13 +1,15 @@
 """How responses of upstreams end, and what shows that they are complete."""
 
+import asyncio
 import enum
-from collections.abc import Sized
-from dataclasses import dataclass
+from collections.abc import Mapping, Sized
+from dataclasses import dataclass, field
 from typing import Protocol
 
 import msgspec
 
 from pondpin.body_ends import BodyEnd
+from pondpin.network import Endpoint
 
 MILLISECONDS = 1000
 
@@ -53,6 +55,11 @@
         """When the first of them lapses without another renewal."""
         ...
 
+    @property
+    def releases(self) -> "Mapping[Endpoint, asyncio.Task[Identity]]":
+        """By upstream: which life answers the release, sent after the end of the response."""
+        ...
+
 
 class Evidence(enum.StrEnum):
     """What shows that a response is complete.
@@ -75,6 +82,8 @@
     """
 
     NONE = ""
+    LEASE_LAPSED = "lease_lapsed"
+    STOOD_STILL = "stood_still"
     OTHER_LIFE = "other_life"
     REFUSED = "refused"
     NO_ANSWER = "no_answer"
@@ -91,7 +100,8 @@
 
     last_data_at: when the last data before it came. events: of a stream, from its start or from
     where its caller resumed it; None for a plain response. held_until: when the first of the
-    request's leases lapses without another renewal, None without leases.
+    request's leases lapses without another renewal, None without leases. releases: of the leases,
+    by upstream.
     """
 
     body: BodyEnd
@@ -103,11 +113,13 @@
     evidence_at: float | None = None
     leases: int = 0
     held_until: float | None = None
+    releases: "Mapping[Endpoint, asyncio.Task[Identity]]" = field(default_factory=dict)
 
     def record_leases(self, group: LeaseGroup) -> None:
-        """Record the state of the request's leases."""
+        """Record the state of the request's leases, which are being released."""
         self.leases = len(group.places)
         self.held_until = group.held_until
+        self.releases = group.releases
 
     @property
     def labels(self) -> dict[str, str]:
--- a/pondpin/relay/upstreams/leases.py
+++ b/pondpin/relay/upstreams/leases.py
@@ -10,9 +10,11 @@
 from dataclasses import dataclass, field, replace
 
 from pondpin.http_streams import CallFailedError
+from pondpin.network import Endpoint
 from pondpin.relay.engine_events import LeaseFailed
 from pondpin.relay.log import EventLog
 from pondpin.relay.ports import HeadCallback, LeasePort, LeaseResponse, PartAssignment
+from pondpin.relay.response_ends import Identity
 from pondpin.relay.upstreams.notice_handler import HeadHandler, SentRequest, ignore_head
 
 # Time until the memory of a dead holder is free again; the deployments allow 4 s.
@@ -38,6 +40,8 @@
     tokens: int
     # By lease: when it lapses, by the last renewal that was answered; counted from its sending.
     until_by_lease: dict[str, float] = field(default_factory=dict)
+    # By upstream, once the request has ended.
+    releases: dict[Endpoint, asyncio.Task[Identity]] = field(default_factory=dict)
 
     @property
     def held_until(self) -> float:
@@ -67,7 +71,7 @@
         self._prefix = prefix
         self._log = log
         self._numbers = itertools.count(1)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[Identity]] = set()
         self.calls_sent = 0
 
     async def acquire(
@@ -112,9 +116,8 @@
     def release(self, group: LeaseGroup) -> None:
         """Release all leases in background tasks."""
         for place in group.places:
-            if self._has_ended(place.life):
-                continue
             task = asyncio.get_running_loop().create_task(self._release(group, place))
+            group.releases[Endpoint(place.host, place.port)] = task
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
@@ -150,21 +153,26 @@
         request = SentRequest(place.upstream, place.life, "lease", sent_at)
         return lambda head: self._on_head(request, head)
 
-    async def _release(self, group: LeaseGroup, place: PartAssignment) -> None:
-        reason = ""
+    async def _release(self, group: LeaseGroup, place: PartAssignment) -> Identity:
+        """Release a lease; returns which life answered."""
+        if self._has_ended(place.life):
+            return Identity.OTHER
+        reason, is_refused = "", False
         for _ in range(RELEASE_TRIES):
             self.calls_sent += 1
             self._on_sent(place.life)
             try:
-                await self._port.release(
+                is_same = await self._port.release(
                     place.host,
                     place.port,
+                    place.upstream,
                     place.lease,
                     CALL_TIMEOUT_SECONDS,
                     self._head_callback(place),
                 )
-                return
+                return Identity.SAME if is_same else Identity.OTHER
             except CallFailedError as error:
-                reason = str(error)
+                reason, is_refused = str(error), error.refused
         detail = f"{place.upstream}: {reason}"
         self._log.write(LeaseFailed(request=group.request, outcome="left to lapse", detail=detail))
+        return Identity.REFUSED if is_refused else Identity.NO_ANSWER
--- a/pondpin/tests/test_relay_leases.py
+++ b/pondpin/tests/test_relay_leases.py
@@ -42,7 +42,13 @@
         return LeaseResponse.HELD
 
     async def release(
-        self, host: str, port: int, lease: str, timeout: float, hear: HeadCallback
+        self,
+        host: str,
+        port: int,
+        upstream: str,
+        lease: str,
+        timeout: float,
+        hear: HeadCallback,
     ) -> bool:
         self.releases += 1
         self.held.discard(lease)
--- a/pondpin/tests/test_response_completeness.py
+++ b/pondpin/tests/test_response_completeness.py
@@ -8,7 +8,7 @@
 
 from pondpin.body_ends import BodyEnd, ConnectionEnd, Framing
 from pondpin.http_streams import CallFailedError
-from pondpin.relay.attempts.completeness import Completeness
+from pondpin.relay.attempts.completeness import STANDSTILL_SECONDS, Completeness
 from pondpin.relay.attempts.identity_checks import IdentityChecks
 from pondpin.relay.call import AttemptEnd, EndKind, RelayCall
 from pondpin.relay.choosing.planner import Plan
@@ -40,16 +40,24 @@
         self,
         found: ResponseEnd,
         lead: Identity = Identity.SAME,
+        holder: Identity | None = None,
         call: RelayCall | None = None,
     ) -> AttemptEnd:
-        """Verify the end of a response of LEAD."""
+        """Verify the end of a response of LEAD; holder: what HELPER answers to its release."""
         self.asked: list[str] = []
 
         async def identify(state: UpstreamState, path: str) -> Identity:
             self.asked.append(state.id)
             return lead
 
+        async def release() -> Identity:
+            if holder is None:
+                await asyncio.sleep(60.0)
+            return holder or Identity.NO_ANSWER
+
         async def work() -> AttemptEnd:
+            if found.leases:
+                found.releases = {HELPER.endpoint: asyncio.ensure_future(release())}
             completeness = Completeness(identify, lambda: AT + 0.01)
             end = AttemptEnd(EndKind.DONE, response_end=found)
             plan = Plan(LEAD, (HELPER,), None, 2)
@@ -88,10 +96,48 @@
             self.assert_doubt(end, doubt)
             self.assertIsNone(end.failed_endpoint)
 
+    def leased(self, body: BodyEnd, silence: float = 0.0) -> ResponseEnd:
+        return end_of(body, silence, leases=2, held_until=AT + 1.0)
+
+    def test_response_that_lost_a_holder_of_its_memory_is_not_complete(self) -> None:
+        for body in (CHUNKED, CLOSED):
+            for holder, doubt in (
+                (Identity.REFUSED, Doubt.REFUSED),
+                (Identity.OTHER, Doubt.OTHER_LIFE),
+            ):
+                end = self.verify(self.leased(body), holder=holder)
+                self.assert_doubt(end, doubt)
+                self.assertEqual(end.failed_endpoint, HELPER.endpoint)
+
+    def test_only_a_framed_end_needs_no_answer_of_a_holder(self) -> None:
+        for holder in (Identity.NO_ANSWER, None):
+            end = self.verify(self.leased(CHUNKED), holder=holder)
+            self.assert_evidence(end, Evidence.FRAMING)
+            self.assert_doubt(self.verify(self.leased(CLOSED), holder=holder), Doubt.NO_ANSWER)
+
+    def test_response_whose_holders_answer_is_complete(self) -> None:
+        end = self.verify(self.leased(CHUNKED), holder=Identity.SAME)
+        self.assert_evidence(end, Evidence.FRAMING)
+        end = self.verify(self.leased(CLOSED), holder=Identity.SAME)
+        self.assert_evidence(end, Evidence.SAME_LIFE)
+
+    def test_response_whose_lease_lapsed_is_not_complete(self) -> None:
+        for body in (CHUNKED, CLOSED):
+            end = self.verify(end_of(body, leases=2, held_until=AT), holder=Identity.SAME)
+            self.assert_doubt(end, Doubt.LEASE_LAPSED)
+
+    def test_response_that_stood_still_before_its_end_is_not_complete(self) -> None:
+        for body in (CHUNKED, CLOSED):
+            end = self.verify(self.leased(body, STANDSTILL_SECONDS + 0.01), holder=Identity.SAME)
+            self.assert_doubt(end, Doubt.STOOD_STILL)
+
+    def test_response_without_leases_may_end_after_a_silence(self) -> None:
+        self.assert_evidence(self.verify(end_of(CHUNKED, 5.0)), Evidence.FRAMING)
+
     def test_stream_with_all_its_events_is_complete(self) -> None:
         whole = -(-800 // PROFILE.stride)
         lost = Identity.REFUSED
-        end = self.verify(end_of(CLOSED, events=whole, leases=2), lost)
+        end = self.verify(end_of(CLOSED, events=whole, leases=2, held_until=0.0), lost)
         self.assert_evidence(end, Evidence.LAST_EVENT)
         self.assert_doubt(self.verify(end_of(CLOSED, events=whole - 1), lost), Doubt.REFUSED)
         self.assert_doubt(self.verify(end_of(CLOSED, events=None), lost), Doubt.REFUSED)
--- a/pondpin/tests/test_stream_truncation.py
+++ b/pondpin/tests/test_stream_truncation.py
@@ -23,7 +23,7 @@
 LAST_EVENT = 3
 STREAMS = 8
 DEADLINE_MS = "3000"
-LONG_PROMPT = "700000,800"
+LONG_PROMPT = "700000,2500"
 LONG_DEADLINE_MS = "20000"
 # Longer than a lease lasts without renewal.
 LONG_EVENTS = 45
