Carry through tunnels how the upstream ended its connection

Callers of an instance that streams through a peer saw streams of responses without a length end as complete after an early event when the peer ended: the kernel of a process that is killed closes its connections in order, and the sender took that close for the upstream's.

The peer now passes data on in chunked transfer coding; the trailer of the last chunk says whether the upstream closed its connection or reset it. Without that trailer every end of a tunnel (the peer's close, reset, stop, drain or idle timeout, data outside the framing) is a PathLostError at the sender's connection and path_lost in response_end and pondpin_response_ends_total. The last chunk follows all data in the same connection, so bytes that were lost with the peer can't look whole. The framing is offered and confirmed by a header, outside the proof: a peer from before this change doesn't confirm it, its tunnels work for framed responses and tell no end; a sender from before it gets plain bytes and ends.

--- a/pondpin/body_ends.py
+++ b/pondpin/body_ends.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.python.failure import Failure
 from twisted.web.client import ResponseDone
 from twisted.web.http import PotentialDataLoss
@@ -21,12 +22,28 @@
 class ConnectionEnd(enum.StrEnum):
     """What happened to a response's connection by the end of its body.
 
-    CLOSED: the server closed it in order. RESET: any other end.
+    CLOSED: the server closed it in order. PATH_LOST: an intermediary ended it, so the server's own
+    end is not known. RESET: any other end.
     """
 
     OPEN = "open"
     CLOSED = "closed"
     RESET = "reset"
+    PATH_LOST = "path_lost"
+
+
+class PathLostError(ConnectionLost):
+    """An intermediary ended a connection; how the server ended its own is not known."""
+
+
+def find_connection_end(reason: Failure | None) -> ConnectionEnd:
+    """How a connection ended; reason: as Twisted gives it to the connection's protocol."""
+    if reason is None:
+        return ConnectionEnd.RESET
+    if reason.check(ConnectionDone) is not None:
+        return ConnectionEnd.CLOSED
+    is_path_lost = reason.check(PathLostError) is not None
+    return ConnectionEnd.PATH_LOST if is_path_lost else ConnectionEnd.RESET
 
 
 @dataclass(frozen=True, slots=True)
--- a/pondpin/http_connections.py
+++ b/pondpin/http_connections.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 from twisted.web._newclient import HEADER, STATUS, HTTP11ClientProtocol
@@ -83,10 +82,9 @@
         """Record how the connection ended before the parser ends the response."""
         response = getattr(self._parser, "response", None)
         if response is not None:
-            from pondpin.body_ends import ConnectionEnd
+            from pondpin.body_ends import find_connection_end
 
-            is_closed = reason is not None and reason.check(ConnectionDone) is not None
-            response.connection_end = ConnectionEnd.CLOSED if is_closed else ConnectionEnd.RESET
+            response.connection_end = find_connection_end(reason)
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
 
     def _record_keep_alive(self) -> None:
--- a/pondpin/relay/paths/peer_tunnels.py
+++ b/pondpin/relay/paths/peer_tunnels.py
@@ -1,6 +1,6 @@
 """Tunnels to upstreams through peers: which peers are asked, and what their answers mean."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from twisted.internet.error import ConnectError, ConnectionRefusedError
@@ -104,7 +104,7 @@
         gossip = self._gossip
         unsigned = TunnelRequest(upstream, gossip.instance, gossip.boot, self._number, "")
         proof = make_proof(self._settings.key, unsigned, peer.boot)
-        request = TunnelRequest(upstream, gossip.instance, gossip.boot, self._number, proof)
+        request = replace(unsigned, proof=proof, is_framed=True)
         place = Endpoint(peer.host, self._settings.port)
         try:
             opened = await self._client.open(place, request, factory)
--- a/pondpin/relay/paths/tunnel_client.py
+++ b/pondpin/relay/paths/tunnel_client.py
@@ -5,18 +5,22 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectError
+from twisted.internet.error import ConnectError, ConnectionDone, ConnectionLost
 from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
 
+from pondpin.body_ends import PathLostError
 from pondpin.codes import Code
 from pondpin.http_client import ConnectorEndpoint, DirectConnector
 from pondpin.network import Endpoint
+from pondpin.relay.paths.tunnel_framing import FramingDecoder, FramingError, UpstreamEnding
 from pondpin.relay.paths.tunnel_messages import (
     HEAD_END,
     MAX_HEAD_BYTES,
     TunnelRequest,
     decode_answer,
     encode_request,
+    has_framing,
 )
 
 # A live peer accepts within some ms; another one is tried after this.
@@ -40,6 +44,45 @@
         super().__init__(string=reason)  # type: ignore[no-untyped-call]
 
 
+class _TunnelReceiver(Protocol):
+    """Receives for a connection to an upstream through a peer, which writes to the peer itself.
+
+    Only the framing tells how the upstream ended its connection. The end of the peer's, and every
+    end without framing, is a PathLostError.
+    """
+
+    transport: Any
+
+    def __init__(self, connection: Any, is_framed: bool) -> None:
+        self._connection = connection
+        self._decoder = FramingDecoder(connection.dataReceived, self._end) if is_framed else None
+
+    def dataReceived(self, data: bytes) -> None:
+        """Pass on what the upstream sent."""
+        if self._decoder is None:
+            self._connection.dataReceived(data)
+            return
+        try:
+            self._decoder.decode(data)
+        except FramingError:
+            self.transport.abortConnection()
+
+    def _end(self, ending: UpstreamEnding) -> None:
+        """End the connection at once: the peer's own end may come late."""
+        is_closed = ending is UpstreamEnding.CLOSED
+        self.transport.abortConnection()
+        self._lose(ConnectionDone() if is_closed else ConnectionLost("reset by the upstream"))
+
+    def connectionLost(self, reason: Any = None) -> None:
+        """End the connection unless the upstream did."""
+        self._lose(PathLostError("the peer ended the tunnel"))
+
+    def _lose(self, error: Exception) -> None:
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.connectionLost(Failure(error))
+
+
 class _Handshake(Protocol):
     """Sends the head and reads the answer; then the factory's protocol has the connection."""
 
@@ -81,11 +124,13 @@
             opened.callback(OpenedTunnel(code))
             return
         connection = self._factory.buildProtocol(transport.getPeer())
-        transport.protocol = connection
+        receiver = _TunnelReceiver(connection, has_framing(head))
+        receiver.transport = transport
+        transport.protocol = receiver
         connection.makeConnection(transport)
         opened.callback(OpenedTunnel(code, connection))
         if rest:
-            connection.dataReceived(rest)
+            receiver.dataReceived(rest)
 
     def _fail(self, reason: str) -> None:
         opened, self._opened = self._opened, None
--- a/pondpin/relay/paths/tunnel_messages.py
+++ b/pondpin/relay/paths/tunnel_messages.py
@@ -19,19 +19,23 @@
 NUMBER_HEADER = "pondpin-number"
 PROOF_HEADER = "pondpin-proof"
 CODE_HEADER = "pondpin-code"
+# Not transfer-encoding, which an answer to CONNECT must not have.
+FRAMING_HEADER = "pondpin-framing"
+CHUNKED = "chunked"
 PROOF_BYTES = 32
 OK_STATUS = 200
 
 
 @dataclass(frozen=True, slots=True)
 class TunnelRequest:
-    """A request for a tunnel to an upstream."""
+    """A request for a tunnel to an upstream; is_framed: whether the sender reads the framing."""
 
     target: Endpoint
     instance: str
     boot: int
     number: int
     proof: str
+    is_framed: bool = False
 
 
 def make_proof(key: bytes, request: TunnelRequest, receiver_boot: int) -> str:
@@ -58,14 +62,16 @@
 
 def encode_request(request: TunnelRequest) -> bytes:
     """The head of a request."""
-    lines = (
+    lines = [
         f"CONNECT {request.target} HTTP/1.1",
         f"host: {request.target}",
         f"{INSTANCE_HEADER}: {request.instance}",
         f"{BOOT_HEADER}: {request.boot}",
         f"{NUMBER_HEADER}: {request.number}",
         f"{PROOF_HEADER}: {request.proof}",
-    )
+    ]
+    if request.is_framed:
+        lines.append(f"{FRAMING_HEADER}: {CHUNKED}")
     return "\r\n".join(lines).encode() + HEAD_END
 
 
@@ -82,15 +88,19 @@
             boot=int(headers[BOOT_HEADER]),
             number=int(headers[NUMBER_HEADER]),
             proof=headers[PROOF_HEADER],
+            is_framed=headers.get(FRAMING_HEADER) == CHUNKED,
         )
     except KeyError as error:
         raise ValueError(f"no header {error}") from None
 
 
-def encode_answer(code: Code) -> bytes:
+def encode_answer(code: Code, is_framed: bool = False) -> bytes:
     """The head of an answer; Code.OK opens the tunnel."""
     status = INFO_BY_CODE[code].status
-    return f"HTTP/1.1 {status} {code.name}\r\n{CODE_HEADER}: {int(code)}".encode() + HEAD_END
+    lines = [f"HTTP/1.1 {status} {code.name}", f"{CODE_HEADER}: {int(code)}"]
+    if is_framed:
+        lines.append(f"{FRAMING_HEADER}: {CHUNKED}")
+    return "\r\n".join(lines).encode() + HEAD_END
 
 
 def decode_answer(head: bytes) -> Code:
@@ -103,6 +113,11 @@
     return code
 
 
+def has_framing(head: bytes) -> bool:
+    """Whether the bytes after an answer are framed, see `tunnel_framing`."""
+    return _split(head)[1].get(FRAMING_HEADER) == CHUNKED
+
+
 def _split(head: bytes) -> tuple[str, dict[str, str]]:
     first, *lines = head.decode("ascii").split("\r\n")
     headers = {}
--- a/pondpin/relay/paths/tunnel_server.py
+++ b/pondpin/relay/paths/tunnel_server.py
@@ -20,6 +20,7 @@
 from pondpin.network import Endpoint
 from pondpin.relay.log import EventLog
 from pondpin.relay.paths.events import TunnelRefused
+from pondpin.relay.paths.tunnel_framing import UpstreamEnding, encode_data, encode_end
 from pondpin.relay.paths.tunnel_messages import (
     HEAD_END,
     MAX_HEAD_BYTES,
@@ -147,6 +148,7 @@
         self._upstream: UpstreamEnd | None = None
         self._timer: Any = None
         self._check: Deferred[bool] | None = None
+        self._is_framed = False
 
     def connectionMade(self) -> None:
         """Wait for the head."""
@@ -181,6 +183,7 @@
         if code is not Code.OK:
             self._refuse(str(request.target), code, request.instance)
             return
+        self._is_framed = request.is_framed
         factory: Any = Factory.forProtocol(lambda: UpstreamEnd(self))
         factory.noisy = False
         target = request.target
@@ -197,7 +200,7 @@
         self._upstream = upstream
         self._server.record_open(1)
         self._set_timeout(IDLE_SECONDS)
-        self.transport.write(encode_answer(Code.OK))
+        self.transport.write(encode_answer(Code.OK, self._is_framed))
         self.transport.registerProducer(upstream.transport, True)
         upstream.transport.registerProducer(self.transport, True)
 
@@ -236,10 +239,23 @@
         if self._timer is not None and self._timer.active():
             self._timer.reset(IDLE_SECONDS)
 
+    def send_data(self, data: bytes) -> None:
+        """Pass on what the upstream sent."""
+        self.record_data()
+        if self._is_framed:
+            self.transport.writeSequence(encode_data(data))
+        else:
+            self.transport.write(data)
+
     def upstream_lost(self, reason: Any) -> None:
         """End the tunnel as the upstream ended its connection: in order, or by a reset."""
+        is_closed = reason.check(ConnectionDone) is not None
         self.transport.unregisterProducer()
-        if reason.check(ConnectionDone):
+        if self._is_framed:
+            ending = UpstreamEnding.CLOSED if is_closed else UpstreamEnding.RESET
+            self.transport.write(encode_end(ending))
+            self.transport.loseConnection()
+        elif is_closed:
             self.transport.loseConnection()
         else:
             self.transport.abortConnection()
@@ -271,8 +287,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Pass bytes on."""
         if self._peer is not None:
-            self._peer.record_data()
-            self._peer.transport.write(data)
+            self._peer.send_data(data)
 
     def close(self, is_reset: bool) -> None:
         """Close after the peer did."""
