Count a tunnel that ended before its use as closed

Peers are chosen by the tunnels that are open through each; the count of a peer whose upstream closed at once stayed too high for good, as the end was counted only from a moment after the tunnel had opened. The receiver of a tunnel remembers its end, so the count follows it whenever it comes. The new test failed before the fix with 1 open tunnel where 0 are expected; path accounting no longer replaces the connection's connectionLost.

--- a/pondpin/relay/paths/peer_tunnels.py
+++ b/pondpin/relay/paths/peer_tunnels.py
@@ -86,7 +86,7 @@
             excluded |= {peer.instance}
             opened = await self._request(peer, upstream, factory)
             if opened.code is Code.OK:
-                self._count_until_lost(peer, opened.connection)
+                self._count_until_lost(peer, opened)
                 return opened.connection
             if opened.code in (Code.UPSTREAM_REFUSED, Code.UPSTREAM_STALLED):
                 codes.append(opened.code)
@@ -123,16 +123,11 @@
             TunnelFailed(peer=peer.instance, upstream=str(upstream), code=code, detail=detail)
         )
 
-    def _count_until_lost(self, peer: PeerRecord, connection: Any) -> None:
-        connection.path = peer.instance
+    def _count_until_lost(self, peer: PeerRecord, opened: OpenedTunnel) -> None:
+        assert opened.receiver is not None, "a tunnel that is open"
+        opened.connection.path = peer.instance
         self._change_open(peer, self._choice.opened)
-        end = connection.connectionLost
-
-        def on_lost(reason: Any = None) -> None:
-            self._change_open(peer, self._choice.closed)
-            end(reason)
-
-        connection.connectionLost = on_lost
+        opened.receiver.call_when_lost(lambda: self._change_open(peer, self._choice.closed))
 
     def _change_open(self, peer: PeerRecord, change: Any) -> None:
         change(peer.instance)
--- a/pondpin/relay/paths/tunnel_client.py
+++ b/pondpin/relay/paths/tunnel_client.py
@@ -1,6 +1,7 @@
 """Opens a connection to an upstream through a peer."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -29,14 +30,6 @@
 ANSWER_SECONDS = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class OpenedTunnel:
-    """The result of a request: a connection, or the code of the peer's refusal."""
-
-    code: Code
-    connection: Any = None
-
-
 class TunnelFailedError(ConnectError):
     """The peer did not answer, or not as a peer does."""
 
@@ -55,6 +48,7 @@
 
     def __init__(self, connection: Any, is_framed: bool) -> None:
         self._connection = connection
+        self._on_lost: Callable[[], None] | None = None
         self._decoder = FramingDecoder(connection.dataReceived, self._end) if is_framed else None
 
     def dataReceived(self, data: bytes) -> None:
@@ -79,8 +73,27 @@
 
     def _lose(self, error: Exception) -> None:
         connection, self._connection = self._connection, None
-        if connection is not None:
-            connection.connectionLost(Failure(error))
+        if connection is None:
+            return
+        if self._on_lost is not None:
+            self._on_lost()
+        connection.connectionLost(Failure(error))
+
+    def call_when_lost(self, function: Callable[[], None]) -> None:
+        """Call a function at the connection's end, or now if it is over."""
+        if self._connection is None:
+            function()
+        else:
+            self._on_lost = function
+
+
+@dataclass(frozen=True, slots=True)
+class OpenedTunnel:
+    """The result of a request: a connection, or the code of the peer's refusal."""
+
+    code: Code
+    connection: Any = None
+    receiver: _TunnelReceiver | None = None
 
 
 class _Handshake(Protocol):
@@ -128,7 +141,7 @@
         receiver.transport = transport
         transport.protocol = receiver
         connection.makeConnection(transport)
-        opened.callback(OpenedTunnel(code, connection))
+        opened.callback(OpenedTunnel(code, connection, receiver))
         if rest:
             receiver.dataReceived(rest)
 
--- a/pondpin/tests/test_relay_tunnel_ends.py
+++ b/pondpin/tests/test_relay_tunnel_ends.py
@@ -1,6 +1,7 @@
 """How tunnels tell the sender in which way the upstream ended its connection."""
 
 import asyncio
+import random
 import signal
 import socket
 import struct
@@ -19,9 +20,11 @@
 from pondpin.codes import Code
 from pondpin.http_client import HttpResponse
 from pondpin.http_connections import CheckedConnection, has_unacknowledged
+from pondpin.metrics import Metrics
 from pondpin.network import Endpoint
 from pondpin.relay.log_events import AttemptEnded, Ended, LogEvent
 from pondpin.relay.paths import tunnel_server
+from pondpin.relay.paths.peer_tunnels import PeerTunnels, TunnelSettings
 from pondpin.relay.paths.tunnel_client import OpenedTunnel, TunnelClient
 from pondpin.relay.paths.tunnel_framing import (
     FramingDecoder,
@@ -40,7 +43,9 @@
     make_proof,
 )
 from pondpin.relay.paths.tunnel_server import PeerEnd, TunnelFactory
+from pondpin.relay.peers.digests import PeerRecord
 from pondpin.relay_settings import RelayLimits
+from pondpin.runtime import steady_now
 from pondpin.standins.local_platform import LocalPlatform
 from pondpin.standins.partitions import Cut
 from pondpin.standins.worker import WorkerFault
@@ -216,6 +221,34 @@
         )
 
 
+class CountTest(unittest.TestCase):
+    """The number of tunnels through a peer, by which peers are chosen."""
+
+    def test_tunnel_that_ended_before_its_use_is_not_counted_as_open(self) -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(HEAD_END)
+            # In one segment: the connection is lost before it is handed over.
+            writer.write(encode_answer(Code.OK, is_framed=True) + RESET)
+            writer.close()
+
+        async def work() -> None:
+            server = await asyncio.start_server(serve, HOST, 0)
+            port = server.sockets[0].getsockname()[1]
+            peer = PeerRecord("relay-1", PEER_BOOT, HOST, 1, 1, steady_now(), "north", True)
+            gossip = mock.Mock(instance=SENDER, boot=SENDER_BOOT, clock=steady_now)
+            gossip.rng = random.Random(1)
+            gossip.peer_table.alive.return_value = [peer]
+            client = TunnelClient(the_loop()[1])
+            metrics = Metrics(SENDER, "north")
+            tunnels = PeerTunnels(TunnelSettings(KEY, port), client, gossip, metrics)
+            connection = await tunnels.open(Endpoint("10.0.0.1", 80), recorders())
+            await wait_until(lambda: connection.errors)
+            self.assertEqual((connection.path, tunnels.open_count), ("relay-1", 0))
+            server.close()
+
+        run_async(work())
+
+
 class Rig:
     """A peer, and an upstream whose connections the test ends."""
 
