Test streams through peers that don't frame their tunnels

A sender must not trust a peer from before the framing, and must still use it: a chunked stream through it is whole with one run; a close-delimited one is resumed and then broken off towards the caller.

--- a/pondpin/tests/test_relay_tunnel_ends.py
+++ b/pondpin/tests/test_relay_tunnel_ends.py
@@ -20,6 +20,7 @@
 from pondpin.codes import Code
 from pondpin.http_client import HttpResponse
 from pondpin.http_connections import CheckedConnection, has_unacknowledged
+from pondpin.http_streams import CallFailedError
 from pondpin.metrics import Metrics
 from pondpin.network import Endpoint
 from pondpin.relay.log_events import AttemptEnded, Ended, LogEvent
@@ -37,6 +38,7 @@
     HEAD_END,
     TunnelRequest,
     decode_answer,
+    decode_request,
     encode_answer,
     encode_request,
     has_framing,
@@ -656,6 +658,36 @@
 
         self.play(work)
 
+    async def ask_through_earlier_peers(
+        self, platform: LocalPlatform, name: str, fault: WorkerFault
+    ) -> HttpResponse:
+        def decode_unframed(head: bytes) -> TunnelRequest:
+            return replace(decode_request(head), is_framed=False)
+
+        self.enterContext(mock.patch.object(tunnel_server, "decode_request", decode_unframed))
+        platform.cut_from_workers(0, Cut.REFUSE)
+        for worker in platform.workers_by_id.values():
+            worker.lasting_fault = fault
+        return await ask(platform, "stream", name)
+
+    def test_framed_stream_through_a_peer_without_framing_is_whole(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            for number in range(3):
+                name = f"a{number}"
+                answer = await self.ask_through_earlier_peers(platform, name, WorkerFault.NONE)
+                self.assertEqual(numbers(answer), [1, 2, 3, 4, 5])
+                self.assertEqual(runs(platform, name), 1)
+
+        self.play(work)
+
+    def test_close_delimited_stream_through_a_peer_without_framing_is_not_whole(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            with self.assertRaises(CallFailedError):
+                await self.ask_through_earlier_peers(platform, "a1", WorkerFault.UNFRAMED)
+            self.assertEqual(runs(platform, "a1"), 2)
+
+        self.play(work)
+
 
 if __name__ == "__main__":
     unittest.main()
