--- a/pondpin/tests/test_relay_tunnel_ends.py
+++ b/pondpin/tests/test_relay_tunnel_ends.py
@@ -313,6 +313,7 @@
 
 
 Work = Callable[[Rig], Awaitable[None]]
+ProcessWork = Callable[["subprocess.Popen[str]", Rig], Awaitable[None]]
 
 
 class TunnelTest(unittest.TestCase):
@@ -481,23 +482,23 @@
 class PeerProcessTest(unittest.TestCase):
     """A peer in a process of its own, whose kernel ends its connections."""
 
-    def play(self, work: Callable[["subprocess.Popen[str]", Rig], Awaitable[None]]) -> None:
+    def play(self, work: ProcessWork) -> None:
         command = [sys.executable, "-m", "pondpin.tests.tunnel_peer"]
         with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
-            assert process.stdout is not None, "started with a pipe"
-            port = int(process.stdout.readline())
-
-            async def whole() -> None:
-                rig = Rig()
-                await rig.start()
-                rig.place = Endpoint(HOST, port)
-                try:
-                    await work(process, rig)
-                finally:
-                    process.kill()
-                    await rig.stop()
+            try:
+                assert process.stdout is not None, "started with a pipe"
+                run_async(self.serve(process, int(process.stdout.readline()), work))
+            finally:
+                process.kill()
 
-            run_async(whole())
+    async def serve(self, process: "subprocess.Popen[str]", port: int, work: ProcessWork) -> None:
+        rig = Rig()
+        await rig.start()
+        rig.place = Endpoint(HOST, port)
+        try:
+            await work(process, rig)
+        finally:
+            await rig.stop()
 
     async def open_half(self, rig: Rig) -> Any:
         connection = await rig.open(recorders())
@@ -658,6 +659,20 @@
 
         self.play(work)
 
+    def test_idle_connections_through_a_peer_are_used_again(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            platform.cut_from_workers(0, Cut.REFUSE)
+            servers = [entry.lazy.tunnels.server for entry in platform.entries[1:]]
+            worked: list[set[PeerEnd]] = []
+            for number in range(20):
+                answer = await ask(platform, "again", f"a{number}")
+                self.assertEqual(answer.status, 200)
+                worked.append(set().union(*(server.ends for server in servers)))
+            self.assertNotEqual(worked[-1], set())
+            self.assertEqual(worked[10:], [worked[10]] * 10)
+
+        self.play(work)
+
     async def ask_through_earlier_peers(
         self, platform: LocalPlatform, name: str, fault: WorkerFault
     ) -> HttpResponse:
