Refuse close-delimited bodies unless their reader can prove them complete

What callers saw: a plain service's answer that a connection closed in order cut short was passed on as the whole answer, status 200, ran. A configuration of the callers' own interface cut short was recorded as an invalid revision, and as `seen_revision` includes rejected ones, the sound document was not read again before the next change. Operators' commands took a part of an instance's metrics for all of them.

Cause: `StreamedResponse.read` believed `BodyEnd.may_be_whole`, which is true for any body without a length or chunks whose connection was closed in order (RFC 9112, section 6.3). Readers of JSON were safe only by their decoders, each in its own place.

Change: `read`, `read_with_stall_timeout`, `HttpClient.call` and `call_with_stall_timeout` raise CallFailedError for a close-delimited body unless the caller passes `close_delimited_if`, a check of status and content that says what it does about the end (`pondpin.body_checks`): `is_json_document` (an object or array that parses as a whole: no shorter part of one is valid JSON; numbers, text, an empty body, concatenated and newline-separated values prove nothing), `is_unused_or_json`, `is_unused` (status and headers only: leases, releases, cancels), `has_other_evidence` (the relay's attempt, whose behaviour is unchanged). Peers' documents and operators' calls pass none: instances always frame their answers.

Evidence: tests/test_close_delimited_bodies.py, each reader's body cut at every byte, in the three framings. Five uses (store, reports, engines' calls, services' loads, instances) were first only guarded by their decoders; the test now also compares the reason. The three fakes of `call_with_stall_timeout` take the new argument.

--- a/pondpin/engine_client.py
+++ b/pondpin/engine_client.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from pondpin.body_checks import is_json_document, is_unused
 from pondpin.engine_protocol import (
     CacheEvents,
     LoadReport,
@@ -15,7 +16,7 @@
     StreamRequest,
 )
 from pondpin.http_client import HttpClient, HttpResponse
-from pondpin.http_streams import CallFailedError, StreamedResponse
+from pondpin.http_streams import BodyCheck, CallFailedError, StreamedResponse
 from pondpin.notice_headers import AddressNoticeHandler, ignore_notice, response_notice
 
 STREAMS_PATH = "/v1/streams"
@@ -89,13 +90,20 @@
         path: str,
         message: msgspec.Struct | None = None,
         timeout: float = 5.0,
+        close_delimited_if: BodyCheck = is_json_document,
     ) -> HttpResponse:
         """Make a call; what its answer says of the engine is heard first."""
         headers = None if message is None else JSON_HEADERS
         body = b"" if message is None else msgspec.json.encode(message)
         url = f"http://{address}{path}"
         return await self._client.call(
-            method, url, headers, body, timeout, on_head=lambda start: self._note(address, start)
+            method,
+            url,
+            headers,
+            body,
+            timeout,
+            on_head=lambda start: self._note(address, start),
+            close_delimited_if=close_delimited_if,
         )
 
     def _note(self, address: str, start: StreamedResponse) -> None:
@@ -117,17 +125,18 @@
 
     async def cancel(self, ref: StreamRef, timeout: float) -> bool:
         """See EnginePort."""
-        answer = await self._call(ref.address, "DELETE", _stream_path(ref), timeout=timeout)
+        path = _stream_path(ref)
+        answer = await self._call(ref.address, "DELETE", path, None, timeout, is_unused)
         return answer.status == OK
 
     async def reserve(self, address: str, wanted: ReservationRequest, timeout: float) -> bool:
         """See EnginePort."""
-        answer = await self._call(address, "POST", "/v1/reservations", wanted, timeout)
+        answer = await self._call(address, "POST", "/v1/reservations", wanted, timeout, is_unused)
         return answer.status == OK
 
     async def release(self, address: str, name: str, timeout: float) -> None:
         """See EnginePort."""
-        await self._call(address, "DELETE", f"/v1/reservations/{name}", timeout=timeout)
+        await self._call(address, "DELETE", f"/v1/reservations/{name}", None, timeout, is_unused)
 
     async def load(self, address: str, timeout: float) -> LoadReport:
         """See EnginePort."""
--- a/pondpin/http_client.py
+++ b/pondpin/http_client.py
@@ -22,6 +22,7 @@
 
 from pondpin.http_connections import CheckedConnectionPool
 from pondpin.http_streams import (
+    BodyCheck,
     BufferBudget,
     CallFailedError,
     ResponseLimits,
@@ -315,17 +316,18 @@
         fresh: bool = False,
         on_head: Callable[[StreamedResponse], None] = lambda response: None,
         limit: int | None = None,
+        close_delimited_if: BodyCheck | None = None,
     ) -> HttpResponse:
         """Make a call and read the whole response; raises CallFailedError.
 
         on_head is called with status and headers, also when the body fails later. limit: of the
-        body's bytes, the client's own by default.
+        body's bytes, the client's own by default. close_delimited_if: see StreamedResponse.read.
         """
         try:
             async with asyncio.timeout(timeout):
                 response = await self.open(method, url, headers, body, fresh)
                 on_head(response)
-                content = await response.read(limit)
+                content = await response.read(limit, close_delimited_if)
         except TimeoutError:
             raise CallFailedError("no answer in time", sent=True) from None
         return HttpResponse(response.status, response.headers, content)
@@ -337,6 +339,7 @@
         stall: float,
         max_seconds: float,
         on_head: Callable[[StreamedResponse], None] = lambda response: None,
+        close_delimited_if: BodyCheck | None = None,
     ) -> HttpResponse:
         """Like call; fails after stall seconds without data, or max_seconds of the body."""
         try:
@@ -345,7 +348,9 @@
                 on_head(response)
         except TimeoutError:
             raise CallFailedError("no answer in time", sent=True) from None
-        content = await response.read_with_stall_timeout(stall, max_seconds)
+        content = await response.read_with_stall_timeout(
+            stall, max_seconds, close_delimited_if=close_delimited_if
+        )
         return HttpResponse(response.status, response.headers, content)
 
     def close_idle(
--- a/pondpin/http_streams.py
+++ b/pondpin/http_streams.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -11,6 +12,10 @@
 
 if TYPE_CHECKING:
     from pondpin.body_ends import BodyEnd
+    from pondpin.buffered_bodies import Collector
+
+# Whether a close-delimited body is complete, by its status and content.
+BodyCheck = Callable[[int, bytes], bool]
 
 
 class ResponseFault(enum.StrEnum):
@@ -245,25 +250,34 @@
         """Drop the body, so that the connection can be reused."""
         self.response.deliverBody(ResponseStream(_NullSink()))
 
-    async def read(self, limit: int | None = None) -> bytes:
-        """Read the whole body; raises CallFailedError when it breaks or is too large."""
-        collector = self._collect(limit)
+    async def read(
+        self, limit: int | None = None, close_delimited_if: BodyCheck | None = None
+    ) -> bytes:
+        """Read the whole body; raises CallFailedError when it breaks or is too large.
+
+        close_delimited_if: a body that only its connection's end delimits is accepted if this
+        shows that it is complete, never by default.
+        """
+        collector = self._collect(limit, close_delimited_if)
         try:
             return await collector.done
         finally:
             collector.close()
 
-    def _collect(self, limit: int | None) -> "_Collector":
-        budget = self.budget or BufferBudget(self.limits.buffered_bytes)
-        collector = _Collector(self.limits.body_bytes if limit is None else limit, budget)
-        collector.attach(self.deliver(collector))
-        return collector
+    def _collect(self, limit: int | None, check: BodyCheck | None) -> "Collector":
+        from pondpin.buffered_bodies import collect
+
+        return collect(self, limit, check)
 
     async def read_with_stall_timeout(
-        self, stall: float, max_seconds: float, limit: int | None = None
+        self,
+        stall: float,
+        max_seconds: float,
+        limit: int | None = None,
+        close_delimited_if: BodyCheck | None = None,
     ) -> bytes:
         """Like read; fails after stall seconds without data, or max_seconds in all."""
-        collector = self._collect(limit)
+        collector = self._collect(limit, close_delimited_if)
         try:
             for _ in range(math.ceil(max_seconds / stall)):
                 before = collector.size
@@ -283,58 +297,3 @@
 
     def on_end(self, end: "BodyEnd") -> None:
         """No effect."""
-
-
-class _Collector:
-    """Buffers a body within a limit of its own and a budget of all."""
-
-    def __init__(self, limit: int, budget: BufferBudget) -> None:
-        self.done: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
-        self.size = 0
-        self._stream: ResponseStream | None = None
-        self._limit = limit
-        self._budget = budget
-        self._parts: list[bytes] = []
-
-    def attach(self, stream: ResponseStream) -> None:
-        """Set the stream, which may have delivered data already."""
-        self._stream = stream
-        if self._is_failed:
-            stream.abort()
-
-    def on_data(self, data: bytes) -> None:
-        if self.done.done():
-            return
-        if self.size + len(data) > self._limit:
-            self._fail(CallFailedError("", sent=True, fault=ResponseFault.BODY_BYTES))
-        elif self._budget.add(self, len(data)):
-            self._parts.append(data)
-
-    def give_way(self) -> None:
-        self._fail(CallFailedError("", sent=True, fault=ResponseFault.BUFFERED_BYTES))
-
-    def on_end(self, end: "BodyEnd") -> None:
-        if end.may_be_whole and not self.done.done():
-            self.done.set_result(b"".join(self._parts))
-        else:
-            self._fail(CallFailedError("the answer broke off", sent=True))
-
-    def close(self) -> None:
-        """Release the buffer; reset the connection unless the body is complete."""
-        self._budget.remove(self)
-        self._parts.clear()
-        if self._stream is not None and (not self.done.done() or self._is_failed):
-            self._stream.abort()
-
-    @property
-    def _is_failed(self) -> bool:
-        done = self.done
-        return done.done() and (done.cancelled() or done.exception() is not None)
-
-    def _fail(self, error: CallFailedError) -> None:
-        self._budget.remove(self)
-        self._parts.clear()
-        if not self.done.done():
-            self.done.set_exception(error)
-        if self._stream is not None:
-            self._stream.abort()
--- a/pondpin/platform/leases.py
+++ b/pondpin/platform/leases.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from pondpin.body_checks import is_unused
 from pondpin.http_client import HttpClient
 from pondpin.http_streams import SMALL_BODY_BYTES, CallFailedError
 from pondpin.platform.headers import head_observer
@@ -75,6 +76,7 @@
             timeout,
             on_head=head_observer(on_head),
             limit=SMALL_BODY_BYTES,
+            close_delimited_if=is_unused,
         )
         if response.status >= 500:
             raise CallFailedError(f"status {response.status}", sent=True)
--- a/pondpin/platform/reports.py
+++ b/pondpin/platform/reports.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from pondpin.body_checks import is_unused_or_json
 from pondpin.http_client import HttpClient
 from pondpin.http_streams import SMALL_BODY_BYTES, CallFailedError
 from pondpin.platform.headers import head_observer
@@ -36,6 +37,7 @@
             timeout=timeout,
             on_head=head_observer(on_head),
             limit=SMALL_BODY_BYTES,
+            close_delimited_if=is_unused_or_json,
         )
         if response.status != OK:
             raise CallFailedError(f"status {response.status}", sent=True)
--- a/pondpin/platform/store.py
+++ b/pondpin/platform/store.py
@@ -181,9 +181,11 @@
             start = f"&sinceRevision={quote(page.items[-1].key, safe='/')}"
 
     async def _get(self, path: str, stall: float) -> HttpResponse:
+        from pondpin.body_checks import is_unused_or_json
+
         url = f"{self._base}/{path}"
         return await self._http.call_with_stall_timeout(
-            "GET", url, stall, MAX_READ_SECONDS, self._observe_head
+            "GET", url, stall, MAX_READ_SECONDS, self._observe_head, is_unused_or_json
         )
 
     def _observe_head(self, response: StreamedResponse) -> None:
--- a/pondpin/platform_client.py
+++ b/pondpin/platform_client.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from pondpin.body_checks import is_unused_or_json
 from pondpin.http_client import HttpClient
 from pondpin.http_streams import CallFailedError
 from pondpin.platform_protocol import (
@@ -56,7 +57,10 @@
         """See PlatformPort."""
         known = f"after={revision_of(after)}&epoch={epoch_of(after)}"
         url = f"{self._base}{CONFIGURATION_PATH}?{known}&wait={wait}"
-        answer = await self._client.call("GET", url, timeout=wait + MARGIN_SECONDS)
+        timeout = wait + MARGIN_SECONDS
+        answer = await self._client.call(
+            "GET", url, timeout=timeout, close_delimited_if=is_unused_or_json
+        )
         if answer.status == NOT_MODIFIED:
             return None
         if answer.status != OK:
@@ -70,7 +74,10 @@
 
     async def instances(self, timeout: float) -> InstanceList:
         """See PlatformPort."""
-        answer = await self._client.call("GET", f"{self._base}{INSTANCES_PATH}", timeout=timeout)
+        url = f"{self._base}{INSTANCES_PATH}"
+        answer = await self._client.call(
+            "GET", url, timeout=timeout, close_delimited_if=is_unused_or_json
+        )
         if answer.status != OK:
             raise CallFailedError(f"status {answer.status}", sent=True)
         try:
--- a/pondpin/relay/attempts/attempt.py
+++ b/pondpin/relay/attempts/attempt.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from pondpin.body_checks import has_other_evidence
 from pondpin.body_ends import BodyEnd
 from pondpin.clocks import Clock
 from pondpin.http_client import HttpClient, RawRequest
@@ -269,7 +270,10 @@
         self, call: RelayCall, start: StreamedResponse, head: ResponseHead, began: float
     ) -> AttemptEnd:
         try:
-            body = await asyncio.wait_for(start.read(), self._time_left(call, None, began))
+            body = await asyncio.wait_for(
+                start.read(close_delimited_if=has_other_evidence),
+                self._time_left(call, None, began),
+            )
         except CallFailedError as error:
             return AttemptEnd(EndKind.BROKEN, str(error), fault=error.fault)
         except TimeoutError:
--- a/pondpin/service_client.py
+++ b/pondpin/service_client.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from pondpin.body_checks import is_json_document
 from pondpin.calls import WholeAnswer
 from pondpin.http_client import HttpClient
 from pondpin.http_streams import CallFailedError, StreamedResponse
@@ -74,6 +75,7 @@
             timeout,
             fresh,
             on_head=lambda start: self._note(address, start),
+            close_delimited_if=is_json_document,
         )
         return WholeAnswer(answer.status, answer.headers.get("content-type", JSON), answer.body)
 
@@ -84,6 +86,7 @@
             f"http://{address}/v1/load",
             timeout=timeout,
             on_head=lambda start: self._note(address, start),
+            close_delimited_if=is_json_document,
         )
         try:
             return msgspec.json.decode(answer.body, type=ServiceReport)
--- /dev/null
+++ b/pondpin/tests/test_close_delimited_bodies.py
@@ -0,0 +1,524 @@
+"""Readers of responses whose bodies are delimited only by their connection's end."""
+
+import asyncio
+import json
+import unittest
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pondpin.answer_writers import WholeWriter
+from pondpin.attempts import Failure
+from pondpin.body_checks import is_json_document, is_unused, is_unused_or_json
+from pondpin.body_ends import BROKEN_OFF, BodyEnd, ConnectionEnd, Framing
+from pondpin.buffered_bodies import Collector
+from pondpin.calls import CallKind
+from pondpin.engine_client import HttpEngines, StreamRef
+from pondpin.engine_protocol import (
+    CacheEvents,
+    LoadReport,
+    Order,
+    OrderAnswer,
+    ReservationRequest,
+    StreamFrame,
+)
+from pondpin.errors import PeerUnreachableError
+from pondpin.frames import FrameGate
+from pondpin.http_client import HttpClient
+from pondpin.http_streams import BufferBudget, CallFailedError
+from pondpin.metrics import Metrics
+from pondpin.platform.leases import PlatformLeases
+from pondpin.platform.order_store import PlatformOrderStore
+from pondpin.platform.reports import PlatformReports
+from pondpin.platform.store import PlatformStore
+from pondpin.platform_client import HttpPlatform
+from pondpin.platform_protocol import EPOCH_HEADER, REVISION_HEADER
+from pondpin.relay.published.pieces import FetchPieceReply, FetchPieceRequest, HttpPieceClient
+from pondpin.service_client import HttpServices, ServiceCall
+from pondpin.stream_attempt import AttemptResult, StreamAttempt
+from pondpin.tests.support import prepare, run_async, the_loop
+from pondpin.tools.operator_client import OperatorClient, OperatorError
+
+prepare()
+
+SECONDS = 5.0
+CALL = ServiceCall("POST", "/x", {}, b"", "")
+REF = StreamRef("", "r1", 0)
+RESERVATION = ReservationRequest(name="n", instance="i", incarnation=1, blocks=1, deadline=1.0)
+LOAD = LoadReport(
+    incarnation=1,
+    state="ready",
+    model="m",
+    role="all",
+    made_at=1.0,
+    blocks=1,
+    block_tokens=1,
+    chunk_tokens=1,
+    blocks_held=0,
+    queued_prefill_tokens=0,
+    queued_by_priority=(),
+    running=0,
+    waiting=0,
+    steps=0,
+    busy_seconds=0.0,
+    prefill_tokens=0,
+    decode_tokens=0,
+    context_tokens=0,
+    cache_sequence=0,
+)
+CONFIGURATION = b'{"tlsKey":"op/config","value":"e30=","revision":3}'
+UPSTREAM = b'{"tlsKey":"servers/a","value":"e30=","revision":3}'
+ORDERED = b'{"tlsKey":"op/evacuate/north","revision":3}'
+
+
+@dataclass
+class ScriptedServer:
+    """Answers requests with the given bodies in order, the last one for all further requests.
+
+    missing: bytes that a length or chunks announce beyond the body. Closes connections in order.
+    """
+
+    bodies: tuple[bytes, ...] = (b"",)
+    status: int = 200
+    headers: dict[str, str] = field(default_factory=dict)
+    framing: Framing = Framing.CLOSE_DELIMITED
+    missing: int = 0
+    answered: int = 0
+
+    async def listen(self) -> str:
+        """Listen on a free port; return the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def close(self) -> None:
+        """Stop listening."""
+        self._server.close()
+        await self._server.wait_closed()
+
+    def script(self, *bodies: bytes, framing: Framing, missing: int = 0) -> None:
+        """Set the next answers."""
+        self.bodies, self.framing, self.missing, self.answered = bodies, framing, missing, 0
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        for line in head.lower().split(b"\r\n"):
+            if line.startswith(b"content-length:"):
+                await reader.readexactly(int(line.partition(b":")[2]))
+        body = self.bodies[min(self.answered, len(self.bodies) - 1)]
+        self.answered += 1
+        lines = [f"HTTP/1.1 {self.status} Status", "connection: close"]
+        lines += [f"{name}: {value}" for name, value in self.headers.items()]
+        if self.framing is Framing.LENGTH:
+            lines.append(f"content-length: {len(body) + self.missing}")
+        elif self.framing is Framing.CHUNKED:
+            lines.append("transfer-encoding: chunked")
+            body = b"%x\r\n%s\r\n" % (len(body), body) if body else b""
+            body += b"" if self.missing else b"0\r\n\r\n"
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        writer.close()
+
+
+@dataclass(frozen=True)
+class Reader:
+    """A reader and a sound body for it.
+
+    is_proved: whether the content of the body shows that it is complete.
+    """
+
+    name: str
+    body: bytes
+    read: Callable[[HttpClient, str], Awaitable[object]]
+    is_proved: bool = True
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+def place_of(address: str) -> tuple[str, int]:
+    """Split an address into host and port."""
+    host, _, port = address.partition(":")
+    return host, int(port)
+
+
+def reserve(client: HttpClient, address: str) -> Awaitable[object]:
+    """Reserve memory at an upstream."""
+    leases = PlatformLeases(client)
+    return leases.reserve(*place_of(address), "t1", 1, 1.0, SECONDS, lambda head: None)
+
+
+def release(client: HttpClient, address: str) -> Awaitable[object]:
+    """Release memory at an upstream."""
+    return PlatformLeases(client).release(*place_of(address), "t1", SECONDS, lambda head: None)
+
+
+def read_report(client: HttpClient, address: str) -> Awaitable[object]:
+    """Read an upstream's load report."""
+    reports = PlatformReports(client)
+    return reports.read_report(*place_of(address), SECONDS, lambda head: None)
+
+
+def fetch_piece(client: HttpClient, address: str) -> Awaitable[object]:
+    """Fetch a piece of a document from a peer."""
+    pieces = HttpPieceClient(client, Metrics("i", "d"), "/v1/pieces")
+    return pieces.fetch_piece(address, FetchPieceRequest(0), SECONDS)
+
+
+BODY_READERS = (
+    Reader(
+        "configuration of the store",
+        CONFIGURATION,
+        lambda client, at: PlatformStore(client, at).read_configuration(SECONDS),
+    ),
+    Reader(
+        "watch of the store",
+        b'{"events":[%s],"at":4}' % CONFIGURATION,
+        lambda client, at: PlatformStore(client, at).read_change(1, SECONDS),
+    ),
+    Reader(
+        "watch of the store without events",
+        b'{"events":[],"at":4}',
+        lambda client, at: PlatformStore(client, at).read_change(1, SECONDS),
+    ),
+    Reader(
+        "list of the store",
+        b'{"items":[%s],"at":4,"more":false}' % UPSTREAM,
+        lambda client, at: PlatformStore(client, at).read_upstreams(SECONDS),
+    ),
+    Reader(
+        "list of the store with an invalid item",
+        b'{"items":[%s,{"tlsKey":1}],"at":4}' % UPSTREAM,
+        lambda client, at: PlatformStore(client, at).read_upstreams(SECONDS),
+    ),
+    Reader(
+        "watch of operators' writes",
+        b'{"events":[%s,%s],"at":4}' % (ORDERED, CONFIGURATION),
+        lambda client, at: PlatformOrderStore(client, at).read_changes(1, SECONDS),
+    ),
+    Reader(
+        "evacuation orders of the store",
+        b'{"items":[%s],"at":4}' % ORDERED,
+        lambda client, at: PlatformOrderStore(client, at).read_orders(SECONDS),
+    ),
+    Reader("load report of an upstream", b'{"active":12,"queued":10}', read_report),
+    Reader(
+        "piece of a peer's document",
+        msgspec.msgpack.encode(FetchPieceReply(3, 4, 7, b"piece", 1, False, 2)),
+        fetch_piece,
+        is_proved=False,
+    ),
+    Reader(
+        "operator's view of an instance's metrics",
+        b"sent 10\nkept 20\n",
+        lambda client, at: OperatorClient(client).get(at, "/metrics"),
+        is_proved=False,
+    ),
+    Reader(
+        "operator's view of an instance's JSON document",
+        b'{"state":12}',
+        lambda client, at: OperatorClient(client).get_json(at, "/v1/state"),
+        is_proved=False,
+    ),
+    Reader(
+        "load of an engine",
+        msgspec.json.encode(LOAD),
+        lambda client, at: HttpEngines(client).load(at, SECONDS),
+    ),
+    Reader(
+        "cache events of an engine",
+        msgspec.json.encode(CacheEvents(1, ())),
+        lambda client, at: HttpEngines(client).cache_events(at, 0, SECONDS),
+    ),
+    Reader(
+        "answer of an engine to an order",
+        msgspec.json.encode(OrderAnswer(True, 12)),
+        lambda client, at: HttpEngines(client).order(
+            at, Order(fence=1, model="m", role="all"), SECONDS
+        ),
+    ),
+    Reader(
+        "last order of an engine",
+        msgspec.json.encode(OrderAnswer(True, 12)),
+        lambda client, at: HttpEngines(client).last_order(at, SECONDS),
+    ),
+    Reader(
+        "JSON answer of a plain service",
+        b'{"times":12}',
+        lambda client, at: HttpServices(client).send(at, CALL, SECONDS, False),
+    ),
+    Reader(
+        "text answer of a plain service",
+        b"paid 100 of 100",
+        lambda client, at: HttpServices(client).send(at, CALL, SECONDS, False),
+        is_proved=False,
+    ),
+    Reader(
+        "number answered by a plain service",
+        b"100",
+        lambda client, at: HttpServices(client).send(at, CALL, SECONDS, False),
+        is_proved=False,
+    ),
+    Reader(
+        "load of a plain service",
+        b'{"incarnation":1,"state":"ready","running":10}',
+        lambda client, at: HttpServices(client).load(at, SECONDS),
+    ),
+    Reader(
+        "configuration of the callers' own interface",
+        b'{"version":12}',
+        lambda client, at: HttpPlatform(client, at).watch(0, SECONDS),
+        headers={EPOCH_HEADER: "1", REVISION_HEADER: "5"},
+    ),
+    Reader(
+        "instances of the callers' own interface",
+        b'{"instances":[]}',
+        lambda client, at: HttpPlatform(client, at).instances(SECONDS),
+    ),
+)
+HEAD_READERS = (
+    Reader("reserved memory of an upstream", b'{"free":41200}', reserve),
+    Reader("released memory of an upstream", b'{"free":41200}', release),
+    Reader(
+        "cancelled stream of an engine",
+        b'{"ended":true}',
+        lambda client, at: HttpEngines(client).cancel(StreamRef(at, "r1", 0), SECONDS),
+    ),
+    Reader(
+        "reserved memory of an engine",
+        b'{"held":true}',
+        lambda client, at: HttpEngines(client).reserve(at, RESERVATION, SECONDS),
+    ),
+    Reader(
+        "released memory of an engine",
+        b'{"held":false}',
+        lambda client, at: HttpEngines(client).release(at, "n", SECONDS),
+    ),
+)
+FAILURES = (CallFailedError, PeerUnreachableError, OperatorError)
+REFUSALS = "only its connection's end delimits the answer|the answer broke off"
+Work = Callable[[HttpClient, ScriptedServer, str], Awaitable[None]]
+
+
+def play(work: Work) -> None:
+    """Run a test with a client and a server."""
+
+    async def whole() -> None:
+        client = HttpClient(the_loop()[1], 1.0)
+        server = ScriptedServer()
+        address = await server.listen()
+        try:
+            await work(client, server, address)
+        finally:
+            await client.close()
+            await server.close()
+
+    run_async(whole())
+
+
+class ReadersTest(unittest.TestCase):
+    async def assert_fails(self, reader: Reader, client: HttpClient, address: str) -> None:
+        with self.assertRaises(FAILURES) as raised:
+            found = await reader.read(client, address)
+            self.fail(f"taken for whole: {found!r}")
+        # The client refuses it before a decoder that may be laxer sees it.
+        self.assertRegex(str(raised.exception), REFUSALS)
+
+    def test_body_cut_at_any_byte_is_never_taken_for_whole(self) -> None:
+        async def work(client: HttpClient, server: ScriptedServer, address: str) -> None:
+            for reader in BODY_READERS:
+                server.headers = reader.headers
+                for size in range(len(reader.body)):
+                    for framing in Framing:
+                        server.script(
+                            reader.body[:size], framing=framing, missing=len(reader.body) - size
+                        )
+                        with self.subTest(reader.name, size=size, framing=framing):
+                            await self.assert_fails(reader, client, address)
+
+        play(work)
+
+    def test_sound_body_is_accepted_if_its_framing_or_content_proves_it(self) -> None:
+        async def work(client: HttpClient, server: ScriptedServer, address: str) -> None:
+            for reader in BODY_READERS:
+                server.headers = reader.headers
+                server.script(reader.body, framing=Framing.LENGTH)
+                expected = await reader.read(client, address)
+                server.script(reader.body, framing=Framing.CHUNKED)
+                self.assertEqual(await reader.read(client, address), expected, reader.name)
+                server.script(reader.body, framing=Framing.CLOSE_DELIMITED)
+                with self.subTest(reader.name):
+                    if reader.is_proved:
+                        self.assertEqual(await reader.read(client, address), expected)
+                    else:
+                        await self.assert_fails(reader, client, address)
+
+        play(work)
+
+    def test_reader_of_the_status_accepts_any_end_in_order(self) -> None:
+        async def work(client: HttpClient, server: ScriptedServer, address: str) -> None:
+            for reader in HEAD_READERS:
+                server.script(reader.body, framing=Framing.LENGTH)
+                expected = await reader.read(client, address)
+                for size in range(len(reader.body) + 1):
+                    server.script(reader.body[:size], framing=Framing.CLOSE_DELIMITED)
+                    with self.subTest(reader.name, size=size):
+                        self.assertEqual(await reader.read(client, address), expected)
+
+        play(work)
+
+    def test_later_page_cut_at_any_byte_fails_the_list(self) -> None:
+        first = b'{"items":[%s],"at":4,"more":true}' % UPSTREAM
+        last = b'{"items":[%s],"at":5,"more":false}' % UPSTREAM.replace(b"servers/a", b"servers/b")
+
+        async def work(client: HttpClient, server: ScriptedServer, address: str) -> None:
+            store = PlatformStore(client, address)
+            for size in range(len(last)):
+                server.script(first, last[:size], framing=Framing.CLOSE_DELIMITED)
+                with self.assertRaises(CallFailedError, msg=size):
+                    await store.read_upstreams(SECONDS)
+            server.script(first, last, framing=Framing.CLOSE_DELIMITED)
+            found = await store.read_upstreams(SECONDS)
+            self.assertEqual([item.key for item in found.items], ["servers/a", "servers/b"])
+
+        play(work)
+
+    def test_status_without_a_document_is_accepted_whatever_its_body(self) -> None:
+        async def work(client: HttpClient, server: ScriptedServer, address: str) -> None:
+            store = PlatformStore(client, address)
+            for body in (b"", b"not fo", b'{"error":'):
+                server.script(body, framing=Framing.CLOSE_DELIMITED)
+                server.status = 404
+                self.assertIsNone((await store.read_configuration(SECONDS)).item)
+                server.status = 410
+                self.assertIsNone((await store.read_change(1, SECONDS)).through_revision)
+
+        play(work)
+
+
+class ClientTest(unittest.TestCase):
+    def test_close_delimited_bodies_are_refused_by_default(self) -> None:
+        async def work(client: HttpClient, server: ScriptedServer, address: str) -> None:
+            url = f"http://{address}/x"
+            for body in (b"", b"text", b'{"a":1}'):
+                server.script(body, framing=Framing.CLOSE_DELIMITED)
+                with self.assertRaises(CallFailedError) as raised:
+                    await client.call("GET", url)
+                self.assertTrue(raised.exception.sent)
+                with self.assertRaises(CallFailedError):
+                    await client.call_with_stall_timeout("GET", url, SECONDS, SECONDS)
+                with self.assertRaises(CallFailedError):
+                    await (await client.open("GET", url)).read()
+                with self.assertRaises(CallFailedError):
+                    start = await client.open("GET", url)
+                    await start.read_with_stall_timeout(SECONDS, SECONDS)
+                self.assertEqual((client.budget.held, client.budget.buffers), (0, set()))
+
+        play(work)
+
+    def test_caller_that_asks_for_a_close_delimited_body_gets_it(self) -> None:
+        async def work(client: HttpClient, server: ScriptedServer, address: str) -> None:
+            url = f"http://{address}/x"
+            server.script(b"text", framing=Framing.CLOSE_DELIMITED)
+            called = await client.call("GET", url, close_delimited_if=is_unused)
+            self.assertEqual(called.body, b"text")
+            called = await client.call_with_stall_timeout(
+                "GET", url, SECONDS, SECONDS, close_delimited_if=is_unused
+            )
+            self.assertEqual(called.body, b"text")
+
+        play(work)
+
+    def test_body_of_a_broken_connection_is_refused_whatever_its_content(self) -> None:
+        async def work() -> None:
+            reset = BodyEnd(Framing.CLOSE_DELIMITED, ConnectionEnd.RESET, False)
+            still_open = BodyEnd(Framing.CLOSE_DELIMITED, ConnectionEnd.OPEN, False)
+            for end in (reset, still_open, BROKEN_OFF):
+                collector = Collector(100, BufferBudget(100), lambda body: True)
+                collector.on_data(b"{}")
+                collector.on_end(end)
+                with self.assertRaises(CallFailedError):
+                    await collector.done
+
+        run_async(work())
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=3), inner),
+    max_leaves=6,
+)
+DOCUMENTS = st.lists(JSON_VALUES, max_size=3) | st.dictionaries(st.text(max_size=3), JSON_VALUES)
+
+NUMBERS = st.integers(0, 2**64 - 1)
+
+
+class ContentTest(unittest.TestCase):
+    @given(DOCUMENTS, st.sampled_from(("", " ", "\r\n\t")), st.sampled_from((None, 2)))
+    def test_no_shorter_part_of_a_document_passes(
+        self, value: object, blank: str, indent: int | None
+    ) -> None:
+        body = (blank + json.dumps(value, indent=indent)).encode()
+        self.assertTrue(is_json_document(200, body + blank.encode()))
+        for size in range(len(body)):
+            self.assertFalse(is_json_document(200, body[:size]), body[:size])
+
+    def test_content_without_an_end_of_its_own_is_no_proof(self) -> None:
+        for body in (
+            b"",
+            b" ",
+            b"12",
+            b"-1.5",
+            b"true",
+            b'"text"',
+            b"text",
+            b'{"a":1}{"b":2}',
+            b'{"a":1}\n{"b":2}',
+            b"[1]x",
+            b"\x93\x01\x02\x03",
+            b"[" * 100_000,
+        ):
+            self.assertFalse(is_json_document(200, body), body[:20])
+            self.assertFalse(is_unused_or_json(200, body), body[:20])
+            self.assertTrue(is_unused_or_json(404, body), body[:20])
+
+    @given(st.builds(FetchPieceReply, NUMBERS, NUMBERS, NUMBERS, st.binary()))
+    def test_no_shorter_part_of_a_peers_reply_can_be_decoded(self, reply: FetchPieceReply) -> None:
+        body = msgspec.msgpack.encode(reply)
+        for size in range(len(body)):
+            with self.assertRaises(ValueError):
+                msgspec.msgpack.decode(body[:size], type=FetchPieceReply)
+
+
+class EngineStreamTest(unittest.TestCase):
+    async def receive(self, client: HttpClient, address: str) -> AttemptResult:
+        attempt = StreamAttempt(
+            gate=FrameGate("r1", 0),
+            writer=WholeWriter(CallKind.COMPLETION, "r1", "m"),
+            clock=lambda: 0.0,
+            stall_floor=SECONDS,
+            predicted_first=0.0,
+            token_gap=1.0,
+            on_first=lambda: None,
+        )
+        start = await HttpEngines(client).resume(StreamRef(address, "r1", 0), 0)
+        attempt.stream = start.deliver(attempt)
+        return await asyncio.wait_for(attempt.done, SECONDS)
+
+    def test_stream_without_its_last_frame_is_broken_whatever_its_framing(self) -> None:
+        frames = (
+            StreamFrame("r1", 0, 0, "a"),
+            StreamFrame("r1", 0, 1, "b"),
+            StreamFrame("r1", 0, 2, "", "stop", 1),
+        )
+        body = b"".join(b"data: " + msgspec.json.encode(frame) + b"\n\n" for frame in frames)
+
+        async def work(client: HttpClient, server: ScriptedServer, address: str) -> None:
+            for framing in Framing:
+                for size in range(len(body)):
+                    server.script(body[:size], framing=framing)
+                    result = await self.receive(client, address)
+                    self.assertIs(result.failure, Failure.BROKEN, size)
+                server.script(body, framing=framing)
+                self.assertIsNone((await self.receive(client, address)).failure)
+
+        play(work)
--- a/pondpin/tests/test_platform.py
+++ b/pondpin/tests/test_platform.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from pondpin.http_client import HttpClient, HttpResponse
-from pondpin.http_streams import CallFailedError, StreamedResponse
+from pondpin.http_streams import BodyCheck, CallFailedError, StreamedResponse
 from pondpin.network import Endpoint
 from pondpin.platform.documents import PlatformDecoder
 from pondpin.platform.headers import OWNED_HEADERS, PlatformDialect
@@ -282,6 +282,7 @@
         stall: float,
         longest: float,
         on_head: Callable[[StreamedResponse], None] = lambda response: None,
+        close_delimited_if: BodyCheck | None = None,
     ) -> HttpResponse:
         on_head(StreamedResponse(200, {}, None))
         return HttpResponse(200, {}, self.body)
--- a/pondpin/tests/test_restore_machine.py
+++ b/pondpin/tests/test_restore_machine.py
@@ -14,7 +14,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from pondpin.http_client import HttpClient, HttpResponse
-from pondpin.http_streams import CallFailedError, StreamedResponse
+from pondpin.http_streams import BodyCheck, CallFailedError, StreamedResponse
 from pondpin.platform.documents import PlatformDecoder
 from pondpin.platform.store import PlatformStore
 from pondpin.relay.model import RelayConfiguration
@@ -59,6 +59,7 @@
         stall: float,
         longest: float,
         on_head: Callable[[StreamedResponse], None] = lambda start: None,
+        close_delimited_if: BodyCheck | None = None,
     ) -> HttpResponse:
         is_late, event = self.events_by_call.pop(self.calls, (False, lambda: None))
         self.calls += 1
--- a/pondpin/tests/test_store_epochs.py
+++ b/pondpin/tests/test_store_epochs.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from pondpin.http_client import HttpClient, HttpResponse
-from pondpin.http_streams import CallFailedError, StreamedResponse
+from pondpin.http_streams import BodyCheck, CallFailedError, StreamedResponse
 from pondpin.platform.store import PlatformStore, parse_source_head
 from pondpin.relay.ports import ConfigurationChange, ConfigurationRead, EpochChangedError
 from pondpin.relay.ports import SourceHead as Head
@@ -122,6 +122,7 @@
         stall: float,
         longest: float,
         on_head: Callable[[StreamedResponse], None] = lambda start: None,
+        close_delimited_if: BodyCheck | None = None,
     ) -> HttpResponse:
         epoch, body = self.pages.pop(0)
         headers = {HEADER: epoch}
