--- a/pondpin/tests/test_close_delimited_bodies.py
+++ b/pondpin/tests/test_close_delimited_bodies.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -16,6 +17,7 @@
 from pondpin.body_ends import BROKEN_OFF, BodyEnd, ConnectionEnd, Framing
 from pondpin.buffered_bodies import Collector
 from pondpin.calls import CallKind
+from pondpin.controllers.configuration import ConfigurationController, ConfigurationStore
 from pondpin.engine_client import HttpEngines, StreamRef
 from pondpin.engine_protocol import (
     CacheEvents,
@@ -39,7 +41,7 @@
 from pondpin.relay.published.pieces import FetchPieceReply, FetchPieceRequest, HttpPieceClient
 from pondpin.service_client import HttpServices, ServiceCall
 from pondpin.stream_attempt import AttemptResult, StreamAttempt
-from pondpin.tests.support import prepare, run_async, the_loop
+from pondpin.tests.support import prepare, run_async, sample_document, the_loop
 from pondpin.tools.operator_client import OperatorClient, OperatorError
 
 prepare()
@@ -394,6 +396,24 @@
 
         play(work)
 
+    def test_configuration_cut_short_is_read_again(self) -> None:
+        document = msgspec.json.encode(sample_document(upstreams={}))
+
+        async def work(client: HttpClient, server: ScriptedServer, address: str) -> None:
+            server.headers = {EPOCH_HEADER: "1", REVISION_HEADER: "5"}
+            store = ConfigurationStore(Metrics("i", "d"), lambda snapshot: None)
+            platform = HttpPlatform(client, address)
+            controller = ConfigurationController(store, platform, 0.1, 0.1, random.Random(1))
+            server.script(document[: len(document) // 2], framing=Framing.CLOSE_DELIMITED)
+            await controller.step()
+            self.assertEqual((store.seen_revision, store.rejected), (0, None))
+            server.script(document, framing=Framing.CLOSE_DELIMITED)
+            await controller.step()
+            self.assertEqual(store.revision, store.seen_revision)
+            self.assertEqual(store.document, document)
+
+        play(work)
+
 
 class ClientTest(unittest.TestCase):
     def test_close_delimited_bodies_are_refused_by_default(self) -> None:
