Truncate the pass-through's reply when the engine's stream breaks off

`measure_bare` ended its reply with a last chunk at any end of the engine's stream, so that its measurements could count a stream that broke off as complete. It now finishes the reply only after a framed end, and otherwise truncates it.

The new test in tests/test_close_delimited_bodies.py failed before ("CallFailedError not raised : close_delimited", 13 passed, 1 failed) and passes now (14 passed); three mutations of the condition each fail it.

--- a/pondpin/tests/test_close_delimited_bodies.py
+++ b/pondpin/tests/test_close_delimited_bodies.py
@@ -32,6 +32,7 @@
 from pondpin.http_client import HttpClient
 from pondpin.http_streams import BufferBudget, CallFailedError
 from pondpin.metrics import Metrics
+from pondpin.network import Endpoint
 from pondpin.platform.leases import PlatformLeases
 from pondpin.platform.order_store import PlatformOrderStore
 from pondpin.platform.reports import PlatformReports
@@ -42,6 +43,7 @@
 from pondpin.service_client import HttpServices, ServiceCall
 from pondpin.stream_attempt import AttemptResult, StreamAttempt
 from pondpin.tests.support import prepare, run_async, sample_document, the_loop
+from pondpin.tools.measure_bare import Bare
 from pondpin.tools.operator_client import OperatorClient, OperatorError
 
 prepare()
@@ -542,3 +544,30 @@
                 self.assertIsNone((await self.receive(client, address)).failure)
 
         play(work)
+
+    def test_stream_passed_on_unread_is_truncated_unless_its_framing_proves_it(self) -> None:
+        body = b"data: " + msgspec.json.encode(StreamFrame("bare-1", 0, 0, "a")) + b"\n\n"
+        asked = msgspec.json.encode({"model": "m", "prompt": "p", "max_tokens": 1})
+
+        async def work(client: HttpClient, server: ScriptedServer, address: str) -> None:
+            reactor = the_loop()[1]
+            bare = Bare(reactor, address)
+            place = bare.server.listen(reactor, Endpoint("127.0.0.1", 0))
+            url = f"http://{place}/v1/completions"
+            try:
+                for framing, missing in (
+                    (Framing.CLOSE_DELIMITED, 0),
+                    (Framing.LENGTH, 1),
+                    (Framing.CHUNKED, 1),
+                ):
+                    server.script(body, framing=framing, missing=missing)
+                    with self.assertRaises(CallFailedError, msg=framing):
+                        await client.call("POST", url, body=asked)
+                for framing in (Framing.LENGTH, Framing.CHUNKED):
+                    server.script(body, framing=framing)
+                    answer = await client.call("POST", url, body=asked)
+                    self.assertEqual(answer.body, body)
+            finally:
+                await bare.server.close()
+
+        play(work)
--- a/pondpin/tools/measure_bare.py
+++ b/pondpin/tools/measure_bare.py
@@ -27,8 +27,11 @@
         self._reply.write(data)
 
     def on_end(self, end: BodyEnd) -> None:
-        """The stream ended."""
-        self._reply.finish()
+        """The stream ended, perhaps early."""
+        if end.is_framed:
+            self._reply.finish()
+        else:
+            self._reply.truncate()
         self.ended.set_result(None)
 
 
