Test that peers' documents and datagrams can't be decoded in part

For the table of readers: a packed document and each kind of datagram between instances, cut at every byte, is refused by its decoder.

--- a/pondpin/tests/test_close_delimited_bodies.py
+++ b/pondpin/tests/test_close_delimited_bodies.py
@@ -39,7 +39,41 @@
 from pondpin.platform.store import PlatformStore
 from pondpin.platform_client import HttpPlatform
 from pondpin.platform_protocol import EPOCH_HEADER, REVISION_HEADER
+from pondpin.relay.peers.digests import DIGEST_FORMAT, Digest, decode_digest, encode_digest
+from pondpin.relay.peers.limit_messages import (
+    LIMITS_FORMAT,
+    LimitsMessage,
+    decode_limits,
+    encode_limits,
+)
+from pondpin.relay.peers.permit_messages import (
+    PERMITS_FORMAT,
+    PermitMessage,
+    PermitUse,
+    decode_permits,
+    encode_permits,
+)
+from pondpin.relay.peers.quarantine_sync import (
+    QUARANTINE_FORMAT,
+    QuarantineMessage,
+    decode_quarantine,
+)
+from pondpin.relay.peers.slot_messages import (
+    SLOTS_FORMAT,
+    SlotEnd,
+    SlotMessage,
+    decode_slots,
+    encode_slots,
+)
+from pondpin.relay.published.documents import PublishedItem, encode_configuration
+from pondpin.relay.published.packing import pack, unpack
 from pondpin.relay.published.pieces import FetchPieceReply, FetchPieceRequest, HttpPieceClient
+from pondpin.relay.upstreams.long_prefills import (
+    LONG_PREFILLS_FORMAT,
+    LongPrefills,
+    decode_long_prefills,
+    encode_long_prefills,
+)
 from pondpin.service_client import HttpServices, ServiceCall
 from pondpin.stream_attempt import AttemptResult, StreamAttempt
 from pondpin.tests.support import prepare, run_async, sample_document, the_loop
@@ -73,6 +107,28 @@
     context_tokens=0,
     cache_sequence=0,
 )
+DIGEST = Digest(
+    format=DIGEST_FORMAT,
+    instance="i",
+    boot=1,
+    host="h",
+    sequence=1,
+    stamp=1,
+    echo_boot=1,
+    echo=1,
+    revision=1,
+    proof_age=1,
+    list_tag=1,
+    list_age=1,
+    data_center="d",
+    reads_source=True,
+    leaving=(1,),
+    ejected=(),
+    work=(),
+    hosts=("h",),
+    interval_ms=1,
+    wants_reply=False,
+)
 CONFIGURATION = b'{"tlsKey":"op/config","value":"e30=","revision":3}'
 UPSTREAM = b'{"tlsKey":"servers/a","value":"e30=","revision":3}'
 ORDERED = b'{"tlsKey":"op/evacuate/north","revision":3}'
@@ -510,6 +566,30 @@
             with self.assertRaises(ValueError):
                 msgspec.msgpack.decode(body[:size], type=FetchPieceReply)
 
+    def test_no_shorter_part_of_a_peers_document_can_be_unpacked(self) -> None:
+        item = PublishedItem("op/config", 5, b'{"version":1}')
+        packed = pack(encode_configuration(item), None).data
+        for size in range(len(packed)):
+            with self.assertRaises(ValueError, msg=size):
+                unpack(packed[:size], lambda base: None)
+
+    def test_no_shorter_part_of_a_peers_datagram_can_be_decoded(self) -> None:
+        quarantine = QuarantineMessage(QUARANTINE_FORMAT, "i", 1, 2, (), ((3, 4),))
+        prefills = LongPrefills(LONG_PREFILLS_FORMAT, "i", 1, 2, ())
+        limits = LimitsMessage(LIMITS_FORMAT, "i", 1, ())
+        messages: tuple[tuple[bytes, Callable[[bytes], object | None]], ...] = (
+            (encode_digest(DIGEST), decode_digest),
+            (encode_limits(limits), decode_limits),
+            (encode_permits(PermitMessage(PERMITS_FORMAT, use=PermitUse(1, True))), decode_permits),
+            (encode_slots(SlotMessage(SLOTS_FORMAT, end=SlotEnd(1, 2))), decode_slots),
+            (encode_long_prefills(prefills), decode_long_prefills),
+            (msgspec.msgpack.encode(quarantine), decode_quarantine),
+        )
+        for data, decode in messages:
+            self.assertIsNotNone(decode(data), decode)
+            for size in range(len(data)):
+                self.assertIsNone(decode(data[:size]), (decode, size))
+
 
 class EngineStreamTest(unittest.TestCase):
     async def receive(self, client: HttpClient, address: str) -> AttemptResult:
