Name the reason of a refused close-delimited body shortly

It is a label of pondpin_attempts_total for plain services. "the answer is close-delimited" is also the term that on-call finds on the page. 16 passed (`python -m pondpin.tests close_delimited_bodies`), which compares it.

--- a/pondpin/buffered_bodies.py
+++ b/pondpin/buffered_bodies.py
@@ -69,7 +69,7 @@
         if end.is_framed or (end.may_be_whole and self._is_whole(body)):
             self.done.set_result(body)
         elif end.may_be_whole:
-            self._fail(CallFailedError("only its connection's end delimits the answer", sent=True))
+            self._fail(CallFailedError("the answer is close-delimited", sent=True))
         else:
             self._fail(CallFailedError("the answer broke off", sent=True))
 
--- a/pondpin/tests/test_close_delimited_bodies.py
+++ b/pondpin/tests/test_close_delimited_bodies.py
@@ -355,7 +355,7 @@
     ),
 )
 FAILURES = (CallFailedError, PeerUnreachableError, OperatorError)
-REFUSALS = "only its connection's end delimits the answer|the answer broke off"
+REFUSALS = "the answer is close-delimited|the answer broke off"
 Work = Callable[[HttpClient, ScriptedServer, str], Awaitable[None]]
 
 
