--- a/pondpin/tests/test_close_delimited_bodies.py
+++ b/pondpin/tests/test_close_delimited_bodies.py
@@ -3,11 +3,13 @@
 import asyncio
 import json
 import random
+import socket
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import msgspec
+from grpclib.server import Server, Stream
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -18,6 +20,7 @@
 from pondpin.buffered_bodies import Collector
 from pondpin.calls import CallKind
 from pondpin.controllers.configuration import ConfigurationController, ConfigurationStore
+from pondpin.controllers.peers import GrpcPeerClient
 from pondpin.engine_client import HttpEngines, StreamRef
 from pondpin.engine_protocol import (
     CacheEvents,
@@ -79,6 +82,17 @@
 from pondpin.tests.support import prepare, run_async, sample_document, the_loop
 from pondpin.tools.measure_bare import Bare
 from pondpin.tools.operator_client import OperatorClient, OperatorError
+from pondpin.wire.peer_grpc import PeerBase
+from pondpin.wire.peer_pb2 import (
+    ExplainReply,
+    ExplainRequest,
+    FetchConfigurationReply,
+    FetchConfigurationRequest,
+    ForwardReply,
+    ForwardRequest,
+    HeartbeatReply,
+    HeartbeatRequest,
+)
 
 prepare()
 
@@ -527,6 +541,8 @@
 )
 DOCUMENTS = st.lists(JSON_VALUES, max_size=3) | st.dictionaries(st.text(max_size=3), JSON_VALUES)
 
+PART_BYTES = 1 << 16
+FORWARDED = ForwardReply(status=200, body=b"paid 100 of 100")
 NUMBERS = st.integers(0, 2**64 - 1)
 
 
@@ -651,3 +667,101 @@
                 await bare.server.close()
 
         play(work)
+
+
+class _ForwardingPeer(PeerBase):
+    """Answers forwarded calls."""
+
+    async def Heartbeat(self, stream: Stream[HeartbeatRequest, HeartbeatReply]) -> None:
+        """Not used."""
+
+    async def FetchConfiguration(
+        self, stream: Stream[FetchConfigurationRequest, FetchConfigurationReply]
+    ) -> None:
+        """Not used."""
+
+    async def Explain(self, stream: Stream[ExplainRequest, ExplainReply]) -> None:
+        """Not used."""
+
+    async def Forward(self, stream: Stream[ForwardRequest, ForwardReply]) -> None:
+        """Answer as a service that has run."""
+        await stream.recv_message()
+        await stream.send_message(FORWARDED)
+
+
+@dataclass
+class CutLink:
+    """Passes connections on to a server; closes each in order after some bytes of its answers."""
+
+    port: int
+    limit: int
+    passed: int = 0
+    tasks: set["asyncio.Task[None]"] = field(default_factory=set)
+
+    async def listen(self) -> str:
+        """Listen on a free port; return the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def close(self) -> None:
+        """Stop listening, once the callers have closed their connections."""
+        self._server.close()
+        await asyncio.gather(*self.tasks)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        serving = asyncio.current_task()
+        assert serving is not None, "connections are served in tasks"
+        self.tasks.add(serving)
+        self.passed = 0
+        from_server, to_server = await asyncio.open_connection("127.0.0.1", self.port)
+        sending = asyncio.create_task(self._send(reader, to_server))
+        while self.passed < self.limit:
+            data = await from_server.read(self.limit - self.passed)
+            if not data:
+                break
+            self.passed += len(data)
+            writer.write(data)
+        writer.close()
+        await sending
+
+    async def _send(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(PART_BYTES):
+            writer.write(data)
+        writer.close()
+
+
+class PeerCallTest(unittest.TestCase):
+    async def forward(self, address: str) -> ForwardReply:
+        peers = GrpcPeerClient(Metrics("i", "d"), lambda: None)
+        try:
+            return await peers.forward(address, ForwardRequest(token="t"), SECONDS)
+        finally:
+            peers.close()
+
+    def test_peers_reply_cut_at_any_byte_is_never_taken_for_whole(self) -> None:
+        async def work() -> None:
+            server = Server([_ForwardingPeer()])
+            # A port that is free now; grpclib's server doesn't tell which it took.
+            with socket.socket() as found:
+                found.bind(("127.0.0.1", 0))
+                port = found.getsockname()[1]
+            await server.start("127.0.0.1", port)
+            link = CutLink(port, PART_BYTES)
+            address = await link.listen()
+            try:
+                self.assertEqual(await self.forward(address), FORWARDED)
+                needed = link.passed
+                refused = 0
+                for link.limit in range(1, needed):
+                    try:
+                        self.assertEqual(await self.forward(address), FORWARDED, link.limit)
+                    except PeerUnreachableError:
+                        refused += 1
+                # At least the whole message and its trailers have to arrive.
+                self.assertGreater(refused, len(FORWARDED.SerializeToString()))
+            finally:
+                await link.close()
+                server.close()
+                await server.wait_closed()
+
+        run_async(work())
