Break streams off whose events aren't one series

Callers saw: an id that went back within a run was passed on when it came in the same read (1 2 then 1), else its event was dropped and the stream went on to end as complete; a resumed run that began too late was joined, with events missing between; a resumed run of another series, or one that ended before the last event that the caller had, ended as complete; events without an id were repeated after a resumption. After an event over the bound the run went on: once that event ended, it was passed on. Cause: only "number > last" was checked, per read, and a run that was broken off still got data. Why it works: EventOrder checks each event before it is passed on. Ids rise within a run. A resumed run either continues (then its first id is the next one, if the ids passed on were consecutive so far) or starts again (then it has the last event that was passed on). An event without an id is new only at a known place. What breaks this ends the attempt as INVALID with an OrderFault, which the log shows, before anything of it is passed on; a later attempt may still continue. Jumps inside a run stay legal, and an upstream isn't checked against a Last-Event-Id that the caller chose.

--- a/pondpin/relay/attempts/attempt.py
+++ b/pondpin/relay/attempts/attempt.py
@@ -13,7 +13,8 @@
     StreamedResponse,
     WithheldError,
 )
-from pondpin.relay.attempts.events import EventSplitter
+from pondpin.relay.attempts.event_order import EventOrder, OrderFault
+from pondpin.relay.attempts.events import Event, EventSplitter
 from pondpin.relay.call import (
     AttemptEnd,
     BufferedResponse,
@@ -88,40 +89,56 @@
         self._clock = clock
         self._start_reply = start_reply
         self._observer = observer
-        self._splitter = EventSplitter()
+        self._splitter = EventSplitter(progress.head_sent)
+        self._order = EventOrder(progress)
         self._has_events = False
         self.last_data_at = clock()
+        self.fault: OrderFault | None = None
         self.response_end: ResponseEnd | None = None
         self.ended: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         self.stream: ResponseStream | None = None
 
     def on_data(self, data: bytes) -> None:
         """Handle a chunk of the body."""
+        if self.ended.done():
+            return
         self.last_data_at = self._clock()
         self._observer.on_data(self.last_data_at)
         try:
             events = self._splitter.feed(data)
         except ValueError:
-            self._finish(False)
-            return
-        new = [item for item in events if self._is_new(item.number)]
-        if not new:
+            self._break_off(OrderFault.EVENT_BYTES)
             return
+        new, fault = self._order.accept(events, self.last_data_at)
+        if new:
+            self._pass_on(new)
+        if fault is not None:
+            self._break_off(fault)
+
+    def _pass_on(self, events: list[Event]) -> None:
         if not self._has_events:
             self._has_events = True
             self._observer.on_first_event()
         self._start_reply()
-        for item in new:
-            self._progress.record_event(item.number, self.last_data_at)
-        self._call.reply.write(b"".join(item.data for item in new))
-
-    def _is_new(self, number: int) -> bool:
-        return number < 0 or number > self._progress.last_event_number
+        self._call.reply.write(b"".join(item.data for item in events))
 
     def on_end(self, end: BodyEnd) -> None:
         """Handle the end; a partial event at the end means a truncated response."""
         self.response_end = describe_end(end, self._clock(), self.last_data_at)
-        self._finish(end.may_be_whole and not self._splitter.has_partial)
+        if self.ended.done():
+            return
+        whole = end.may_be_whole and not self._splitter.has_partial
+        fault = self._order.find_end_fault() if whole else None
+        if fault is not None:
+            self._break_off(fault)
+            return
+        if whole and self._progress.head_sent and self._splitter.rest:
+            self._call.reply.write(self._splitter.rest)
+        self._finish(whole)
+
+    def _break_off(self, fault: OrderFault) -> None:
+        self.fault = fault
+        self._finish(False)
 
     def _finish(self, whole: bool) -> None:
         if not self.ended.done():
@@ -311,6 +328,8 @@
                 stream.abort()
         if whole is None:
             return AttemptEnd(EndKind.STALLED, "no event in time")
+        if sink.fault is not None:
+            return AttemptEnd(EndKind.INVALID, sink.fault, response_end=sink.response_end)
         if not whole:
             return AttemptEnd(
                 EndKind.BROKEN, "the stream broke off", response_end=sink.response_end
--- a/pondpin/relay/attempts/events.py
+++ b/pondpin/relay/attempts/events.py
@@ -25,9 +25,13 @@
 
 
 class EventSplitter:
-    """Buffers bytes and returns complete events."""
+    """Buffers bytes and returns complete events.
 
-    def __init__(self) -> None:
+    is_continued: the stream follows another one, so its byte order mark is dropped.
+    """
+
+    def __init__(self, is_continued: bool = False) -> None:
+        self._is_continued = is_continued
         self._buffer = b""
         self._searched = 0
         self._is_first = True
@@ -58,7 +62,7 @@
     def _make_event(self, data: bytes) -> Event:
         text = data.removeprefix(BYTE_ORDER_MARK) if self._is_first else data
         self._is_first = False
-        return _parse_event(data, text)
+        return _parse_event(text if self._is_continued else data, text)
 
 
 def _parse_event(data: bytes, text: bytes) -> Event:
--- a/pondpin/relay/call.py
+++ b/pondpin/relay/call.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from pondpin.pacer import Permit
+    from pondpin.relay.passed_events import PassedEvents
     from pondpin.relay.response_ends import ResponseEnd
     from pondpin.relay.slot_results import SlotGrant
 
@@ -158,6 +159,8 @@
     path: str = ""
     events: int = 0
     last_event_number: int = -1
+    # None before the first run of a stream.
+    passed: "PassedEvents | None" = None
     first_event_at: float | None = None
     last_event_at: float = 0.0
     longest_gap: float = 0.0
@@ -173,14 +176,3 @@
     cold_refusals: int = 0
     # The granted slot of a contended upstream, until the attempt ends.
     slot: "SlotGrant | None" = None
-
-    def record_event(self, number: int, now: float) -> None:
-        """Record an event that was sent to the caller."""
-        if self.first_event_at is None:
-            self.first_event_at = now
-        else:
-            self.longest_gap = max(self.longest_gap, now - self.last_event_at)
-        self.last_event_at = now
-        self.events += 1
-        if number >= 0:
-            self.last_event_number = number
