Retry no response whose events can't be resumed

Callers saw: a "safe" response of events that broke off was continued with the events of another run, and ended as complete; a stream that broke off after an event without an id was resumed, and that event came again. Cause: any idempotent request was retried after events, but only routes that may be resumed allow a joined response, and a Last-Event-Id names no place after an event without an id. Why it works: once a head was sent, an attempt follows only on a resumable route whose last passed event has an id.

--- a/pondpin/relay/attempts/attempt.py
+++ b/pondpin/relay/attempts/attempt.py
@@ -13,7 +13,7 @@
     StreamedResponse,
     WithheldError,
 )
-from pondpin.relay.attempts.event_order import EventOrder, OrderFault
+from pondpin.relay.attempts.event_order import EventOrder, OrderFault, can_resume
 from pondpin.relay.attempts.events import Event, EventSplitter
 from pondpin.relay.call import (
     AttemptEnd,
@@ -35,6 +35,7 @@
 POLL_SECONDS = 0.25
 PARTITION_SECONDS = 0.5
 FIRST_FAILURE = 300
+NO_TIMEOUTS = StallTimeouts(None, None)
 
 
 class AttemptObserver(Protocol):
@@ -348,16 +349,16 @@
         """Whether the stream is complete; None if it stalled or the deadline passed."""
         before = progress.events
         while True:
-            limit = (
-                timeouts.first_event_seconds if progress.events == before else timeouts.gap_seconds
-            )
+            is_last = progress.head_sent and not can_resume(call, progress)
+            used = NO_TIMEOUTS if is_last else timeouts
+            limit = used.first_event_seconds if progress.events == before else used.gap_seconds
             left = self._stall_time_left(call, limit, sink.last_data_at, observer)
             if left <= 0:
                 return None
             done, _ = await asyncio.wait((sink.ended,), timeout=min(left, POLL_SECONDS))
             if done:
                 return sink.ended.result()
-            if await self._is_unresponsive(timeouts, observer, sink.last_data_at):
+            if await self._is_unresponsive(used, observer, sink.last_data_at):
                 return None
 
     def _stall_timeout(
--- a/pondpin/relay/attempts/event_order.py
+++ b/pondpin/relay/attempts/event_order.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from pondpin.relay.attempts.events import Event
-from pondpin.relay.call import Progress
+from pondpin.relay.call import Progress, RelayCall
 from pondpin.relay.passed_events import PassedEvents
 
 
@@ -94,3 +94,9 @@
             progress.longest_gap = max(progress.longest_gap, now - progress.last_event_at)
         progress.last_event_at = now
         progress.events += 1
+
+
+def can_resume(call: RelayCall, progress: Progress) -> bool:
+    """Whether another run could continue a stream without repeating what was passed on."""
+    passed = progress.passed
+    return call.route.resumable and not (passed is not None and passed.ends_unnumbered)
--- a/pondpin/relay/attempts/retries.py
+++ b/pondpin/relay/attempts/retries.py
@@ -10,6 +10,7 @@
     final_error,
     is_retryable_response,
 )
+from pondpin.relay.attempts.event_order import can_resume
 from pondpin.relay.attempts.handler import MAX_ATTEMPTS
 from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall
 from pondpin.relay.choosing.planner import Plan
@@ -41,6 +42,7 @@
             (end.kind is EndKind.ANSWERED and not is_retryable_response(call, end), "answered"),
             (call.reply.is_closed, "its caller left"),
             (progress.may_have_run and not call.route.idempotent, "it may not run twice"),
+            (progress.head_sent and not can_resume(call, progress), "it can't be resumed"),
             (end.unconfirmed and handler.connector.is_cut, NO_PATH),
             (used_up, "its attempts are used up"),
             (now >= call.deadline, "its time is over"),
--- a/pondpin/tests/test_relay_stall_timeouts.py
+++ b/pondpin/tests/test_relay_stall_timeouts.py
@@ -14,6 +14,7 @@
 from pondpin.relay.choosing.stall_timeouts import StallTimeouts, stall_timeouts_for
 from pondpin.relay.mechanisms import Mechanism
 from pondpin.relay.model import ListedUpstream, ResponseHead
+from pondpin.relay.passed_events import PassedEvents
 from pondpin.relay.upstreams.state import UpstreamState
 from pondpin.tests.test_relay_planner import make_call
 from pondpin.tools.virtual_time import run_virtual
@@ -79,7 +80,9 @@
 
 
 class WaitForEndTest(unittest.TestCase):
-    def wait(self, can_retry: bool, timeouts: StallTimeouts) -> tuple[bool | None, float]:
+    def wait(
+        self, can_retry: bool, timeouts: StallTimeouts, progress: Progress | None = None
+    ) -> tuple[bool | None, float]:
         """Wait for a stream that ends after three seconds of silence."""
 
         async def work() -> tuple[bool | None, float]:
@@ -87,13 +90,13 @@
             http: Any = None
             dialect: Any = None
             call = make_call(5000)
-            progress = Progress(events=3)
+            state = progress or Progress(events=3)
             observer = ScriptedObserver(can_retry)
-            sink = EventSink(call, progress, loop.time, lambda: None, observer)
+            sink = EventSink(call, state, loop.time, lambda: None, observer)
             loop.call_later(3.0, sink.on_end, WHOLE)
             started_at = loop.time()
             attempts = AttemptRunner(http, dialect, loop.time)
-            is_complete = await attempts.wait_for_end(call, sink, progress, timeouts, observer)
+            is_complete = await attempts.wait_for_end(call, sink, state, timeouts, observer)
             return is_complete, loop.time() - started_at
 
         result: tuple[bool | None, float] = run_virtual(work())
@@ -109,6 +112,12 @@
         self.assertIs(is_complete, True)
         self.assertAlmostEqual(seconds, 3.0, 3)
 
+    def test_a_silent_stream_is_awaited_if_it_cannot_be_resumed(self) -> None:
+        progress = Progress(events=3, head_sent=True, passed=PassedEvents(ends_unnumbered=True))
+        is_complete, seconds = self.wait(True, StallTimeouts(1.0, 1.0, 0.5), progress)
+        self.assertIs(is_complete, True)
+        self.assertAlmostEqual(seconds, 3.0, 3)
+
 
 class RetryBudgetTest(unittest.TestCase):
     def test_checking_the_budget_does_not_spend_it(self) -> None:
