Send no head for a run without events before it is known to be complete

Callers saw: after a run that ended without events and without a length, and that wasn't shown to be complete, the events of the next run under the head and the signature of the first; on a route that may not be resumed a reset instead of the 502 that says that the outcome is unknown. Cause: the head was marked as sent when the run ended, before the evidence of its completeness was checked. Why it works: a run without events is a plain response with an empty body. It is sent after the check, like any other.

--- a/pondpin/relay/attempts/attempt.py
+++ b/pondpin/relay/attempts/attempt.py
@@ -141,6 +141,11 @@
         self.fault = fault
         self._finish(False)
 
+    @property
+    def rest(self) -> bytes:
+        """Empty lines after the last event."""
+        return self._splitter.rest
+
     def _finish(self, whole: bool) -> None:
         if not self.ended.done():
             self.ended.set_result(whole)
@@ -335,7 +340,10 @@
             return AttemptEnd(
                 EndKind.BROKEN, "the stream broke off", response_end=sink.response_end
             )
-        start_reply()
+        if not progress.head_sent:
+            # Nothing was sent, so this may still turn out to be incomplete and be retried.
+            response = BufferedResponse(head.status, head.headers, sink.rest)
+            return AttemptEnd(EndKind.ANSWERED, response=response, response_end=sink.response_end)
         return AttemptEnd(EndKind.DONE, response_end=sink.response_end)
 
     async def wait_for_end(
--- a/pondpin/tests/test_relay_event_order.py
+++ b/pondpin/tests/test_relay_event_order.py
@@ -293,6 +293,23 @@
     def test_empty_stream_is_complete(self) -> None:
         self.check_complete("stream", [Run(b"", is_whole=True)], b"")
 
+    def test_head_of_a_run_without_events_is_not_sent_before_the_run_is_known_to_be_whole(
+        self,
+    ) -> None:
+        async def work(platform: LocalPlatform, upstreams: ScriptedUpstreams) -> None:
+            received = await receive(platform, "stream")
+            self.assertEqual(received.body, events(1, 2))
+            self.assertIn(f"x-instance-signature: {upstreams.upstreams[1]}", received.head)
+
+        self.script([Run(b"", closes=True), Run(events(1, 2), is_whole=True)], work)
+
+    def test_unproved_stream_without_events_that_may_not_be_retried_gets_an_error(self) -> None:
+        async def work(platform: LocalPlatform, upstreams: ScriptedUpstreams) -> None:
+            received = await receive(platform, "live")
+            self.assertIn(" 502 ", received.head.splitlines()[0])
+
+        self.script([Run(b"", closes=True)], work)
+
 
 class CallersEventIdTest(EventOrderTest):
     def test_old_events_are_dropped(self) -> None:
