Drop no events for a Last-Event-Id on a route that can't be resumed

Callers saw: on a route without resumption, a stream that lacked its events up to the caller's Last-Event-Id and ended as complete; an id of 5,000 digits was answered with 500 (INTERNAL). Cause: the id was read on every route, though upstreams ignore it there, and int() raises above 4,300 digits.

--- a/pondpin/relay/call.py
+++ b/pondpin/relay/call.py
@@ -20,6 +20,7 @@
 MIN_CALLER_TIMEOUT_SECONDS = 2.0
 CALLER_TIMEOUT_TARGETS = 4.0
 CALLER_TIMEOUT_GAPS = 8.0
+MAX_ID_DIGITS = 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,8 +50,8 @@
     @property
     def resume_event_number(self) -> int:
         """The number of the last event that the caller received, -1 for a new stream."""
-        text = self.metadata.resume_after
-        return int(text) if text.isdecimal() else -1
+        text = self.metadata.resume_after if self.route.resumable else ""
+        return int(text) if text.isdecimal() and len(text) <= MAX_ID_DIGITS else -1
 
     @property
     def caller_timeout(self) -> float:
--- a/pondpin/tests/test_relay_event_order.py
+++ b/pondpin/tests/test_relay_event_order.py
@@ -312,6 +312,14 @@
 
 
 class CallersEventIdTest(EventOrderTest):
+    def test_id_on_a_route_that_may_not_be_resumed_drops_no_events(self) -> None:
+        runs = [Run(events(1, 2, 3), is_whole=True)]
+        self.check_complete("live", runs, events(1, 2, 3), headers="Last-Event-Id: 2\r\n")
+
+    def test_huge_id_is_no_error_of_the_instance(self) -> None:
+        headers = f"Last-Event-Id: {'9' * 5000}\r\n"
+        self.check_complete("stream", [Run(b"", is_whole=True)], b"", headers=headers)
+
     def test_old_events_are_dropped(self) -> None:
         runs = [Run(events(1, 2, 3), is_whole=True)]
         self.check_complete("stream", runs, events(3), headers="Last-Event-Id: 2\r\n")
