Reset close-delimited replies of a process that ends

Callers saw: an HTTP/1.0 caller, whose streams have neither a length nor chunks, took a stream for complete when the instance was killed or exited in its middle, and when it was killed before a finished reply was written. Cause: the kernel closes the connections of an ended process in order.

--- a/pondpin/http_reply.py
+++ b/pondpin/http_reply.py
@@ -94,7 +94,7 @@
         self._request.setResponseCode(status)
         for name, value in headers.items():
             self._request.setHeader(name, value)
-        self._request.close_if_stopping()
+        self._begin()
 
     def start_raw(self, status: int, headers: tuple[tuple[bytes, bytes], ...]) -> None:
         """Like start, with unchanged headers, also repeated ones."""
@@ -105,7 +105,14 @@
         self._request.setResponseCode(status)
         for name, value in headers:
             self._request.responseHeaders.addRawHeader(name, value)
+        self._begin()
+
+    def _begin(self) -> None:
         self._request.close_if_stopping()
+        if self._request.clientproto != b"HTTP/1.1":
+            from pondpin.reply_ends import reset_unless_finished
+
+            reset_unless_finished(self._request)
 
     def send_raw(self, status: int, headers: tuple[tuple[bytes, bytes], ...], body: bytes) -> None:
         """Like send, with unchanged headers; without a body their content-length stays."""
@@ -135,15 +142,9 @@
 
     def truncate(self) -> None:
         """End a started reply so that it can't pass for complete, after what was written."""
-        # Without a length or chunks, a closed connection marks the end of a complete body.
-        is_framed = self._request.chunked or self._request.responseHeaders.hasHeader(
-            "content-length"
-        )
-        if not is_framed:
-            self.abort()
-        elif not self.is_closed:
-            self.is_closed = True
-            self._request.channel.loseConnection()
+        from pondpin.reply_ends import truncate
+
+        truncate(self, self._request)
 
     @property
     def channel(self) -> Any:
