Test streams that end in their middle at the instance

A stop, a deadline, a fault of the instance after the head and one while it reads events, for callers of HTTP/1.1 and 1.0 by raw connections: none gets the last chunk or an orderly close.

--- a/pondpin/tests/test_relay_event_order.py
+++ b/pondpin/tests/test_relay_event_order.py
@@ -4,10 +4,14 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Any
 from unittest import mock
 
-from pondpin.relay.attempts.event_order import OrderFault
+from pondpin.relay.attempts.crash_guard import CrashGuard
+from pondpin.relay.attempts.event_order import EventOrder, OrderFault
+from pondpin.relay.attempts.events import Event
 from pondpin.relay.log_events import AttemptEnded, LogEvent
+from pondpin.relay_settings import RelayLimits
 from pondpin.standins.local_platform import HOST, KEY, PLAIN, LocalPlatform, sample_route
 from pondpin.tests.support import RelayTest
 from pondpin.tests.test_event_order import DONE, events
@@ -15,6 +19,7 @@
 EVENT_STREAM = "text/event-stream"
 UPSTREAMS = ("raw-0", "raw-1", "raw-2")
 LAST_CHUNK = b"0\r\n\r\n"
+LATER_SECONDS = 0.1
 # Raises no status, so that a caller can read it.
 OK = "200 OK"
 
@@ -24,6 +29,7 @@
     """What an upstream answers; is_whole: whether it ends as complete.
 
     closes: it has no length, and its upstream stops listening before it closes the connection.
+    later: comes in a read of its own. hangs: its upstream goes on without another event.
     """
 
     body: bytes
@@ -32,6 +38,8 @@
     content_type: str = EVENT_STREAM
     headers: str = ""
     closes: bool = False
+    later: bytes = b""
+    hangs: bool = False
 
     def head(self, attempt: str, upstream: str) -> str:
         framing = "connection: close" if self.closes else "transfer-encoding: chunked"
@@ -101,11 +109,15 @@
             writer.write(run.body)
         elif run.body:
             writer.write(b"%x\r\n%b\r\n" % (len(run.body), run.body))
+        if run.later:
+            await asyncio.sleep(LATER_SECONDS)
+            writer.write(b"%x\r\n%b\r\n" % (len(run.later), run.later))
         if run.is_whole and not run.closes:
             writer.write(LAST_CHUNK if not run.status.startswith("204") else b"")
             return
         await writer.drain()
-        writer.close()
+        if not run.hangs:
+            writer.close()
 
 
 @dataclass(frozen=True)
@@ -142,14 +154,18 @@
 
 
 async def receive(
-    platform: LocalPlatform, route: str, version: str = "1.1", headers: str = ""
+    platform: LocalPlatform,
+    route: str,
+    version: str = "1.1",
+    headers: str = "",
+    deadline_ms: int = 5000,
 ) -> Received:
     """Send a request and read until the connection ends."""
     endpoint = platform.callers[0]
     reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
     writer.write(
         f"POST /{route}/x HTTP/{version}\r\nHost: {HOST}\r\nX-Attempt-Id: r1\r\n"
-        f"Authorization: Bearer {KEY}\r\nX-Deadline-Ms: 5000\r\n{headers}"
+        f"Authorization: Bearer {KEY}\r\nX-Deadline-Ms: {deadline_ms}\r\n{headers}"
         "Connection: close\r\nContent-Length: 0\r\n\r\n".encode()
     )
     data, was_reset = b"", False
@@ -311,6 +327,70 @@
         self.script([Run(b"", closes=True)], work)
 
 
+class EndInTheMiddleTest(EventOrderTest):
+    """Streams that pass events on, and then no more."""
+
+    limits = RelayLimits(grace_seconds=1.0)
+
+    def drive(
+        self,
+        work: Callable[[LocalPlatform, "asyncio.Task[Received]"], Awaitable[None]],
+        run: Run,
+        deadline_ms: int = 5000,
+    ) -> None:
+        for version in ("1.1", "1.0"):
+
+            async def play(
+                platform: LocalPlatform, upstreams: ScriptedUpstreams, version: str = version
+            ) -> None:
+                asking = receive(platform, "live", version, deadline_ms=deadline_ms)
+                task = asyncio.ensure_future(asking)
+                handler = platform.entries[0].handler
+                await platform.until(
+                    lambda: task.done() or any(item.progress.events for item in handler.served)
+                )
+                await work(platform, task)
+                received = await task
+                self.assertFalse(received.looks_complete, received)
+
+            with self.subTest(version=version):
+                self.script([run], play)
+
+    def test_instance_that_stops(self) -> None:
+        async def stop(platform: LocalPlatform, task: "asyncio.Task[Received]") -> None:
+            await platform.entries[0].drain_and_stop()
+            platform.entries.clear()
+
+        self.drive(stop, Run(events(1, 2), hangs=True))
+
+    def test_deadline(self) -> None:
+        async def wait(platform: LocalPlatform, task: "asyncio.Task[Received]") -> None:
+            await task
+
+        self.drive(wait, Run(events(1, 2), hangs=True), deadline_ms=600)
+
+    def test_fault_of_the_instance_after_a_whole_run(self) -> None:
+        async def wait(platform: LocalPlatform, task: "asyncio.Task[Received]") -> None:
+            await task
+
+        with mock.patch.object(CrashGuard, "finish", side_effect=RuntimeError("fault")):
+            self.drive(wait, Run(events(1, 2), is_whole=True))
+
+    def test_fault_of_the_instance_while_it_reads_events(self) -> None:
+        async def wait(platform: LocalPlatform, task: "asyncio.Task[Received]") -> None:
+            await task
+
+        accept = EventOrder.accept
+
+        def fail_later(order: EventOrder, items: list[Event], now: float) -> Any:
+            if items and items[0].number > 1:
+                raise RuntimeError("fault")
+            return accept(order, items, now)
+
+        with mock.patch.object(EventOrder, "accept", fail_later):
+            self.drive(wait, Run(events(1), is_whole=True, later=events(2)))
+
+
 class CallersEventIdTest(EventOrderTest):
     def test_id_on_a_route_that_may_not_be_resumed_drops_no_events(self) -> None:
         runs = [Run(events(1, 2, 3), is_whole=True)]
