--- a/pondpin/relay/call.py
+++ b/pondpin/relay/call.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from pondpin.pacer import Permit
+    from pondpin.relay.passed_events import PassedEvents
     from pondpin.relay.response_ends import ResponseEnd
     from pondpin.relay.slot_results import SlotGrant
 
@@ -19,6 +20,7 @@
 MIN_CALLER_TIMEOUT_SECONDS = 2.0
 CALLER_TIMEOUT_TARGETS = 4.0
 CALLER_TIMEOUT_GAPS = 8.0
+MAX_ID_DIGITS = 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,8 +50,8 @@
     @property
     def resume_event_number(self) -> int:
         """The number of the last event that the caller received, -1 for a new stream."""
-        text = self.metadata.resume_after
-        return int(text) if text.isdecimal() else -1
+        text = self.metadata.resume_after if self.route.resumable else ""
+        return int(text) if text.isdecimal() and len(text) <= MAX_ID_DIGITS else -1
 
     @property
     def caller_timeout(self) -> float:
@@ -158,6 +160,8 @@
     path: str = ""
     events: int = 0
     last_event_number: int = -1
+    # None before the first run of a stream.
+    passed: "PassedEvents | None" = None
     first_event_at: float | None = None
     last_event_at: float = 0.0
     longest_gap: float = 0.0
@@ -173,14 +177,3 @@
     cold_refusals: int = 0
     # The granted slot of a contended upstream, until the attempt ends.
     slot: "SlotGrant | None" = None
-
-    def record_event(self, number: int, now: float) -> None:
-        """Record an event that was sent to the caller."""
-        if self.first_event_at is None:
-            self.first_event_at = now
-        else:
-            self.longest_gap = max(self.longest_gap, now - self.last_event_at)
-        self.last_event_at = now
-        self.events += 1
-        if number >= 0:
-            self.last_event_number = number
--- a/pondpin/relay/response_ends.py
+++ b/pondpin/relay/response_ends.py
@@ -98,8 +98,8 @@
 class ResponseEnd:
     """The end of a response; times are monotonic.
 
-    last_data_at: when the last data before it came. events: of a stream, from its start or from
-    where its caller resumed it; None for a plain response. held_until: when the first of the
+    last_data_at: when the last data before it came. events: with ids that were passed on, from the
+    start or where the caller resumed; None for a plain response. held_until: when the first of the
     request's leases lapses without another renewal, None without leases. releases: of the leases,
     by upstream.
     """
