Time leases by the clock that the ends of responses have

The moment until which leases are held was counted on the event loop's clock, the end of a response on one that also advances while the machine is suspended. After a suspension of the machine each response with leases would have been taken for one whose lease had lapsed. Read in the code before any run showed it; the new test fails without the change. The moments at which lease orders are sent, as notices see them, are of the same clock now.

--- a/pondpin/relay/upstreams/leases.py
+++ b/pondpin/relay/upstreams/leases.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 
+from pondpin.clocks import Clock
 from pondpin.http_streams import CallFailedError
 from pondpin.network import Endpoint
 from pondpin.relay.engine_events import LeaseFailed
@@ -16,6 +17,7 @@
 from pondpin.relay.ports import HeadCallback, LeasePort, LeaseResponse, PartAssignment
 from pondpin.relay.response_ends import Identity
 from pondpin.relay.upstreams.notice_handler import HeadHandler, SentRequest, ignore_head
+from pondpin.runtime import steady_now
 
 # Time until the memory of a dead holder is free again; the deployments allow 4 s.
 HOLD_SECONDS = 3.4
@@ -60,11 +62,13 @@
         has_ended: Callable[[int], bool] = lambda life: False,
         on_head: HeadHandler = ignore_head,
         on_sent: Callable[[int], None] = lambda life: None,
+        clock: Clock = steady_now,
     ) -> None:
         """has_ended: whether a later life replaced a life; on_sent: is called with the life before
         each call, since calls count towards its limit.
         """
         self._on_sent = on_sent
+        self._clock = clock
         self._has_ended = has_ended
         self._on_head = on_head
         self._port = port
@@ -129,7 +133,7 @@
         self, group: LeaseGroup, place: PartAssignment, hold: float = HOLD_SECONDS
     ) -> bool:
         self.calls_sent += 1
-        sent_at = asyncio.get_running_loop().time()
+        sent_at = self._clock()
         self._on_sent(place.life)
         try:
             answer = await self._port.reserve(
@@ -149,7 +153,7 @@
         return True
 
     def _head_callback(self, place: PartAssignment) -> HeadCallback:
-        sent_at = asyncio.get_running_loop().time()
+        sent_at = self._clock()
         request = SentRequest(place.upstream, place.life, "lease", sent_at)
         return lambda head: self._on_head(request, head)
 
--- a/pondpin/tests/test_relay_leases.py
+++ b/pondpin/tests/test_relay_leases.py
@@ -72,6 +72,15 @@
 
         run_async(work())
 
+    def test_leases_are_timed_by_a_clock_that_counts_suspensions(self) -> None:
+        async def work() -> None:
+            leases = LeaseManager(FakeEngines({}), "x", ListLog(), clock=lambda: 5000.0)
+            group, _ = await leases.acquire("r", PLACES, 1000)
+            assert group is not None
+            self.assertEqual(group.held_until, 5000.0 + HOLD_SECONDS)
+
+        run_async(work())
+
     def test_lease_names_are_unique(self) -> None:
         async def work() -> None:
             leases = LeaseManager(FakeEngines({}), "x", ListLog())
