Take a refusal that says it did not run for that when its body breaks off

Callers of requests that may not run twice got 502 (outcome unknown) for a response whose head says that it was not executed, if its body broke off or was unproved. The head alone is the promise; the request goes elsewhere now. A body over a bound stays a fault of the upstream. The test failed before with 502.

--- a/pondpin/relay/attempts/attempt.py
+++ b/pondpin/relay/attempts/attempt.py
@@ -294,19 +294,22 @@
     async def _read_whole(
         self, call: RelayCall, start: StreamedResponse, head: ResponseHead, began: float
     ) -> AttemptEnd:
+        not_executed = AttemptEnd(
+            EndKind.NOT_EXECUTED, f"status {head.status}", failed_endpoint=head.failed_endpoint
+        )
         try:
             body = await asyncio.wait_for(
                 start.read(close_delimited_if=has_other_evidence),
                 self._time_left(call, None, began),
             )
         except CallFailedError as error:
+            if head.not_executed and error.fault is None:
+                return not_executed
             return AttemptEnd(EndKind.BROKEN, str(error), fault=error.fault)
         except TimeoutError:
             return AttemptEnd(EndKind.STALLED, "the answer stopped")
         if head.not_executed:
-            return AttemptEnd(
-                EndKind.NOT_EXECUTED, f"status {head.status}", failed_endpoint=head.failed_endpoint
-            )
+            return not_executed
         response = BufferedResponse(head.status, head.headers, body)
         now = self._clock()
         end = describe_end(start.body_end, now, now) if start.body_end is not None else None
--- a/pondpin/tests/test_relay_event_order.py
+++ b/pondpin/tests/test_relay_event_order.py
@@ -305,6 +305,16 @@
         self.check_truncated("stream", runs, b"", version="1.0")
 
 
+class NotExecutedTest(EventOrderTest):
+    def test_refusal_whose_body_breaks_off_has_not_run(self) -> None:
+        async def work(platform: LocalPlatform, upstreams: ScriptedUpstreams) -> None:
+            received = await receive(platform, "live")
+            self.assertEqual((received.looks_complete, received.body), (True, events(1) + DONE))
+
+        refusal = Run(b"{", status="503 Busy", headers="x-not-executed: 1\r\n")
+        self.script([refusal, Run(events(1) + DONE, is_whole=True)], work)
+
+
 class StreamWithoutEventsTest(EventOrderTest):
     def test_empty_stream_is_complete(self) -> None:
         self.check_complete("stream", [Run(b"", is_whole=True)], b"")
