--- a/pondpin/tests/test_relay_tunnel_ends.py
+++ b/pondpin/tests/test_relay_tunnel_ends.py
@@ -226,12 +226,15 @@
 class CountTest(unittest.TestCase):
     """The number of tunnels through a peer, by which peers are chosen."""
 
-    def test_tunnel_that_ended_before_its_use_is_not_counted_as_open(self) -> None:
+    def play(self, first: bytes) -> list[int]:
+        """Open a tunnel to a peer that closes it later; returns the counts of open tunnels."""
+        writers: list[asyncio.StreamWriter] = []
+        counts: list[int] = []
+
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
             await reader.readuntil(HEAD_END)
-            # In one segment: the connection is lost before it is handed over.
-            writer.write(encode_answer(Code.OK, is_framed=True) + RESET)
-            writer.close()
+            writer.write(first)
 
         async def work() -> None:
             server = await asyncio.start_server(serve, HOST, 0)
@@ -244,11 +247,23 @@
             metrics = Metrics(SENDER, "north")
             tunnels = PeerTunnels(TunnelSettings(KEY, port), client, gossip, metrics)
             connection = await tunnels.open(Endpoint("10.0.0.1", 80), recorders())
+            self.assertEqual(connection.path, "relay-1")
+            counts.append(tunnels.open_count)
+            writers[0].close()
             await wait_until(lambda: connection.errors)
-            self.assertEqual((connection.path, tunnels.open_count), ("relay-1", 0))
+            counts.append(tunnels.open_count)
             server.close()
 
         run_async(work())
+        return counts
+
+    def test_tunnel_counts_as_open_until_its_end(self) -> None:
+        self.assertEqual(self.play(encode_answer(Code.OK, is_framed=True)), [1, 0])
+
+    def test_tunnel_that_ended_before_its_use_is_not_counted_as_open(self) -> None:
+        # In one segment: the connection is lost before it is handed over.
+        counts = self.play(encode_answer(Code.OK, is_framed=True) + RESET)
+        self.assertEqual(counts, [0, 0])
 
 
 class Rig:
