--- a/pondpin/tests/test_relay_tunnel_ends.py
+++ b/pondpin/tests/test_relay_tunnel_ends.py
@@ -493,6 +493,22 @@
 
         self.play(work)
 
+    def test_peer_closes_its_connection_after_the_upstreams_end(self) -> None:
+        async def work(rig: Rig) -> None:
+            reader, writer = await asyncio.open_connection(rig.place.host, rig.place.port)
+            writer.write(encode_request(rig.make_request(is_framed=True)))
+            head = await reader.readuntil(HEAD_END)
+            self.assertTrue(has_framing(head[: -len(HEAD_END)]))
+            await wait_until(lambda: rig.upstream is not None)
+            rig.writer.write(HALF)
+            self.assertEqual(await reader.readexactly(len(framed(HALF))), framed(HALF))
+            rig.writer.close()
+            self.assertEqual(await reader.read(), CLOSED)
+            await wait_until(lambda: not rig.server.ends)
+            writer.close()
+
+        self.play(work)
+
 
 class PeerProcessTest(unittest.TestCase):
     """A peer in a process of its own, whose kernel ends its connections."""
