Close responses whose head arrives as their request is given up

An upstream went on with a request whose caller had left, for as long as it ran: the response's connection stayed open and unread. Three cases: the head arrives after the call's future was cancelled and before that cancels the call (Twisted drops the result); the attempt is cancelled with the call already done; the attempt is given up after a status query during which the head arrived.

--- a/pondpin/http_client.py
+++ b/pondpin/http_client.py
@@ -269,7 +269,16 @@
         return await self._receive_head(agent.request_raw(call, endpoint, withhold_reason))
 
     async def _receive_head(self, call: Any) -> StreamedResponse:
-        future: asyncio.Future[Any] = call.asFuture(asyncio.get_running_loop())
+        future: asyncio.Future[Any] | None = None
+
+        def close_if_cancelled(response: Any) -> Any:
+            # The future drops a response that arrives before it has cancelled the call.
+            if future is not None and future.cancelled():
+                StreamedResponse(0, {}, response).close_unread()
+            return response
+
+        call.addCallback(close_if_cancelled)
+        future = call.asFuture(asyncio.get_running_loop())
         try:
             response = await future
         except WithheldError:
--- a/pondpin/relay/attempts/attempt.py
+++ b/pondpin/relay/attempts/attempt.py
@@ -154,6 +154,12 @@
             self.ended.set_result(whole)
 
 
+def abort_if_opened(opening: "asyncio.Future[StreamedResponse]") -> None:
+    """Reset the connection of a response that is of no use any more."""
+    if not opening.cancelled() and opening.exception() is None:
+        opening.result().abort()
+
+
 class AttemptRunner:
     """Runs attempts over HTTP."""
 
@@ -213,6 +219,7 @@
     ) -> StreamedResponse | None:
         """Send and wait for the head; None if it stalled or the deadline passed."""
         opening = asyncio.ensure_future(self._http.open_raw(exact, fresh, observer.withhold_reason))
+        is_returned = False
         try:
             while True:
                 left = self._stall_time_left(call, timeouts.first_event_seconds, began, observer)
@@ -220,11 +227,14 @@
                     return None
                 done, _ = await asyncio.wait((opening,), timeout=min(left, POLL_SECONDS))
                 if done:
+                    is_returned = True
                     return opening.result()
                 if await self._is_unresponsive(timeouts, observer, began):
                     return None
         finally:
-            opening.cancel()
+            if not opening.cancel() and not is_returned:
+                # The head arrived as the request was given up: its upstream still works on it.
+                abort_if_opened(opening)
 
     def _exact_call(
         self,
