Play ends of workers in the middle of responses without a length in the soak

Workers answer 0.4 of the attempts without a fault without a length. The fault UNFRAMED_END is played again there: that the proxies outlive a worker is one of these orders. Requests then have bodies of their own, as a body that runs at several ends is rightly suspected, and no deadly requests are sent.

A response that its caller took for whole and that lacks its last events or bytes is a promise of its own. The row of PromisesTest for a stream cut at its end moves there with three more; the promise of order is now shown by a stream that lacks its beginning. Streams ask for as many tokens as their events hold.

--- a/pondpin/soak/breaking.py
+++ b/pondpin/soak/breaking.py
@@ -23,10 +23,11 @@
 STOP_SECONDS = 6.0
 # A copy is this much older than was asked for at most.
 COPY_SLACK_SECONDS = 0.5
-# A soak's proxies listen a moment longer than their worker, so that a response closed at its end
-# looks whole.
-UNPLAYED_FAULTS = (WorkerFault.NONE, WorkerFault.UNFRAMED_END)
-WORKER_FAULTS = tuple(fault.value for fault in WorkerFault if fault not in UNPLAYED_FAULTS)
+# A worker ends with these for no cause of the request that it runs.
+ENDS = (WorkerFault.UNFRAMED_END,)
+WORKER_FAULTS = tuple(
+    fault.value for fault in WorkerFault if fault not in (WorkerFault.NONE, *ENDS)
+)
 # The list is written by others this often: restarts of workers, odd entries beside and over theirs.
 LIST_GAP_SECONDS = 1.5
 RESTART_SHARE = 0.5
@@ -56,22 +57,30 @@
     """A deployment that is broken by the draws of a seed."""
 
     def __init__(
-        self, reactor: Any, seed: int, size: Size, place: Place, folder: Path, seeds: int
+        self,
+        reactor: Any,
+        seed: int,
+        size: Size,
+        place: Place,
+        folder: Path,
+        seeds: int,
+        ends: bool = False,
     ) -> None:
-        """seeds: instances that the settings name to every other one."""
+        """seeds: instances that the settings name to every other one; ends: workers also end."""
         super().__init__(reactor, size, place, folder, seeds)
         self.rng = random.Random(seed)
         self.seed = seed
         # Draws of its own, so that a seed's other faults stay what they were.
         self._stop_rng = random.Random(f"{seed} stop")
         self.faults: list[str] = []
+        self._worker_faults = WORKER_FAULTS + tuple(fault.value for fault in ENDS if ends)
         # Keys that were taken away, and when.
         self.ended_at_by_key: dict[str, float] = {}
         # The store may have lost what was written after this.
         self._copied_at = float("inf")
         self._restored_at = 0.0
         self.notices = NoticeLoad(
-            seed, list(self.workers), self._say, self._restart_worker, self._list_leaving
+            seed, list(self.workers), self._say, self._restart_worker, self.list_leaving
         )
 
     async def break_some(self, end: float) -> None:
@@ -159,7 +168,8 @@
     async def _say(self, name: str, leaves: bool, rest: str, limit: str) -> None:
         await self.post(self.port_by_worker[name], "/soak/say", Say(leaves, rest, limit))
 
-    async def _list_leaving(self, name: str) -> None:
+    async def list_leaving(self, name: str) -> None:
+        """Write a worker's entry as that of one that leaves."""
         await self.write_entry(name, self.entry_of(name) | {"state": "draining"})
 
     def _later(self, seconds: float, action: Callable[[], None]) -> None:
@@ -167,7 +177,7 @@
 
     async def _fault_worker(self) -> str:
         name = self.rng.choice(list(self.workers))
-        faults = tuple(self.rng.choices(WORKER_FAULTS, k=self.rng.randint(1, 5)))
+        faults = tuple(self.rng.choices(self._worker_faults, k=self.rng.randint(1, 5)))
         await self.steer(name, faults)
         return f"{name} {','.join(faults)}"
 
--- a/pondpin/soak/deployment.py
+++ b/pondpin/soak/deployment.py
@@ -16,7 +16,7 @@
 from pondpin.soak.processes import Managed
 from pondpin.soak.promises import Findings
 from pondpin.soak.proxy import Proxy
-from pondpin.soak.standin import Audit, Put, Steer
+from pondpin.soak.standin import Audit, End, Put, Steer
 from pondpin.standins.local_platform import (
     CENTERS,
     ENGINES,
@@ -30,6 +30,7 @@
     EVACUATIONS_PREFIX,
     UPSTREAMS_PREFIX,
 )
+from pondpin.standins.worker_ends import WorkerEnd
 
 EVENTS = 8
 EVENT_MS = 20
@@ -235,12 +236,16 @@
         order = Steer(faults, deadly=self.deadly_bodies, deadly_segments=self.deadly_segments)
         await self.post(self.port_by_worker[name], "/soak/steer", order)
 
+    async def end_worker(self, name: str, how: WorkerEnd) -> None:
+        """Let a worker's connections close in order; it is back after a while."""
+        await self.post(self.port_by_worker[name], "/soak/end", End(how))
+
     def _relist_soon(self, name: str) -> None:
-        task = asyncio.ensure_future(self._relist(name))
+        task = asyncio.ensure_future(self.relist(name))
         self._relisting.add(task)
         task.add_done_callback(self._relisting.discard)
 
-    async def _relist(self, name: str) -> None:
+    async def relist(self, name: str) -> None:
         """A worker is back: its entry tells the start of its life."""
         try:
             body = await self.post(self.port_by_worker[name], "/soak/audit", {})
--- a/pondpin/soak/promises.py
+++ b/pondpin/soak/promises.py
@@ -8,6 +8,8 @@
 
 NOT_RUN = (408, 421, 429, 503)
 OK = 200
+# What the client took for whole lacks nothing that its upstream had still to write.
+COMPLETE = "a complete response lacks nothing"
 # Left out of the log line while it is 0.
 UNANSWERED = re.compile(rb'"unanswered":([1-9][0-9]*)')
 
@@ -61,9 +63,17 @@
         findings.add("a success ran", item.attempt)
     if item.route == "stream":
         expected = stream_body(events)
-        if item.body != expected:
+        if item.body != expected and expected.startswith(item.body):
+            findings.add(COMPLETE, f"{item.attempt}: {item.body[-80:]!r}")
+        elif item.body != expected:
             findings.add("a stream is whole and in order", f"{item.attempt}: {item.body[-80:]!r}")
-    elif not item.body.endswith(f"answers {item.attempt}".encode()):
+        return
+    expected = f" answers {item.attempt}".encode()
+    if item.body.endswith(expected):
+        return
+    if (item.body.partition(b" ")[0] + expected).startswith(item.body):
+        findings.add(COMPLETE, f"{item.attempt}: {item.body!r}")
+    else:
         findings.add("an answer belongs to its request", f"{item.attempt}: {item.body[:80]!r}")
 
 
--- a/pondpin/soak/run.py
+++ b/pondpin/soak/run.py
@@ -33,7 +33,8 @@
 from pondpin.soak.proxy import Link
 from pondpin.soak.restores import RestoreLoad
 from pondpin.soak.standin import Audit, Death
-from pondpin.standins.local_platform import CENTERS, HOST
+from pondpin.soak.truncation import TruncationLoad
+from pondpin.standins.local_platform import CENTERS, ENGINE_FIGURES, HOST
 from pondpin.standins.wishes import Arrival, Wishes
 
 SEEDS_FILE = Path(__file__).parent / "seeds.txt"
@@ -44,6 +45,8 @@
 PROMPT_TOKENS = (2000, 5000, 60_000, 300_000, 700_000)
 CALM_TOKENS = (2000, 5000)
 DEADLY_TOKENS = 5000
+# A whole answer has as many events as these tokens have at most.
+ANSWER_TOKENS = EVENTS * int(ENGINE_FIGURES["stride"])
 # Twice the requests that the workers of a soak of the usual size would take by turns.
 LIFTING_REQUESTS = 30
 # The word after a seed that failed with requests that end workers.
@@ -77,9 +80,11 @@
         folder: Path,
         deadly: bool = True,
         segments: bool = True,
+        ends: bool = False,
     ) -> None:
+        """deadly: with requests that end workers; ends: workers also end for no cause of theirs."""
         # Two that started while the only seed was down would not know of each other.
-        super().__init__(reactor, seed, size, place, folder, seeds=3 if deadly else 1)
+        super().__init__(reactor, seed, size, place, folder, 3 if deadly else 1, ends)
         self.seconds = seconds
         self.seen: list[Seen] = []
         self._asked_versions = 0
@@ -109,6 +114,19 @@
             self.instances,
             [(place.instance(number), CONTROL_PORT) for number in range(size.instances)],
         )
+        self.truncation: TruncationLoad | None = None
+        if ends:
+            self.truncation = TruncationLoad(
+                seed,
+                list(self.workers),
+                lambda attempt: self._spawn(self._ask(attempt, CALM_TOKENS, self._cut_rng)),
+                self.end_worker,
+                self.list_leaving,
+                self.relist,
+            )
+        self._cut_rng = random.Random(f"{seed} cut")
+        # Responses without a length, and those of them whose connection closed early.
+        self.unframed = self.unframed_cut = 0
         self.deadly: DeadlyLoad | None = None
         if deadly:
             self.deadly = DeadlyLoad(seed, self._ask_deadly, self.is_anybody_up, segments)
@@ -123,9 +141,11 @@
             end = time.monotonic() + self.seconds
             if self.deadly is not None:
                 await self.make_deadly(tuple(ROUTE_BY_BODY), SEGMENTS)
-                deadly = [self.deadly.play(end)]
+                more = [self.deadly.play(end)]
             else:
-                deadly = []
+                more = []
+            if self.truncation is not None:
+                more.append(self.truncation.play(end))
             await asyncio.gather(
                 self._load(end),
                 self.break_some(end),
@@ -134,7 +154,7 @@
                 self.restores.play(end),
                 self.evacuations.play(end),
                 self.partitions.play(end),
-                *deadly,
+                *more,
             )
             await self._recover()
             await asyncio.gather(*self._tasks)
@@ -146,6 +166,8 @@
             self.partitions.check(self.findings)
             self.faults += self.notices.faults + self.restores.faults + self.evacuations.faults
             self.faults += self.partitions.faults
+            if self.truncation is not None:
+                self.faults += self.truncation.faults
             if self.deadly is not None:
                 self.deadly.check(self.deaths, self.seen, self.findings)
         finally:
@@ -183,17 +205,25 @@
         await self._send(Question(attempt, version_route(version), host, self.keys[0], 0), False)
         return next(item.status for item in reversed(self.seen) if item.attempt == attempt)
 
-    async def _ask(self, attempt: str, sizes: tuple[int, ...] = PROMPT_TOKENS) -> None:
-        route = self.rng.choice(ROUTES)
-        number = self.rng.randrange(len(self.instances))
+    async def _ask(
+        self,
+        attempt: str,
+        sizes: tuple[int, ...] = PROMPT_TOKENS,
+        draws: random.Random | None = None,
+    ) -> None:
+        rng = self.rng if draws is None else draws
+        route = rng.choice(ROUTES)
+        number = rng.randrange(len(self.instances))
         host, attempt = self.place.instance(number), f"relay-{number}.{attempt}"
         known = [*self.keys, *self.ended_at_by_key]
-        key = self.rng.choice(known)
+        key = rng.choice(known if draws is None else self.keys)
         ended_at = self.ended_at_by_key.get(key)
         key_ended = ended_at is not None and time.monotonic() > ended_at + KEY_SECONDS
-        tokens = self.rng.choice(sizes) if route == "stream" else 0
+        tokens = rng.choice(sizes) if route == "stream" else 0
         segments = segments_of(attempt, route)
-        question = Question(attempt, route, host, key, tokens, segments=segments)
+        # Any request that runs when a worker ends for no cause of its own is suspected.
+        body = b"q" if self.truncation is None else attempt.encode()
+        question = Question(attempt, route, host, key, tokens, body, segments)
         await self._send(question, key_ended)
 
     async def _send(self, call: "Question", key_ended: bool) -> None:
@@ -204,7 +234,7 @@
             "authorization": f"Bearer {call.key}",
         }
         if call.route == "stream":
-            headers["x-token-usage"] = f"{call.tokens},300"
+            headers["x-token-usage"] = f"{call.tokens},{ANSWER_TOKENS}"
         if call.segments:
             headers["x-prompt-prefix"] = call.segments
         url = f"http://{call.host}:{CALLER_PORT}/{call.route}/x"
@@ -253,6 +283,8 @@
             audit = msgspec.json.decode(body, type=Audit)
             self.runs.update(audit.runs)
             self.deaths += audit.deaths
+            self.unframed += audit.unframed
+            self.unframed_cut += audit.unframed_cut
             self.arrivals[name] = [[Arrival(*item) for item in life] for life in audit.arrivals]
             self.wishes[name] = [
                 Wishes(life, list(others))
@@ -275,15 +307,17 @@
     keep: Path,
     deadly: bool = True,
     segments: bool = True,
+    ends: bool = False,
 ) -> bool:
     """Play one seed; tells and returns whether every promise held."""
     folder = keep / f"seed-{seed}"
     folder.mkdir(parents=True, exist_ok=True)
-    soak = Soak(reactor, seed, seconds, size, place, folder, deadly, segments)
+    soak = Soak(reactor, seed, seconds, size, place, folder, deadly, segments, ends)
     await soak.play()
     held = not soak.findings.lines
     (folder / "faults.txt").write_text("\n".join(soak.faults) + "\n")
     print(f"seed {seed}: {'held' if held else 'BROKEN'}; {count_statuses(soak.seen)}", flush=True)
+    print(f"  without a length: {soak.unframed}, closed early: {soak.unframed_cut}", flush=True)
     for line in soak.findings.lines[:20]:
         print(f"  {line}", flush=True)
     if not held:
@@ -307,9 +341,12 @@
     plain: int = 3,
     place: int = 0,
     folder: str = "",
+    ends: bool = False,
 ) -> ParsedCommand:
     """Play seeds from seed on; 0 draws a fresh one. Logs stay in the folder.
 
+    ends: workers end in the middle of responses, instead of by requests that end them.
+
     Soaks that run at the same time need a place each, from 0 on.
     """
     first = seed or random.SystemRandom().randrange(1, 1 << 30)
@@ -325,8 +362,9 @@
     async def play_all(reactor: Any) -> int:
         failed = 0
         for number in range(first, first + seeds):
+            size = Size(instances, engines, plain)
             held = await play_seed(
-                reactor, number, seconds, Size(instances, engines, plain), Place(place), keep
+                reactor, number, seconds, size, Place(place), keep, not ends, not ends, ends
             )
             failed += not held
         print(f"{seeds - failed} passed, {failed} failed", flush=True)
--- a/pondpin/soak/standin.py
+++ b/pondpin/soak/standin.py
@@ -13,12 +13,15 @@
 from pondpin.standins.published_store import PublishedStore, StoreFault
 from pondpin.standins.store_state import StoreCopy
 from pondpin.standins.worker import Worker, WorkerFault
+from pondpin.standins.worker_ends import WorkerEnd, end_worker
 
 # Workers of the users are back after some seconds.
 RETURN_SECONDS = 2.0
 # The store is copied this often, and the last copies are kept.
 COPY_SECONDS = 0.5
 KEPT_COPIES = 12
+# Responses of workers that end with their connection.
+UNFRAMED_SHARE = 0.4
 
 
 class Put(msgspec.Struct, frozen=True):
@@ -59,6 +62,12 @@
     limit: str = ""
 
 
+class End(msgspec.Struct, frozen=True):
+    """The end of a worker's life; it is back after a while."""
+
+    how: WorkerEnd
+
+
 class Death(msgspec.Struct, frozen=True):
     """A run of a deadly body or segment: when it began, in Unix seconds."""
 
@@ -69,10 +78,11 @@
 class Audit(msgspec.Struct, frozen=True):
     """What a worker saw: runs by attempt, requests meant for other ids, leases still held.
 
-    deaths: deadly requests that it began to run; arrivals: what reached each of its lives, as
-    sender, moment in Unix seconds, whether it said that it leaves, the rest that it asked for and
-    the limit that it named, and whether no head came; others: when anything else came, liveness
-    checks and the like.
+    deaths: deadly requests that it began to run; unframed, unframed_cut: responses without a
+    length, and those of them whose connection closed early; arrivals: what reached each of its
+    lives, as sender, moment in Unix seconds, whether it said that it leaves, the rest that it asked
+    for and the limit that it named, and whether no head came; others: when anything else came,
+    liveness checks and the like.
     """
 
     runs: dict[str, int]
@@ -81,6 +91,8 @@
     misdirected: dict[str, int]
     deaths: tuple[Death, ...]
     born: int | None
+    unframed: int = 0
+    unframed_cut: int = 0
     arrivals: tuple[tuple[tuple[str, float, bool, float, float | None, bool], ...], ...] = ()
     others: tuple[tuple[float, ...], ...] = ()
 
@@ -141,12 +153,15 @@
     async def serve(reactor: Any) -> int:
         stop = stop_on_signals()
         standin = Worker(reactor, str(name), events=events, event_seconds=event_ms / 1000)
+        standin.unframed_share = UNFRAMED_SHARE
         place = parse_endpoint(address)
         loop = asyncio.get_running_loop()
 
         def come_back() -> None:
+            standin.id = str(name)
             standin.start_again(time.time_ns() // 1_000_000)
-            standin.listen(place)
+            if standin.server.port is None:
+                standin.listen(place)
 
         standin.on_crash = lambda: loop.call_later(RETURN_SECONDS, come_back)
 
@@ -173,6 +188,8 @@
                     misdirected,
                     tuple(Death(body.decode(), at) for body, at in standin.deadly_runs),
                     standin.born,
+                    standin.unframed_runs,
+                    standin.unframed_cut,
                     tuple(
                         tuple(
                             (
@@ -191,6 +208,12 @@
                 )
             )
 
+        async def end(incoming: IncomingRequest, reply: Reply) -> None:
+            order = msgspec.json.decode(incoming.body, type=End)
+            reply.send_json({})
+            loop.call_later(RETURN_SECONDS, come_back)
+            await end_worker(standin, order.how)
+
         async def say(incoming: IncomingRequest, reply: Reply) -> None:
             wish = msgspec.json.decode(incoming.body, type=Say)
             standin.says_leaving, standin.rest = wish.leaves, wish.rest
@@ -200,6 +223,7 @@
         standin.server.route("/soak/steer", steer)
         standin.server.route("/soak/audit", audit)
         standin.server.route("/soak/say", say)
+        standin.server.route("/soak/end", end)
         standin.listen(place)
         await stop.wait()
         await asyncio.sleep(0)
--- a/pondpin/standins/worker.py
+++ b/pondpin/standins/worker.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 import time
+import zlib
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -11,7 +12,7 @@
 import msgspec
 
 from pondpin.http_reply import IncomingRequest, Reply
-from pondpin.http_server import WebServer
+from pondpin.http_server import Handler, WebServer
 from pondpin.network import Endpoint
 from pondpin.standins.misbehaviour import (
     ABORT_SECONDS,
@@ -99,6 +100,13 @@
     lasting_fault: WorkerFault = WorkerFault.NONE
     draining: bool = False
     ignores_resuming: bool = False
+    # Of the attempts without a fault, so many are answered without a length.
+    unframed_share: float = 0.0
+    unframed_runs: int = 0
+    # Of those, the ones whose connection closed before they had been written.
+    unframed_cut: int = 0
+    # Accepts connections and answers nothing.
+    is_silent: bool = False
     seen: list[Seen] = field(default_factory=list)
     # Requests that were meant for another id.
     misdirected_by_id: Counter[str] = field(default_factory=Counter)
@@ -143,10 +151,10 @@
     def __post_init__(self) -> None:
         """Set up the server."""
         self.server = WebServer(self.reactor)
-        self.server.route("", self._serve)
-        self.server.route("/healthz", self._health)
-        self.server.route("/v1/order", self._order)
-        self.server.route("/v1/report", self._report)
+        self.server.route("", self._unless_silent(self._serve))
+        self.server.route("/healthz", self._unless_silent(self._health))
+        self.server.route("/v1/order", self._unless_silent(self._order))
+        self.server.route("/v1/report", self._unless_silent(self._report))
 
     def listen(self, endpoint: Endpoint) -> Endpoint:
         """Listen; returns the endpoint with its port."""
@@ -177,11 +185,20 @@
         self.born = born
         self.lease_by_id.clear()
         self.faults.clear()
-        self.draining = self.says_leaving = False
+        self.draining = self.says_leaving = self.is_silent = False
         self.rest = self.limit = ""
         self.ended_wishes.append(self.wishes)
         self.wishes = Wishes()
 
+    def _unless_silent(self, handler: Handler) -> Handler:
+        async def handle(incoming: IncomingRequest, reply: Reply) -> None:
+            if self.is_silent:
+                await self._hang(reply)
+            else:
+                await handler(incoming, reply)
+
+        return handle
+
     async def _health(self, incoming: IncomingRequest, reply: Reply) -> None:
         self.probes += 1
         self.wishes.others.append(time.time())
@@ -335,6 +352,8 @@
         if cause:
             await self._crash_soon(incoming, reply, headers, cause)
             return
+        if fault is WorkerFault.NONE and self._is_unframed(attempt):
+            fault = WorkerFault.UNFRAMED
         if fault is WorkerFault.FOREIGN:
             headers["x-attempt-id"] = "somebody-else"
         if fault is WorkerFault.UNSIGNED:
@@ -347,7 +366,10 @@
             if self.call_seconds:
                 await asyncio.sleep(self.call_seconds)
             headers = self._marked(headers)
-            self._answer(reply, headers, attempt, fault)
+            await self._answer(reply, headers, attempt, fault)
+
+    def _is_unframed(self, attempt: str) -> bool:
+        return zlib.crc32(attempt.encode()) < self.unframed_share * (1 << 32)
 
     def _deadly_cause(self, incoming: IncomingRequest) -> bytes:
         """The body or segment of a request that ends the worker, empty for none."""
@@ -374,7 +396,7 @@
                 return
             await asyncio.sleep(0.01)
 
-    def _answer(
+    async def _answer(
         self, reply: Reply, headers: dict[str, str], attempt: str, fault: WorkerFault
     ) -> None:
         body = f"{self.id} answers {attempt}".encode()
@@ -383,7 +405,12 @@
             reply.write(body[: len(body) // HALF])
             abort_after_write(reply)
         elif fault in UNFRAMED:
-            write_raw(reply, _head(headers) + b"connection: close\r\n\r\n" + body)
+            half = len(body) // HALF
+            write_raw(reply, _head(headers) + b"connection: close\r\n\r\n" + body[:half])
+            if fault is WorkerFault.UNFRAMED:
+                await asyncio.sleep(self.event_seconds)
+                self._count_unframed(reply)
+            write_raw(reply, body[half:])
             self._end_unframed(reply, fault)
         else:
             reply.send(200, headers, body)
@@ -391,6 +418,10 @@
                 size = str(len(body)).encode()
                 write_raw(reply, _head(headers) + b"content-length: " + size + b"\r\n\r\n" + body)
 
+    def _count_unframed(self, reply: Reply) -> None:
+        self.unframed_runs += 1
+        self.unframed_cut += reply.is_closed
+
     def _end_unframed(self, reply: Reply, fault: WorkerFault) -> None:
         if fault is WorkerFault.UNFRAMED_RESET:
             abort_after_write(reply)
@@ -419,6 +450,8 @@
         for number in range(first, last + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             is_cut = fault is WorkerFault.UNFRAMED_EVENT and number == last
+            if number == last and fault is WorkerFault.UNFRAMED:
+                self._count_unframed(reply)
             write_raw(reply, event[: len(event) // HALF] if is_cut else event)
             await asyncio.sleep(self.event_seconds)
         self._end_unframed(reply, fault)
--- a/pondpin/tests/test_soak.py
+++ b/pondpin/tests/test_soak.py
@@ -42,7 +42,11 @@
             ("a 'not run' is true", Seen("a", "once", 503, b"", False), {"a": 1}),
             ("a key that was taken away", Seen("a", "again", 401, b"", True), {"a": 1}),
             ("a success ran", Seen("a", "again", 200, b"w answers a", False), {}),
-            ("a stream is whole", Seen("a", "stream", 200, whole[:-5], False), {"a": 1}),
+            ("a stream is whole", Seen("a", "stream", 200, whole[5:], False), {"a": 1}),
+            ("a complete response", Seen("a", "stream", 200, whole[:-5], False), {"a": 1}),
+            ("a complete response", Seen("a", "stream", 200, b"", False), {"a": 1}),
+            ("a complete response", Seen("a", "again", 200, b"w ans", False), {"a": 1}),
+            ("a complete response", Seen("a", "once", 200, b"", False), {"a": 1}),
             ("an answer belongs", Seen("a", "again", 200, b"w answers b", False), {"a": 1}),
             ("a worker ran what nobody sent", Seen("a", "again", 0, b"", False), {"b": 1}),
         )
