--- a/pondpin/soak/partitions.py
+++ b/pondpin/soak/partitions.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import random
+import signal
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -18,6 +19,8 @@
 FORMS = (Cut.RESET, Cut.REFUSE, Cut.SILENT)
 # Requests at cut instances count from this long after the cut.
 SETTLED_SECONDS = 1.5
+# A peer that is killed while others are cut is back after this time.
+PEER_BACK_SECONDS = (0.1, 1.0)
 # With fewer requests on either side a share says nothing.
 MIN_REQUESTS = 20
 # Callers at cut instances are served at least this often, compared with the others.
@@ -63,9 +66,16 @@
     """Cuts instances from the workers, and compares how callers are served."""
 
     def __init__(
-        self, seed: int, instances: Sequence[Managed], controls: Sequence[tuple[str, int]]
+        self,
+        seed: int,
+        instances: Sequence[Managed],
+        controls: Sequence[tuple[str, int]],
+        on_kill: Callable[[str], None] | None = None,
     ) -> None:
+        """on_kill: is called with the name of each peer that is killed; none without it."""
         self._rng = random.Random(f"{seed} partitions")
+        self._peer_rng = random.Random(f"{seed} peers")
+        self._on_kill = on_kill
         self._instances = instances
         self._controls = controls
         self._windows: list[Window] = []
@@ -87,10 +97,24 @@
             self.faults.append(f"{sorted(numbers)} cut from all workers: {form.value}")
             begin = time.monotonic()
             await self._set(numbers, form)
-            await asyncio.sleep(lasting)
+            await asyncio.sleep(lasting / 2)
+            self._kill_peer(numbers)
+            await asyncio.sleep(lasting / 2)
             self._windows.append(Window(frozenset(numbers), begin, time.monotonic()))
             await self._set(numbers, Cut.NONE)
 
+    def _kill_peer(self, cut: Sequence[int]) -> None:
+        """Kill a peer whose tunnels carry what cut instances send."""
+        peers = [item for number, item in enumerate(self._instances) if number not in cut]
+        if self._on_kill is None or not peers:
+            return
+        peer = self._peer_rng.choice(peers)
+        peer.send(signal.SIGKILL)
+        self._on_kill(peer.name)
+        self.faults.append(f"{peer.name} killed while {sorted(cut)} cut")
+        seconds = self._peer_rng.uniform(*PEER_BACK_SECONDS)
+        asyncio.get_running_loop().call_later(seconds, peer.start)
+
     async def _set(self, numbers: Sequence[int], form: Cut) -> None:
         self._cut = frozenset() if form is Cut.NONE else frozenset(numbers)
         for number in numbers:
--- a/pondpin/soak/run.py
+++ b/pondpin/soak/run.py
@@ -113,6 +113,7 @@
             seed,
             self.instances,
             [(place.instance(number), CONTROL_PORT) for number in range(size.instances)],
+            self.notices.troubles.note if ends else None,
         )
         self.truncation: TruncationLoad | None = None
         if ends:
