--- a/pondpin/standins/worker_ends.py
+++ b/pondpin/standins/worker_ends.py
@@ -12,12 +12,14 @@
 class WorkerEnd(enum.StrEnum):
     """What is found at a worker's address when its connections have closed.
 
-    SUCCESSOR: a worker with another id. SILENT: what accepts and answers nothing.
+    SUCCESSOR: a worker with another id. REBORN: its next life, under its id if it says its start.
+    SILENT: what accepts and answers nothing.
     """
 
     PORT_FIRST = "port first"
     CONNECTIONS_FIRST = "connections first"
     SUCCESSOR = "successor"
+    REBORN = "reborn"
     SILENT = "silent"
 
 
@@ -26,7 +28,9 @@
     worker.crashes += 1
     if end is WorkerEnd.PORT_FIRST:
         await worker.server.close()
-    elif end is WorkerEnd.SUCCESSOR:
+    elif end is WorkerEnd.REBORN and worker.born is not None:
+        worker.born += 1
+    elif end in (WorkerEnd.SUCCESSOR, WorkerEnd.REBORN):
         worker.id = f"{worker.id}-successor"
     else:
         worker.is_silent = True
