Show a stream that ends as complete while its upstream's idle connections outlast its port

The check of identity went over such an idle connection, and was answered by a life that was ending.

Answers of the tests could now have had one event more than their upstreams write, so that the last possible event is no evidence for a whole stream either: the controls ask for the upstream's identity.

--- a/pondpin/standins/upstream_process.py
+++ b/pondpin/standins/upstream_process.py
@@ -16,8 +16,8 @@
 FREE_TOKENS = 450_000
 # An upstream that cuts its responses stands still for this long before it ends them.
 STANDSTILL_SECONDS = 0.4
-# The port of a process that ends in order is open for this long after its connections.
-PORT_SECONDS = 0.05
+# What a process that ends in order closes last is open for this long after its responses.
+LAST_SECONDS = 0.05
 JSON = "content-type: application/json\r\n"
 CHUNKED = "transfer-encoding: chunked\r\n"
 
@@ -35,6 +35,8 @@
     CUT_RESPONSES = "cut responses"
     # End: first the connections, then the port.
     END = "end"
+    # End: first the port, then the connections of responses, then those that rest.
+    END_PORT_FIRST = "end port first"
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +72,8 @@
     until_by_lease: dict[str, float] = field(default_factory=dict)
     never: asyncio.Event = field(default_factory=asyncio.Event)
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    # Of those, the ones that a response is written to.
+    responding: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer the requests of a connection."""
@@ -82,6 +86,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.responding.discard(writer)
             self.writers.discard(writer)
             writer.close()
 
@@ -128,6 +133,7 @@
         attempt = request.headers.get("x-attempt-id", "")
         helpers = len([item for item in request.headers.get("helpers", "").split(",") if item])
         tell(f"runs {attempt} {helpers}")
+        self.responding.add(writer)
         is_stream = "x-token-usage" in request.headers
         kind = "text/event-stream" if is_stream else "text/plain"
         head = (
@@ -179,7 +185,14 @@
                 asyncio.get_running_loop().remove_reader(listener.fileno())
                 for writer in upstream.writers:
                     writer.close()
-                await asyncio.sleep(PORT_SECONDS)
+                await asyncio.sleep(LAST_SECONDS)
+                break
+            case Order.END_PORT_FIRST:
+                for server in servers:
+                    server.close()
+                for writer in upstream.responding:
+                    writer.close()
+                await asyncio.sleep(LAST_SECONDS)
                 break
     os._exit(0)
 
--- a/pondpin/tests/test_stream_truncation.py
+++ b/pondpin/tests/test_stream_truncation.py
@@ -37,8 +37,8 @@
 
 
 def usage(prompt_tokens: int, events: int) -> str:
-    """The tokens of a prompt whose answer has so many events at most."""
-    return f"{prompt_tokens},{events * int(ENGINE_FIGURES['stride'])}"
+    """The tokens of a prompt whose answer has so many events and could have had one more."""
+    return f"{prompt_tokens},{(events + 1) * int(ENGINE_FIGURES['stride'])}"
 
 
 class Upstream:
@@ -155,9 +155,9 @@
     def runs(self, attempt: str) -> int:
         return sum(upstream.runs[attempt] for upstream in self.upstreams)
 
-    def send(self, route: str, count: int) -> list[asyncio.Task[HttpResponse]]:
-        """Send requests at once."""
-        names = (f"{route}{number}" for number in range(count))
+    def send(self, route: str, count: int, first: int = 0) -> list[asyncio.Task[HttpResponse]]:
+        """Send requests at once, numbered from first on."""
+        names = (f"{route}{number}" for number in range(first, first + count))
         return [asyncio.create_task(self._ask(route, name)) for name in names]
 
     async def _ask(self, route: str, name: str) -> HttpResponse:
@@ -224,6 +224,13 @@
     await upstream.process.wait()
 
 
+async def end_port_first(played: Played, upstream: Upstream) -> None:
+    """The port ends before the responses, connections that rest after them."""
+    upstream.listener.close()
+    upstream.order(Order.END_PORT_FIRST)
+    await upstream.process.wait()
+
+
 async def only_drain(played: Played, upstream: Upstream) -> None:
     await played.leave(upstream)
 
@@ -279,10 +286,18 @@
 
         run_async(whole())
 
-    def play_streams(self, trouble: Trouble, victims: int = 1) -> None:
-        """No stream that its caller took for whole lacks events when upstreams end."""
+    def play_streams(self, trouble: Trouble, victims: int = 1, is_known: bool = False) -> None:
+        """No stream that its caller took for whole lacks events when upstreams end.
+
+        is_known: the instance has connections to the upstreams that rest after earlier streams.
+        """
 
         async def work(played: Played) -> None:
+            if is_known:
+                for task in played.send("stream", STREAMS, first=STREAMS):
+                    self.assertEqual(numbers(await task), WHOLE)
+                for upstream in played.upstreams:
+                    upstream.runs.clear()
             sent = played.send("stream", STREAMS)
             ended = played.upstreams[:victims]
             await played.until_amid(*ended)
@@ -330,6 +345,9 @@
     def test_stream_is_not_complete_if_connections_end_before_the_port(self) -> None:
         self.play_streams(end_in_order)
 
+    def test_stream_is_not_complete_if_resting_connections_end_last(self) -> None:
+        self.play_streams(end_port_first, is_known=True)
+
     def test_streams_of_two_upstreams_that_end_at_once_are_not_complete(self) -> None:
         self.play_streams(drain_and_kill, victims=2)
 
