--- a/pondpin/tests/test_stream_truncation.py
+++ b/pondpin/tests/test_stream_truncation.py
@@ -10,7 +10,13 @@
 from pondpin.http_client import HttpResponse
 from pondpin.http_streams import CallFailedError
 from pondpin.relay_settings import RelayLimits
-from pondpin.standins.local_platform import CENTERS, ENGINES, PLAIN, LocalPlatform
+from pondpin.standins.local_platform import (
+    CENTERS,
+    ENGINE_FIGURES,
+    ENGINES,
+    PLAIN,
+    LocalPlatform,
+)
 from pondpin.standins.store_state import UPSTREAMS_PREFIX
 from pondpin.standins.upstream_process import Order
 from pondpin.tests.support import LONGEST_TEST_SECONDS, ask, numbers, run_async, the_loop
@@ -23,12 +29,18 @@
 LAST_EVENT = 3
 STREAMS = 8
 DEADLINE_MS = "3000"
-LONG_PROMPT = "700000,2500"
+LONG_PROMPT_TOKENS = 700_000
+PROMPT_TOKENS = 5000
 LONG_DEADLINE_MS = "20000"
 # Longer than a lease lasts without renewal.
 LONG_EVENTS = 45
 
 
+def usage(prompt_tokens: int, events: int) -> str:
+    """The tokens of a prompt whose answer has so many events and could have had one more."""
+    return f"{prompt_tokens},{(events + 1) * int(ENGINE_FIGURES['stride'])}"
+
+
 class Upstream:
     """A process and what it says that it did; listener: shared with what follows it."""
 
@@ -143,16 +155,23 @@
     def runs(self, attempt: str) -> int:
         return sum(upstream.runs[attempt] for upstream in self.upstreams)
 
-    def send(self, route: str, count: int) -> list[asyncio.Task[HttpResponse]]:
-        """Send requests at once."""
-        names = (f"{route}{number}" for number in range(count))
+    def send(self, route: str, count: int, first: int = 0) -> list[asyncio.Task[HttpResponse]]:
+        """Send requests at once, numbered from first on."""
+        names = (f"{route}{number}" for number in range(first, first + count))
         return [asyncio.create_task(self._ask(route, name)) for name in names]
 
     async def _ask(self, route: str, name: str) -> HttpResponse:
-        if route != "long":
+        if route in ("again", "once"):
             return await ask(self.platform, route, name, x_deadline_ms=DEADLINE_MS)
+        is_long = route == "long"
         return await ask(
-            self.platform, route, name, x_deadline_ms=LONG_DEADLINE_MS, x_token_usage=LONG_PROMPT
+            self.platform,
+            route,
+            name,
+            x_deadline_ms=LONG_DEADLINE_MS if is_long else DEADLINE_MS,
+            x_token_usage=usage(LONG_PROMPT_TOKENS, LONG_EVENTS)
+            if is_long
+            else usage(PROMPT_TOKENS, EVENTS),
         )
 
     async def until_amid(self, *upstreams: Upstream) -> None:
@@ -205,6 +224,13 @@
     await upstream.process.wait()
 
 
+async def end_port_first(played: Played, upstream: Upstream) -> None:
+    """The port ends before the responses, connections that rest after them."""
+    upstream.listener.close()
+    upstream.order(Order.END_PORT_FIRST)
+    await upstream.process.wait()
+
+
 async def only_drain(played: Played, upstream: Upstream) -> None:
     await played.leave(upstream)
 
@@ -260,10 +286,18 @@
 
         run_async(whole())
 
-    def play_streams(self, trouble: Trouble, victims: int = 1) -> None:
-        """No stream that its caller took for whole lacks events when upstreams end."""
+    def play_streams(self, trouble: Trouble, victims: int = 1, is_known: bool = False) -> None:
+        """No stream that its caller took for whole lacks events when upstreams end.
+
+        is_known: the instance has connections to the upstreams that rest after earlier streams.
+        """
 
         async def work(played: Played) -> None:
+            if is_known:
+                for task in played.send("stream", STREAMS, first=STREAMS):
+                    self.assertEqual(numbers(await task), WHOLE)
+                for upstream in played.upstreams:
+                    upstream.runs.clear()
             sent = played.send("stream", STREAMS)
             ended = played.upstreams[:victims]
             await played.until_amid(*ended)
@@ -311,6 +345,9 @@
     def test_stream_is_not_complete_if_connections_end_before_the_port(self) -> None:
         self.play_streams(end_in_order)
 
+    def test_stream_is_not_complete_if_resting_connections_end_last(self) -> None:
+        self.play_streams(end_port_first, is_known=True)
+
     def test_streams_of_two_upstreams_that_end_at_once_are_not_complete(self) -> None:
         self.play_streams(drain_and_kill, victims=2)
 
