Ask for an upstream's identity over a new connection, some time after the end

The answer proved a life, at a moment when that life was ending. A process that cuts its responses and goes on accepting for longer stays unknown to the relay (docs/design/response-ends.md).

--- a/pondpin/platform/reports.py
+++ b/pondpin/platform/reports.py
@@ -71,7 +71,7 @@
         return response.status == OK
 
     async def identify(
-        self, host: str, port: int, path: str, upstream: str, fresh: bool, on_head: HeadCallback
+        self, host: str, port: int, path: str, upstream: str, on_head: HeadCallback
     ) -> str:
         """See LivenessPort; raises CallFailedError without the head of a response."""
         heads: list[ResponseHead] = []
@@ -82,7 +82,7 @@
                 f"http://{host}:{port}{path}",
                 {"X-Expect-Instance": upstream},
                 timeout=IDENTIFY_SECONDS,
-                fresh=fresh,
+                fresh=True,
                 on_head=observe,
                 limit=SMALL_BODY_BYTES,
                 close_delimited_if=is_unused,
--- a/pondpin/relay/attempts/identity_checks.py
+++ b/pondpin/relay/attempts/identity_checks.py
@@ -13,24 +13,31 @@
 # Responses that end within this time share a check: a process that ends closes its connections
 # one after the other.
 SHARE_SECONDS = 0.005
+# A process that ends in order may answer for some ms after it has closed the connections of its
+# responses. Together with a round trip, callers wait less than 0.1 s for the end of a response.
+SETTLE_SECONDS = 0.06
 
 
 class IdentityChecks:
-    """Checks of identity, shared by the responses that ended before they are sent."""
+    """Checks of identity, shared by responses that ended some time before they are sent."""
 
     def __init__(self, ask: Callable[[UpstreamState, str], Awaitable[Identity]]) -> None:
         self._ask = ask
-        self._unsent_by_life: dict[int, asyncio.Task[Identity]] = {}
+        self._joinable_by_life: dict[int, asyncio.Task[Identity]] = {}
 
     async def check(self, state: UpstreamState, path: str) -> Identity:
-        """Ask which life answers at an upstream's address; path: of its liveness checks."""
-        task = self._unsent_by_life.get(state.life)
+        """Ask which life answers at an upstream's address after a moment.
+
+        path: of its liveness checks.
+        """
+        task = self._joinable_by_life.get(state.life)
         if task is None:
             task = asyncio.get_running_loop().create_task(self._ask_soon(state, path))
-            self._unsent_by_life[state.life] = task
+            self._joinable_by_life[state.life] = task
         return await asyncio.shield(task)
 
     async def _ask_soon(self, state: UpstreamState, path: str) -> Identity:
         await asyncio.sleep(SHARE_SECONDS)
-        del self._unsent_by_life[state.life]
+        del self._joinable_by_life[state.life]
+        await asyncio.sleep(SETTLE_SECONDS)
         return await self._ask(state, path)
--- a/pondpin/relay/ports.py
+++ b/pondpin/relay/ports.py
@@ -179,9 +179,9 @@
         """Whether an upstream reports that it is healthy."""
 
     async def identify(
-        self, host: str, port: int, path: str, upstream: str, fresh: bool, on_head: HeadCallback
+        self, host: str, port: int, path: str, upstream: str, on_head: HeadCallback
     ) -> str:
-        """The id of the upstream that answers a liveness check, well or not; "" if it names none.
+        """The id of the upstream that answers a liveness check on a new connection, well or not.
 
-        upstream: the expected one. fresh: on a new connection.
+        "" if it names none. upstream: the expected one.
         """
--- a/pondpin/relay/upstreams/prober.py
+++ b/pondpin/relay/upstreams/prober.py
@@ -43,22 +43,17 @@
     async def identify(self, state: UpstreamState, path: str) -> Identity:
         """Ask which life answers at an upstream's address, well or not.
 
-        An idle connection may have been closed by a sound upstream: then a new one is tried.
+        On a new connection: a process that is ending still answers on those that it has accepted.
         """
         try:
             async with asyncio.timeout(IDENTIFY_SECONDS):
-                try:
-                    return await self._identify(state, path, fresh=False)
-                except CallFailedError as error:
-                    if error.refused:
-                        return Identity.REFUSED
-                return await self._identify(state, path, fresh=True)
+                return await self._identify(state, path)
         except CallFailedError as error:
             return Identity.REFUSED if error.refused else Identity.NO_ANSWER
         except TimeoutError:
             return Identity.NO_ANSWER
 
-    async def _identify(self, state: UpstreamState, path: str, fresh: bool) -> Identity:
+    async def _identify(self, state: UpstreamState, path: str) -> Identity:
         self.on_sent(state)
         listed = state.listed
         request = SentRequest(listed.id, listed.life, LIVENESS_CHECK, self.clock())
@@ -66,9 +61,7 @@
         def on_head(head: ResponseHead) -> None:
             self.on_head(request, head)
 
-        answering = await self.port.identify(
-            listed.host, listed.port, path, listed.id, fresh, on_head
-        )
+        answering = await self.port.identify(listed.host, listed.port, path, listed.id, on_head)
         if not answering:
             return Identity.NO_ANSWER
         if answering != listed.id:
