Count a lease as lapsed although it is renewed later

Callers of long prompts would get streams that end as complete before their last event if a lease lapsed and a later renewal was answered before the lead ended its response: 38 of 54 events, evidence same_life, and the same by chunks.

Cause: held_until kept the last answered renewal only. An upstream takes a renewal of a lapsed lease for a new reservation, so its answer says nothing of the prompt's memory. Instances that get their links back after more than 3.4 s renew before their streams end. Class: evidence about another moment.

A renewal extends a lease only if it is answered before the lapse that was known.

--- a/pondpin/relay/upstreams/leases.py
+++ b/pondpin/relay/upstreams/leases.py
@@ -38,7 +38,7 @@
     request: str
     places: tuple[PartAssignment, ...]
     tokens: int
-    # By lease: when it lapses, by the last renewal that was answered; counted from its sending.
+    # By lease: when it lapses, by the last renewal answered before that; counted from its sending.
     until_by_lease: dict[str, float] = field(default_factory=dict)
     # By upstream, once the request has ended.
     releases: dict[Endpoint, asyncio.Task[Identity]] = field(default_factory=dict)
@@ -48,6 +48,14 @@
         """When the first of the leases lapses without another renewal."""
         return min(self.until_by_lease.get(place.lease, 0.0) for place in self.places)
 
+    def extend(self, lease: str, sent_at: float, answered_at: float, hold: float) -> None:
+        """Record an answered reservation or renewal; hold: in seconds.
+
+        An upstream may answer the renewal of a lapsed lease with a new, empty one.
+        """
+        if answered_at <= self.until_by_lease.get(lease, answered_at):
+            self.until_by_lease[lease] = sent_at + hold
+
 
 class LeaseManager:
     """Acquires, renews and releases groups of leases."""
@@ -145,7 +153,7 @@
             return False
         if answer is not LeaseResponse.HELD:
             return False
-        group.until_by_lease[place.lease] = sent_at + hold
+        group.extend(place.lease, sent_at, asyncio.get_running_loop().time(), hold)
         return True
 
     def _head_callback(self, place: PartAssignment) -> HeadCallback:
