Count one token an event for the last event of a stream

Cause: the evidence took each event for stride tokens (46). The most events that a request can have is its most tokens out. Class: evidence about another thing.

What was complete by the former count is checked by identity and leases.

--- a/pondpin/relay/attempts/completeness.py
+++ b/pondpin/relay/attempts/completeness.py
@@ -74,12 +74,13 @@
 
 
 def has_all_events(call: RelayCall, found: ResponseEnd) -> bool:
-    """Whether a stream that was received from its start has as many events as it can have."""
-    engine = call.configuration.services_by_name[call.service].engine
-    if found.events is None or engine is None:
+    """Whether a stream that was received from its start has as many events as it can have.
+
+    An event carries one token or more.
+    """
+    if found.events is None:
         return False
-    tokens = found.events * engine.stride
-    return 0 < call.metadata.answer_tokens <= tokens and call.resume_event_number < 0
+    return 0 < call.metadata.answer_tokens <= found.events and call.resume_event_number < 0
 
 
 def find_known_doubt(found: ResponseEnd) -> Doubt:
--- a/pondpin/tests/test_response_completeness.py
+++ b/pondpin/tests/test_response_completeness.py
@@ -16,7 +16,7 @@
 from pondpin.relay.response_ends import Doubt, Evidence, Identity, ResponseEnd, describe_end
 from pondpin.relay.upstreams.prober import IDENTIFY_SECONDS, Prober
 from pondpin.relay.upstreams.state import UpstreamState
-from pondpin.tests.test_relay_planner import PROFILE, make_call
+from pondpin.tests.test_relay_planner import make_call
 from pondpin.tools.virtual_time import run_virtual
 
 CHUNKED = BodyEnd(Framing.CHUNKED, ConnectionEnd.OPEN, is_framed=True)
@@ -135,7 +135,7 @@
         self.assert_evidence(self.verify(end_of(CHUNKED, 5.0)), Evidence.FRAMING)
 
     def test_stream_with_all_its_events_is_complete(self) -> None:
-        whole = -(-800 // PROFILE.stride)
+        whole = 800
         lost = Identity.REFUSED
         end = self.verify(end_of(CLOSED, events=whole, leases=2, held_until=0.0), lost)
         self.assert_evidence(end, Evidence.LAST_EVENT)
@@ -145,13 +145,13 @@
     def test_events_before_a_callers_resumption_are_not_counted(self) -> None:
         call = make_call(5000)
         call = replace(call, metadata=replace(call.metadata, resume_after="4"))
-        end = self.verify(end_of(CLOSED, events=18), Identity.REFUSED, call=call)
+        end = self.verify(end_of(CLOSED, events=800), Identity.REFUSED, call=call)
         self.assert_doubt(end, Doubt.REFUSED)
 
     def test_stream_of_unknown_length_has_no_last_event(self) -> None:
         call = make_call(5000)
         call = replace(call, metadata=replace(call.metadata, answer_tokens=0))
-        end = self.verify(end_of(CLOSED, events=18), Identity.REFUSED, call=call)
+        end = self.verify(end_of(CLOSED, events=800), Identity.REFUSED, call=call)
         self.assert_doubt(end, Doubt.REFUSED)
 
 
