Test lost holders whose lead's silence is not seen

An engine that loses a holder stands still, ends its response and lives on. Where the instance stands still, or reads slowly for a slow caller, the last events and the end arrive at once, so the silence before the end is not seen: 20 of 54 or 24 events ended as complete, by the identity of the lead without a length and by the last chunk with chunks, also where the holder had started again under its id and answered its release.

One run of each: test_stream_that_its_lead_cuts_is_not_complete_for_a_slow_caller (both framings), test_stream_of_a_holder_that_started_again_is_not_complete_after_a_standstill and test_stream_is_not_complete_if_the_silence_before_its_end_was_not_seen (LeaseTest and ChunkedLeaseTest) fail. A life of a lead that keeps its id, and a service whose health path moved, are covered and pass.

--- a/pondpin/tests/test_stream_truncation_orders.py
+++ b/pondpin/tests/test_stream_truncation_orders.py
@@ -14,7 +14,15 @@
 from pondpin.http_client import HttpResponse
 from pondpin.http_streams import CallFailedError
 from pondpin.relay_settings import RelayLimits
-from pondpin.standins.local_platform import ENGINES, PLAIN, LocalPlatform
+from pondpin.standins.local_platform import (
+    CENTERS,
+    ENGINES,
+    PLAIN,
+    LocalPlatform,
+    sample_configuration,
+    sample_entry,
+)
+from pondpin.standins.store_state import UPSTREAMS_PREFIX
 from pondpin.standins.upstream_process import Order
 from pondpin.tests.support import LONGEST_TEST_SECONDS, ask, numbers, run_async, the_loop
 from pondpin.tests.test_stream_truncation import (
@@ -32,7 +40,10 @@
 from pondpin.tests.varied_upstream import HEED_LEASES
 
 LEASED_EVENTS = 54
+# The last event before a lead loses a holder, stands still and ends its response.
+LOSS_EVENT = 20
 WHOLE_LEASED = list(range(1, LEASED_EVENTS + 1))
+BORN = 1_796_000_000_000
 # More than the events of a stream carry.
 TOKENS_OUT = "5000,5000"
 
@@ -92,7 +103,7 @@
                             upstream = Varied(name, listener, options)
                             await played.start(upstream, framing, events)
                             upstream.order(Order.ACCEPT)
-                            played.write_entry(upstream, "ready")
+                            write_entry(played, upstream)
                     await platform.start_instances()
                     table = platform.entries[0].table
                     await platform.until(lambda: len(table.by_id) == len(played.upstreams))
@@ -122,6 +133,26 @@
     return asyncio.create_task(request)
 
 
+def write_entry(played: Played, upstream: Varied) -> None:
+    """List an upstream; with born it keeps its id over a restart."""
+    host, port = upstream.listener.getsockname()
+    service = ENGINES if upstream.name.startswith("engine") else PLAIN
+    born = upstream.options.get("born")
+    changes = {} if born is None else {"born": born}
+    entry = sample_entry(service, f"{host}:{port}", zone=CENTERS[0], **changes)
+    played.platform.store.put(f"{UPSTREAMS_PREFIX}{upstream.name}", entry)
+
+
+async def start_again(played: Played, upstream: Varied) -> None:
+    """Kill an upstream that keeps its id; its next life accepts at the same address."""
+    options = upstream.options | {"born": upstream.options["born"] + 5000}
+    later = Varied(upstream.name, upstream.listener.dup(), options)
+    await played.start(later, "none", LEASED_EVENTS)
+    upstream.listener.close()
+    await upstream.kill()
+    later.order(Order.ACCEPT)
+
+
 def lead_of(played: Played, attempt: str) -> Upstream:
     (lead,) = (item for item in played.upstreams if item.runs[attempt])
     return lead
@@ -206,6 +237,30 @@
 
                 self.play(work, ({}, {}))
 
+    def test_stream_of_a_life_that_kept_its_id_is_not_complete(self) -> None:
+        async def work(played: Played) -> None:
+            task = send_stream(played, "a")
+            lead = await until_amid(played, "a")
+            assert isinstance(lead, Varied)
+            await start_again(played, lead)
+            self.assert_no_early_end(await result(task), WHOLE)
+
+        self.play(work, ({"born": BORN}, {"born": BORN}))
+
+    def test_stream_is_not_complete_if_its_service_moved_meanwhile(self) -> None:
+        async def work(played: Played) -> None:
+            task = send_stream(played, "a")
+            lead = await until_amid(played, "a")
+            services = sample_configuration()["services"]
+            renamed = [item | {"healthPath": "/moved"} for item in services]
+            played.platform.publish(2, services=renamed)
+            current = played.platform.entries[0]
+            self.assertIsNotNone(current)
+            await lead.kill()
+            self.assert_no_early_end(await result(task), WHOLE)
+
+        self.play(work, ({}, {}))
+
 
 class SoundTest(OrdersCase):
     def play_sound(self, options: dict[str, Any], framing: str = "none") -> None:
@@ -337,6 +392,28 @@
         answer = self.play_leased(work, {})
         self.assert_no_early_end(answer, WHOLE_LEASED)
 
+    def test_stream_of_a_holder_that_started_again_is_not_complete_after_a_standstill(self) -> None:
+        async def work(played: Played, lead: Upstream) -> None:
+            holders = [item for item in played.upstreams if item is not lead and item.leases]
+            self.assertTrue(holders)
+            for holder in holders:
+                assert isinstance(holder, Varied)
+                await start_again(played, holder)
+            await until_amid(played, "long0", LOSS_EVENT - 3)
+            # The last events, the silence after them and the end wait for the instance together.
+            time.sleep(1.5)
+
+        answer = self.play_leased(work, {"born": BORN, "loses_holder_after": LOSS_EVENT})
+        self.assert_no_early_end(answer, WHOLE_LEASED)
+
+    def test_stream_is_not_complete_if_the_silence_before_its_end_was_not_seen(self) -> None:
+        async def work(played: Played, lead: Upstream) -> None:
+            await until_amid(played, "long0", LOSS_EVENT - 3)
+            time.sleep(1.5)
+
+        answer = self.play_leased(work, {"loses_holder_after": LOSS_EVENT})
+        self.assert_no_early_end(answer, WHOLE_LEASED)
+
     def test_sound_stream_whose_renewals_stop_at_its_end_is_complete(self) -> None:
         async def work(played: Played, lead: Upstream) -> None:
             await until_amid(played, "long0", LEASED_EVENTS - 10)
@@ -377,6 +454,19 @@
                 options = {"event_bytes": 400_000, "ends_at_once": True, "gap": 0.02}
                 self.play(work, (options,) * 3, framing=framing, events=24)
 
+    def test_stream_that_its_lead_cuts_is_not_complete_for_a_slow_caller(self) -> None:
+        for framing in ("none", "chunked"):
+            with self.subTest(framing=framing):
+
+                async def work(played: Played) -> None:
+                    body = await read_slowly(played)
+                    found = [line for line in body.split(b"\n") if line.startswith(b"id:")]
+                    ended = body.endswith(b"0\r\n\r\n")
+                    self.assertFalse(ended and len(found) < 24, f"{len(found)} of 24 events")
+
+                options = {"event_bytes": 400_000, "loses_holder_after": 20, "gap": 0.02}
+                self.play(work, (options,) * 3, framing=framing, events=24)
+
 
 async def read_slowly(played: Played) -> bytes:
     """Ask for a long prompt's answer and read 2 MB at once, then nothing for 0.5 s, repeatedly."""
--- a/pondpin/tests/varied_upstream.py
+++ b/pondpin/tests/varied_upstream.py
@@ -10,10 +10,17 @@
 from typing import Any
 
 from pondpin.standins import upstream_process
-from pondpin.standins.upstream_process import Order, Request, UpstreamProcess, tell
+from pondpin.standins.upstream_process import (
+    STANDSTILL_SECONDS,
+    Order,
+    Request,
+    UpstreamProcess,
+    tell,
+)
 
 HEED_LEASES = "heed leases"
 HEALTH_PATH = "/healthz"
+REPORT_PATH = "/v1/report"
 
 
 @dataclass
@@ -23,6 +30,11 @@
     options: dict[str, Any] = field(default_factory=dict)
 
     async def _answer(self, request: Request, writer: asyncio.StreamWriter) -> bool:
+        if request.path == REPORT_PATH:
+            born = self.options.get("born")
+            report = {"stage": "bidirectional", "queued": 0, "active": 0}
+            self._send(writer, 200, report | ({} if born is None else {"born": born}))
+            return True
         if request.path != HEALTH_PATH:
             return await super()._answer(request, writer)
         tell("checked x")
@@ -60,6 +72,9 @@
         first = int(request.headers.get("last-event-id", "0")) + 1
         events = options.get("events_by_attempt", {}).get(attempt, self.events)
         for number in range(first, events + 1):
+            if number > options.get("loses_holder_after", events):
+                await asyncio.sleep(STANDSTILL_SECONDS)
+                break
             if self.cuts_responses:
                 tell(f"cuts {attempt}")
                 break
