Cut each run of a stream in the test of ends in all runs

The upstreams died after an event's number, which a resumed run has passed already, so only the first run was cut. They die after as many events of each run now; the tests pass as before, with both runs cut (trial with the ends printed).

--- a/pondpin/tests/varied_upstream.py
+++ b/pondpin/tests/varied_upstream.py
@@ -81,14 +81,15 @@
             event = f"id: {number}\ndata: piece {number}\n\n" if is_stream else f"part {number};"
             if is_stream and options.get("event_bytes"):
                 event = event.replace("piece", "x" * options["event_bytes"] + " piece")
-            if options.get("dies_inside") == number:
+            ran = number - first + 1
+            if options.get("dies_inside") == ran:
                 event = event[: len(event) // 2]
             size = f"{len(event):x}\r\n" if self.is_chunked else ""
             writer.write(f"{size}{event}{size and chr(13) + chr(10)}".encode())
             if not options.get("event_bytes"):
                 await writer.drain()
             tell(f"wrote {attempt} {number}")
-            if number in (options.get("dies_inside"), options.get("dies_after")):
+            if ran in (options.get("dies_inside"), options.get("dies_after")):
                 die()
             if number < events or not options.get("ends_at_once"):
                 await asyncio.sleep(self.event_seconds)
