Test sound calls of an upstream whose slots are full

Six calls at once at an upstream with three slots: the three that end first are answered 502 although they are whole, as their checks of identity wait behind the other three for longer than 0.4 s. Calls that must run at most once can't be retried, so their callers lose them.

--- a/pondpin/tests/test_stream_truncation_orders.py
+++ b/pondpin/tests/test_stream_truncation_orders.py
@@ -327,6 +327,14 @@
         self.play_plain({"status": 500}, "POST", 500, 1)
         self.play_plain({"status": 200}, "POST", 200, 1)
 
+    def test_sound_calls_of_a_full_upstream_are_complete(self) -> None:
+        async def work(played: Played) -> None:
+            requests = (ask(played.platform, "once", f"p{number}") for number in range(6))
+            answers = await asyncio.gather(*requests)
+            self.assertEqual([answer.status for answer in answers], [200] * 6)
+
+        self.play(work, plain=({"slots": 3},))
+
     def test_responses_without_a_body_are_passed_on(self) -> None:
         self.play_plain({"empty": True}, "HEAD", 200, 1)
         self.play_plain({"empty": True, "status": 204}, "POST", 204, 1)
--- a/pondpin/tests/varied_upstream.py
+++ b/pondpin/tests/varied_upstream.py
@@ -28,6 +28,8 @@
     """options: see the methods; each is optional."""
 
     options: dict[str, Any] = field(default_factory=dict)
+    # Requests and liveness checks wait for one in order of arrival, if the options have slots.
+    slots: asyncio.Semaphore = field(default_factory=asyncio.Semaphore)
 
     async def _answer(self, request: Request, writer: asyncio.StreamWriter) -> bool:
         if request.path == REPORT_PATH:
@@ -38,6 +40,9 @@
         if request.path != HEALTH_PATH:
             return await super()._answer(request, writer)
         tell("checked x")
+        if "slots" in self.options:
+            async with self.slots:
+                pass
         await asyncio.sleep(self.options.get("health_seconds", 0.0))
         status = self.options.get("health_status", 200)
         header = self.options.get("health_header", "X-Instance-Id: {id}\r\n").format(id=self.id)
@@ -50,6 +55,12 @@
     last_ended: bool = False
 
     async def _run(self, request: Request, writer: asyncio.StreamWriter) -> bool:
+        if "slots" not in self.options:
+            return await self._respond(request, writer)
+        async with self.slots:
+            return await self._respond(request, writer)
+
+    async def _respond(self, request: Request, writer: asyncio.StreamWriter) -> bool:
         options = self.options
         attempt = request.headers.get("x-attempt-id", "")
         helpers = len([item for item in request.headers.get("helpers", "").split(",") if item])
@@ -128,6 +139,7 @@
     """Run one upstream."""
     upstream = VariedUpstream(name, framing == "chunked", int(events), float(gap))
     upstream.options = json.loads(options)
+    upstream.slots = asyncio.Semaphore(upstream.options.get("slots", 1))
     orders = asyncio.StreamReader()
     loop = asyncio.get_running_loop()
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(orders), sys.stdin)
