Abort close-delimited replies whose connection is closed in their middle

Callers would see: an HTTP/1.0 stream that looks complete, if anything closes its connection in order before the reply is finished. Cause: Twisted shuts the socket down before it closes it, so the body's end came before the reset. Tests that mutations asked for: a reply that is read after its connection was closed (linger left on), idle connections closed during a reply, and a stream that may not be resumed and broke off before its first event (run twice).

--- a/pondpin/reply_ends.py
+++ b/pondpin/reply_ends.py
@@ -28,8 +28,11 @@
     close = transport._postLoseConnection
 
     def close_written() -> Any:
-        if request.finished:
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        if not request.finished:
+            # An orderly close would end the body before it resets the connection.
+            transport.abortConnection()
+            return None
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
         return close()
 
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
--- a/pondpin/tests/test_relay_event_order.py
+++ b/pondpin/tests/test_relay_event_order.py
@@ -241,6 +241,14 @@
         runs = [Run(events(1, 2)), Run(events(3, 4), is_whole=True)]
         self.check_truncated("live", runs, events(1, 2), left=1)
 
+    def test_stream_that_may_not_be_resumed_does_not_run_twice_before_its_first_event(self) -> None:
+        async def work(platform: LocalPlatform, upstreams: ScriptedUpstreams) -> None:
+            received = await receive(platform, "live")
+            self.assertIn(" 502 ", received.head.splitlines()[0])
+            self.assertEqual(len(upstreams.upstreams), 1)
+
+        self.script([Run(b""), Run(events(1), is_whole=True)], work)
+
     def test_safe_response_of_events_is_not_joined_from_two_runs(self) -> None:
         runs = [Run(events(1, 2)), Run(events(3, 4), is_whole=True)]
         self.check_truncated("again", runs, events(1, 2), left=1)
--- a/pondpin/tests/test_reply_ends.py
+++ b/pondpin/tests/test_reply_ends.py
@@ -16,16 +16,20 @@
 from pondpin.http_server import ServerLimits, WebServer
 from pondpin.network import Endpoint
 from pondpin.server_shutdown import close_connections
-from pondpin.tests.support import run_async, the_loop, wait_until
+from pondpin.tests.support import READY_SECONDS, run_async, the_loop, wait_until
 
 ROOT = Path(__file__).resolve().parents[2]
 VERSIONS = ("1.1", "1.0")
 IDLE_SECONDS = 60.0
+# In which a connection that was closed has ended.
+LOOP_TURNS = 20
 EVENT = b"id: 1\ndata: x\n\n"
 LAST_CHUNK = b"0\r\n\r\n"
 HEADERS = {"content-type": "text/event-stream"}
 # More than the buffers of both sockets take.
 LARGE = b"x" * (16 << 20)
+# More than a caller's socket takes before it is read, and less than both take.
+UNREAD = b"x" * (512 << 10)
 # Serves one stream, and ends itself in its middle.
 PROCESS = """
 import asyncio, os, signal, sys
@@ -88,8 +92,9 @@
     """Read until the connection ends."""
     data, was_reset = bytearray(), False
     try:
-        while part := await reader.read(1 << 16):
-            data += part
+        async with asyncio.timeout(READY_SECONDS):
+            while part := await reader.read(1 << 16):
+                data += part
     except ConnectionError:
         was_reset = True
     writer.close()
@@ -114,6 +119,12 @@
         self.replies.append(reply)
         await self._then(reply)
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the server has a connection."""
+        transports = [item._channel.transport for item in list(self.server.channels)]
+        return any(item is not None and item.connected for item in transports)
+
     async def close(self) -> None:
         """Stop the server."""
         await self.server.close()
@@ -239,12 +250,19 @@
             streams.server.close_idle()
             streams.server.set_idle_timeout(1.0)
             streams.clock.advance(2 * IDLE_SECONDS)
-            await asyncio.sleep(0)
+            for _ in range(LOOP_TURNS):
+                await asyncio.sleep(0)
             streams.replies[0].finish()
             streams.server.close_idle()
 
         self.drive(wait_forever, time_out, is_complete=True)
 
+    def test_connection_closed_in_order_in_the_middle_of_a_reply(self) -> None:
+        async def close(streams: Streams) -> None:
+            streams.replies[0].channel.loseConnection()
+
+        self.drive(wait_forever, close)
+
     def test_pipelined_request_after_a_truncated_reply_gets_nothing(self) -> None:
         self.drive(truncate, times=2)
 
@@ -256,10 +274,14 @@
     """A caller that reads nothing until its reply was ended."""
 
     def drive(
-        self, then: Callable[[Reply], Awaitable[None]], during: Callable[[Streams], Awaitable[None]]
+        self,
+        then: Callable[[Reply], Awaitable[None]],
+        during: Callable[[Streams], Awaitable[None]],
+        body: bytes = LARGE,
+        is_complete: bool = False,
     ) -> None:
         async def work(version: str) -> None:
-            streams = Streams(then, LARGE)
+            streams = Streams(then, body)
             try:
                 reader, writer = await connect(streams.endpoint, version)
                 writer.transport.pause_reading()  # type: ignore[attr-defined]
@@ -267,7 +289,8 @@
                 await during(streams)
                 writer.transport.resume_reading()  # type: ignore[attr-defined]
                 received = await read_to_end(reader, writer)
-                self.assertFalse(received.looks_complete, len(received.data))
+                self.assertEqual(received.looks_complete, is_complete, len(received.data))
+                self.assertTrue(not is_complete or body in received.data)
             finally:
                 await streams.close()
 
@@ -284,6 +307,13 @@
     def test_finished_reply_that_is_not_read_before_the_end(self) -> None:
         self.drive(finish, self.close)
 
+    def test_reply_that_is_read_after_the_connection_was_closed(self) -> None:
+        async def until_closed(streams: Streams) -> None:
+            streams.server.close_idle()
+            await wait_until(lambda: not streams.is_connected)
+
+        self.drive(finish, until_closed, UNREAD, is_complete=True)
+
     def test_failed_reply(self) -> None:
         async def nothing(streams: Streams) -> None:
             await wait_until(lambda: not streams.server.tasks)
