--- a/pondpin/tests/test_soak.py
+++ b/pondpin/tests/test_soak.py
@@ -20,6 +20,9 @@
 SMALL_FLEET_SEEDS = (40400, 40401)
 SMALL_FLEET_SECONDS = 20.0
 SMALL_FLEET = Size(instances=3, engines=4, plain=3)
+# Seeds that broke the promise of complete responses on a relay that took a connection for evidence.
+ENDS_SEEDS = (680102, 680103)
+ENDS_SECONDS = 7.0
 # Places 0 to 9 are for soaks by hand.
 FIRST_PLACE = 10
 PLACES = 240
@@ -106,6 +109,27 @@
         run_async(work())
         self.assertEqual(broken, [])
 
+    def test_responses_without_a_length_are_complete_or_do_not_look_so(self) -> None:
+        async def work() -> None:
+            results = await asyncio.gather(*map(self._play_ends, ENDS_SEEDS, range(SIDE_BY_SIDE)))
+            self.assertEqual(results, [True] * len(ENDS_SEEDS))
+
+        run_async(work())
+
+    async def _play_ends(self, seed: int, place: int) -> bool:
+        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        return await play_seed(
+            the_loop()[1],
+            seed,
+            ENDS_SECONDS,
+            SMALL_FLEET,
+            own_place(place),
+            folder,
+            deadly=False,
+            segments=False,
+            ends=True,
+        )
+
     def play(self, seeds: tuple[int, ...], deadly: bool, segments: bool = False) -> list[int]:
         """Play seeds, some at a time; returns those that broke a promise."""
         broken: list[int] = []
