Wait longer for the identity of upstreams whose slots are full

Sound plain calls got 502 at an upstream whose slots were full, three of six at once, and sound streams were resumed: the check of identity waits for a slot like a request, and was given up after 0.4 s.

--- a/pondpin/platform/reports.py
+++ b/pondpin/platform/reports.py
@@ -11,8 +11,8 @@
 
 OK = 200
 REPORT_PATH = "/v1/report"
-# Its caller bounds the time of all tries.
-IDENTIFY_SECONDS = 1.0
+# Its caller bounds the time.
+IDENTIFY_SECONDS = 15.0
 
 
 class WireReport(msgspec.Struct, frozen=True, rename="camel"):
--- a/pondpin/relay/attempts/completeness.py
+++ b/pondpin/relay/attempts/completeness.py
@@ -19,6 +19,10 @@
 STANDSTILL_SECONDS = 0.3
 # Releases of leases are answered in some ms.
 RELEASE_SECONDS = 0.1
+# A liveness check waits for a slot like a request. Another upstream may serve the request then.
+IDENTIFY_SECONDS = 1.0
+# Of a request that must not run twice, for the way back to its caller.
+DEADLINE_MARGIN_SECONDS = 0.1
 DOUBT_BY_IDENTITY = {
     Identity.SAME: Doubt.NONE,
     Identity.OTHER: Doubt.OTHER_LIFE,
@@ -30,12 +34,13 @@
 class Completeness:
     """Looks for the evidence of responses that look complete.
 
-    identify: asks an upstream which life answers at its address, by the path of liveness checks.
+    identify: asks an upstream which life answers at its address, by the path of liveness checks,
+    and waits for some seconds.
     """
 
     def __init__(
         self,
-        identify: Callable[[UpstreamState, str], Awaitable[Identity]],
+        identify: Callable[[UpstreamState, str, float], Awaitable[Identity]],
         clock: Clock,
     ) -> None:
         self._identify = identify
@@ -66,7 +71,11 @@
         if found.body.is_framed:
             return Doubt.NONE, None
         path = call.configuration.services_by_name[call.service].health_path
-        return DOUBT_BY_IDENTITY[await self._identify(plan.lead, path)], None
+        seconds = IDENTIFY_SECONDS
+        if not call.route.idempotent:
+            # Its caller gets no better answer meanwhile.
+            seconds = max(0.0, call.deadline - self._clock() - DEADLINE_MARGIN_SECONDS)
+        return DOUBT_BY_IDENTITY[await self._identify(plan.lead, path, seconds)], None
 
     def _accept(self, end: AttemptEnd, found: ResponseEnd, evidence: Evidence) -> AttemptEnd:
         found.evidence, found.evidence_at = evidence, self._clock()
--- a/pondpin/relay/attempts/identity_checks.py
+++ b/pondpin/relay/attempts/identity_checks.py
@@ -25,16 +25,17 @@
         self._ask = ask
         self._joinable_by_life: dict[int, asyncio.Task[Identity]] = {}
 
-    async def check(self, state: UpstreamState, path: str) -> Identity:
+    async def check(self, state: UpstreamState, path: str, seconds: float) -> Identity:
         """Ask which life answers at an upstream's address after a moment.
 
-        path: of its liveness checks.
+        path: of its liveness checks. seconds: the longest wait for the answer.
         """
         task = self._joinable_by_life.get(state.life)
         if task is None:
             task = asyncio.get_running_loop().create_task(self._ask_soon(state, path))
             self._joinable_by_life[state.life] = task
-        return await asyncio.shield(task)
+        await asyncio.wait((task,), timeout=seconds)
+        return task.result() if task.done() else Identity.NO_ANSWER
 
     async def _ask_soon(self, state: UpstreamState, path: str) -> Identity:
         await asyncio.sleep(SHARE_SECONDS)
--- a/pondpin/relay/upstreams/leases.py
+++ b/pondpin/relay/upstreams/leases.py
@@ -157,7 +157,7 @@
             return False
         if answer is not LeaseResponse.HELD:
             return False
-        group.extend(place.lease, sent_at, asyncio.get_running_loop().time(), hold)
+        group.extend(place.lease, sent_at, self._clock(), hold)
         return True
 
     def _head_callback(self, place: PartAssignment) -> HeadCallback:
--- a/pondpin/relay/upstreams/prober.py
+++ b/pondpin/relay/upstreams/prober.py
@@ -18,8 +18,8 @@
 
 # A check waits for a slot like a request; an upstream that takes longer is still unhealthy.
 PROBE_SECONDS = 0.5
-# A caller waits for the end of its response meanwhile, and gets a retry without an answer.
-IDENTIFY_SECONDS = 0.4
+# Longer than callers wait for an answer.
+IDENTIFY_SECONDS = 10.0
 # With these a failed check is a fault, and later ones come less often.
 FAULT_REASONS = (BlockReason.NONE, BlockReason.EVACUATED)
 
--- a/pondpin/tests/test_response_completeness.py
+++ b/pondpin/tests/test_response_completeness.py
@@ -8,13 +8,18 @@
 
 from pondpin.body_ends import BodyEnd, ConnectionEnd, Framing
 from pondpin.http_streams import CallFailedError
-from pondpin.relay.attempts.completeness import STANDSTILL_SECONDS, Completeness
+from pondpin.relay.attempts.completeness import (
+    IDENTIFY_SECONDS,
+    STANDSTILL_SECONDS,
+    Completeness,
+)
 from pondpin.relay.attempts.identity_checks import SETTLE_SECONDS, IdentityChecks
 from pondpin.relay.call import AttemptEnd, EndKind, RelayCall
 from pondpin.relay.choosing.planner import Plan
-from pondpin.relay.model import EngineReport, ListedUpstream
+from pondpin.relay.model import EngineReport, ListedUpstream, RouteKind
 from pondpin.relay.response_ends import Doubt, Evidence, Identity, ResponseEnd, describe_end
-from pondpin.relay.upstreams.prober import IDENTIFY_SECONDS, Prober
+from pondpin.relay.upstreams.prober import IDENTIFY_SECONDS as LONGEST_SECONDS
+from pondpin.relay.upstreams.prober import Prober
 from pondpin.relay.upstreams.state import UpstreamState
 from pondpin.tests.test_relay_planner import make_call
 from pondpin.tools.virtual_time import run_virtual
@@ -46,8 +51,9 @@
         """Verify the end of a response of LEAD; holder: what HELPER answers to its release."""
         self.asked: list[str] = []
 
-        async def identify(state: UpstreamState, path: str) -> Identity:
+        async def identify(state: UpstreamState, path: str, seconds: float) -> Identity:
             self.asked.append(state.id)
+            self.waited = seconds
             return lead
 
         async def release() -> Identity:
@@ -86,6 +92,14 @@
         assert end.response_end is not None and end.response_end.evidence_at is not None
         self.assertGreater(end.response_end.evidence_at, AT)
 
+    def test_call_that_must_not_run_twice_waits_until_its_deadline(self) -> None:
+        call = make_call(5000)
+        self.verify(end_of(CLOSED), call=replace(call, deadline=AT + 3.0))
+        self.assertEqual(self.waited, IDENTIFY_SECONDS)
+        route = replace(call.route, kind=RouteKind.UNSAFE, resumable=False)
+        self.verify(end_of(CLOSED), call=replace(call, deadline=AT + 3.0, route=route))
+        self.assertAlmostEqual(self.waited, 2.89)
+
     def test_response_of_a_lost_upstream_is_not_complete(self) -> None:
         for identity, doubt in (
             (Identity.OTHER, Doubt.OTHER_LIFE),
@@ -179,7 +193,7 @@
                 await asyncio.sleep(delay)
                 ended_at = loop.time() - began
                 before = len(sent_at)
-                await checks.check(state, "/healthz")
+                await checks.check(state, "/healthz", 1.0)
                 settled_at = ended_at + SETTLE_SECONDS - ROUNDING_SECONDS
                 self.assertTrue(any(at >= settled_at for at in sent_at[before:]))
 
@@ -194,6 +208,19 @@
     def test_response_that_ends_after_a_check_was_sent_gets_another(self) -> None:
         self.assertEqual(len(self.play((0.0, 0.02), (LEAD, LEAD))), 2)
 
+    def test_silent_upstream_is_awaited_for_a_bounded_time(self) -> None:
+        async def work() -> tuple[Identity, float]:
+            async def ask(state: UpstreamState, path: str) -> Identity:
+                await asyncio.sleep(60.0)
+                return Identity.SAME
+
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            answer = await IdentityChecks(ask).check(LEAD, "/healthz", 1.5)
+            return answer, loop.time() - began
+
+        self.assertEqual(run_virtual(work()), (Identity.NO_ANSWER, 1.5))
+
     def test_upstreams_share_no_check(self) -> None:
         self.assertEqual(len(self.play((0.0, 0.0), (LEAD, HELPER))), 2)
 
@@ -205,7 +232,7 @@
 
             checks = IdentityChecks(ask)
             first, second = (
-                asyncio.ensure_future(checks.check(LEAD, "/healthz")) for _ in range(2)
+                asyncio.ensure_future(checks.check(LEAD, "/healthz", 1.0)) for _ in range(2)
             )
             await asyncio.sleep(0.01)
             first.cancel()
@@ -275,7 +302,7 @@
             await prober.identify(LEAD, "/healthz")
             return loop.time() - began
 
-        self.assertAlmostEqual(run_virtual(work()), IDENTIFY_SECONDS, places=3)
+        self.assertAlmostEqual(run_virtual(work()), LONGEST_SECONDS, places=3)
 
 
 if __name__ == "__main__":
--- a/pondpin/tests/test_stream_truncation_orders.py
+++ b/pondpin/tests/test_stream_truncation_orders.py
@@ -30,12 +30,13 @@
     EVENTS,
     LAST_EVENT,
     LONG_DEADLINE_MS,
-    LONG_PROMPT,
+    LONG_PROMPT_TOKENS,
     STREAMS,
     WHOLE,
     Played,
     Upstream,
     result,
+    usage,
 )
 from pondpin.tests.varied_upstream import HEED_LEASES
 
@@ -360,7 +361,7 @@
                 "long",
                 "long0",
                 x_deadline_ms=LONG_DEADLINE_MS,
-                x_token_usage=LONG_PROMPT,
+                x_token_usage=usage(LONG_PROMPT_TOKENS, LEASED_EVENTS),
             )
             task = asyncio.create_task(request)
             lead = await until_amid(played, "long0")
