--- a/pondpin/body_checks.py
+++ b/pondpin/body_checks.py
@@ -29,11 +29,11 @@
     return status != OK or is_json_document(status, body)
 
 
-def is_unused(status: int, body: bytes) -> bool:
+def ignore_body(status: int, body: bytes) -> bool:
     """For a reader that uses status and headers only."""
     return True
 
 
-def has_other_evidence(status: int, body: bytes) -> bool:
+def accept_unverified(status: int, body: bytes) -> bool:
     """For a reader that looks for evidence elsewhere before it takes the body for complete."""
     return True
--- a/pondpin/engine_client.py
+++ b/pondpin/engine_client.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from pondpin.body_checks import is_json_document, is_unused
+from pondpin.body_checks import ignore_body, is_json_document
 from pondpin.engine_protocol import (
     CacheEvents,
     LoadReport,
@@ -126,17 +126,17 @@
     async def cancel(self, ref: StreamRef, timeout: float) -> bool:
         """See EnginePort."""
         path = _stream_path(ref)
-        answer = await self._call(ref.address, "DELETE", path, None, timeout, is_unused)
+        answer = await self._call(ref.address, "DELETE", path, None, timeout, ignore_body)
         return answer.status == OK
 
     async def reserve(self, address: str, wanted: ReservationRequest, timeout: float) -> bool:
         """See EnginePort."""
-        answer = await self._call(address, "POST", "/v1/reservations", wanted, timeout, is_unused)
+        answer = await self._call(address, "POST", "/v1/reservations", wanted, timeout, ignore_body)
         return answer.status == OK
 
     async def release(self, address: str, name: str, timeout: float) -> None:
         """See EnginePort."""
-        await self._call(address, "DELETE", f"/v1/reservations/{name}", None, timeout, is_unused)
+        await self._call(address, "DELETE", f"/v1/reservations/{name}", None, timeout, ignore_body)
 
     async def load(self, address: str, timeout: float) -> LoadReport:
         """See EnginePort."""
--- a/pondpin/platform/leases.py
+++ b/pondpin/platform/leases.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from pondpin.body_checks import is_unused
+from pondpin.body_checks import ignore_body
 from pondpin.http_client import HttpClient
 from pondpin.http_streams import SMALL_BODY_BYTES, CallFailedError
 from pondpin.platform.headers import MISDIRECTED, head_observer
@@ -84,7 +84,7 @@
             timeout,
             on_head=head_observer(on_head),
             limit=SMALL_BODY_BYTES,
-            close_delimited_if=is_unused,
+            close_delimited_if=ignore_body,
         )
         if response.status >= 500:
             raise CallFailedError(f"status {response.status}", sent=True)
--- a/pondpin/platform/reports.py
+++ b/pondpin/platform/reports.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from pondpin.body_checks import is_unused, is_unused_or_json
+from pondpin.body_checks import ignore_body, is_unused_or_json
 from pondpin.http_client import HttpClient
 from pondpin.http_streams import SMALL_BODY_BYTES, CallFailedError
 from pondpin.platform.headers import head_observer
@@ -66,7 +66,7 @@
             timeout=timeout,
             on_head=head_observer(on_head),
             limit=SMALL_BODY_BYTES,
-            close_delimited_if=is_unused,
+            close_delimited_if=ignore_body,
         )
         return response.status == OK
 
@@ -85,7 +85,7 @@
                 fresh=True,
                 on_head=observe,
                 limit=SMALL_BODY_BYTES,
-                close_delimited_if=is_unused,
+                close_delimited_if=ignore_body,
             )
         except CallFailedError:
             if not heads:
--- a/pondpin/relay/attempts/attempt.py
+++ b/pondpin/relay/attempts/attempt.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from pondpin.body_checks import has_other_evidence
+from pondpin.body_checks import accept_unverified
 from pondpin.clocks import Clock
 from pondpin.http_client import HttpClient, RawRequest
 from pondpin.http_streams import (
@@ -190,7 +190,7 @@
         )
         try:
             body = await asyncio.wait_for(
-                start.read(close_delimited_if=has_other_evidence),
+                start.read(close_delimited_if=accept_unverified),
                 self._time_left(call, None, began),
             )
         except CallFailedError as error:
--- a/pondpin/relay/attempts/identity_checks.py
+++ b/pondpin/relay/attempts/identity_checks.py
@@ -12,7 +12,7 @@
 
 # Responses that end within this time share a check: a process that ends closes its connections
 # one after the other.
-SHARE_SECONDS = 0.005
+CHECK_BATCH_SECONDS = 0.005
 # A process that ends in order may answer for some ms after it has closed the connections of its
 # responses. Together with a round trip, callers wait less than 0.1 s for the end of a response.
 SETTLE_SECONDS = 0.06
@@ -23,22 +23,22 @@
 
     def __init__(self, ask: Callable[[UpstreamState, str], Awaitable[Identity]]) -> None:
         self._ask = ask
-        self._joinable_by_life: dict[int, asyncio.Task[Identity]] = {}
+        self._pending_by_life: dict[int, asyncio.Task[Identity]] = {}
 
     async def check(self, state: UpstreamState, path: str, seconds: float) -> Identity:
         """Ask which life answers at an upstream's address after a moment.
 
         path: of its liveness checks. seconds: the longest wait for the answer.
         """
-        task = self._joinable_by_life.get(state.life)
+        task = self._pending_by_life.get(state.life)
         if task is None:
             task = asyncio.get_running_loop().create_task(self._ask_soon(state, path))
-            self._joinable_by_life[state.life] = task
+            self._pending_by_life[state.life] = task
         await asyncio.wait((task,), timeout=seconds)
         return task.result() if task.done() else Identity.NO_ANSWER
 
     async def _ask_soon(self, state: UpstreamState, path: str) -> Identity:
-        await asyncio.sleep(SHARE_SECONDS)
-        del self._joinable_by_life[state.life]
+        await asyncio.sleep(CHECK_BATCH_SECONDS)
+        del self._pending_by_life[state.life]
         await asyncio.sleep(SETTLE_SECONDS)
         return await self._ask(state, path)
--- a/pondpin/relay/response_ends.py
+++ b/pondpin/relay/response_ends.py
@@ -17,8 +17,7 @@
 class ResponseEndFields(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """How an upstream's response ended.
 
-    framing, connection: see `pondpin.http_streams`. evidence, doubt: see
-    Evidence and Doubt.
+    framing, connection: see `pondpin.body_ends`. evidence, doubt: see Evidence and Doubt.
     silence_ms: from its last data to its end. evidence_ms: from its end to the evidence. leases: of
     the request; lease_ms: from the end to the first one's lapse, negative after it.
     """
--- a/pondpin/tests/test_close_delimited_bodies.py
+++ b/pondpin/tests/test_close_delimited_bodies.py
@@ -15,7 +15,7 @@
 
 from pondpin.answer_writers import WholeWriter
 from pondpin.attempts import Failure
-from pondpin.body_checks import is_json_document, is_unused, is_unused_or_json
+from pondpin.body_checks import ignore_body, is_json_document, is_unused_or_json
 from pondpin.body_ends import BROKEN_OFF, BodyEnd, ConnectionEnd, Framing
 from pondpin.buffered_bodies import Collector
 from pondpin.calls import CallKind
@@ -526,10 +526,10 @@
         async def work(client: HttpClient, server: ScriptedServer, address: str) -> None:
             url = f"http://{address}/x"
             server.script(b"text", framing=Framing.CLOSE_DELIMITED)
-            called = await client.call("GET", url, close_delimited_if=is_unused)
+            called = await client.call("GET", url, close_delimited_if=ignore_body)
             self.assertEqual(called.body, b"text")
             called = await client.call_with_stall_timeout(
-                "GET", url, SECONDS, SECONDS, close_delimited_if=is_unused
+                "GET", url, SECONDS, SECONDS, close_delimited_if=ignore_body
             )
             self.assertEqual(called.body, b"text")
 
