--- a/pondpin/metrics.py
+++ b/pondpin/metrics.py
@@ -30,7 +30,7 @@
         )
         self.response_ends = self._counter(
             "pondpin_response_ends_total",
-            "Ends of upstreams' responses, by framing, end of the connection, path and evidence.",
+            "Ends of upstreams' responses, by framing, connection, path, evidence and doubt.",
         )
         self.configurations = self._counter(
             "pondpin_configuration_offers_total", "Configurations offered, by source and result."
