End runs whose caller leaves while their response is being verified

A run whose caller left during the check of its end stayed open in the run tracker for good, and would have counted as running at its upstream's life when that ended. The test failed before (the run never ended) and passes.

--- a/pondpin/relay/attempts/run_outcomes.py
+++ b/pondpin/relay/attempts/run_outcomes.py
@@ -27,8 +27,7 @@
     async def finish(self, call: RelayCall, plan: Plan, end: AttemptEnd, run: Run) -> AttemptEnd:
         """See CrashGuard."""
         try:
-            if end.kind in SUCCESSES:
-                end = await self._completeness.verify(call, plan, end)
+            end = await self._verify(call, plan, end, run)
             await self._check_upstream(plan, end, run)
         finally:
             # Also on cancellation, or peers would take it for running.
@@ -37,6 +36,15 @@
             self._record_success(call, end, run)
         return end
 
+    async def _verify(self, call: RelayCall, plan: Plan, end: AttemptEnd, run: Run) -> AttemptEnd:
+        if end.kind not in SUCCESSES:
+            return end
+        try:
+            return await self._completeness.verify(call, plan, end)
+        except BaseException:
+            self._tracker.abandon(run)
+            raise
+
     async def _check_upstream(self, plan: Plan, end: AttemptEnd, run: Run) -> None:
         helper = helper_at_fault(plan, end)
         if helper is not None:
--- a/pondpin/tests/test_relay_close_delimited.py
+++ b/pondpin/tests/test_relay_close_delimited.py
@@ -98,6 +98,23 @@
         writer.close()
         return data
 
+    def test_run_whose_caller_leaves_during_the_check_of_its_end_is_not_left_open(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            await self.until_listed(platform)
+            self.fail_first(platform, WorkerFault.UNFRAMED)
+            for worker in platform.workers_by_id.values():
+                worker.lasting_fault = WorkerFault.HANG
+            task = asyncio.ensure_future(ask(platform, "stream"))
+            workers = platform.workers_by_id.values()
+            await platform.until(lambda: any(worker.probes for worker in workers))
+            task.cancel()
+            runs_by_life = platform.entries[0].crash_guard.tracker.runs_by_life
+            await platform.until(
+                lambda: all(run.ended_at for found in runs_by_life.values() for run in found)
+            )
+
+        self.play(work)
+
     def test_http_1_0_callers_get_a_stream_that_ends_with_its_connection(self) -> None:
         async def work(platform: LocalPlatform) -> None:
             await self.until_listed(platform)
