--- a/pondpin/standins/upstream_process.py
+++ b/pondpin/standins/upstream_process.py
@@ -35,6 +35,8 @@
     CUT_RESPONSES = "cut responses"
     # End: first the connections, then the port.
     END = "end"
+    # The same, and answer new connections in between.
+    END_ANSWERING = "end answering"
     # End: first the port, then the connections of responses, then those that rest.
     END_PORT_FIRST = "end port first"
 
@@ -187,6 +189,11 @@
                     writer.close()
                 await asyncio.sleep(LAST_SECONDS)
                 break
+            case Order.END_ANSWERING:
+                for writer in upstream.responding:
+                    writer.close()
+                await asyncio.sleep(LAST_SECONDS)
+                break
             case Order.END_PORT_FIRST:
                 for server in servers:
                     server.close()
--- a/pondpin/tests/test_close_delimited_bodies.py
+++ b/pondpin/tests/test_close_delimited_bodies.py
@@ -455,6 +455,15 @@
 
         play(work)
 
+    def test_release_answered_by_another_upstream_is_told_from_one_by_the_same(self) -> None:
+        async def work(client: HttpClient, server: ScriptedServer, address: str) -> None:
+            for status, is_same in ((200, True), (404, True), (421, False)):
+                server.script(b"{}", framing=Framing.LENGTH)
+                server.status = status
+                self.assertIs(await release(client, address), is_same)
+
+        play(work)
+
     def test_later_page_cut_at_any_byte_fails_the_list(self) -> None:
         first = b'{"items":[%s],"at":4,"more":true}' % UPSTREAM
         last = b'{"items":[%s],"at":5,"more":false}' % UPSTREAM.replace(b"servers/a", b"servers/b")
--- a/pondpin/tests/test_event_order.py
+++ b/pondpin/tests/test_event_order.py
@@ -63,6 +63,35 @@
         return b"".join(self.written)
 
 
+class ReadingGapTest(unittest.TestCase):
+    def gap_ended_at(self, pauses: bool, resumes: bool) -> float | None:
+        """When reading last began again, of a run that ends at 7.0 s."""
+        found: list[float | None] = []
+
+        async def work() -> None:
+            now = 6.9
+            stream = Stream()
+            sink = EventSink(
+                stream._call, stream.progress, lambda: now, stream._start, ScriptedObserver(True)
+            )
+            if pauses:
+                sink.pause()
+            if resumes:
+                sink.resume()
+            now = 7.0
+            sink.on_end(WHOLE)
+            assert sink.response_end is not None
+            found.append(sink.response_end.gap_ended_at)
+
+        run_async(work())
+        return found[0]
+
+    def test_pauses_of_a_slow_caller_are_known_at_the_end(self) -> None:
+        self.assertIsNone(self.gap_ended_at(pauses=False, resumes=False))
+        self.assertEqual(self.gap_ended_at(pauses=True, resumes=False), 7.0)
+        self.assertEqual(self.gap_ended_at(pauses=True, resumes=True), 6.9)
+
+
 class OneRunTest(unittest.TestCase):
     def check(self, parts: tuple[bytes, ...], passed: bytes) -> None:
         """Check that a run is broken off, and what was passed on of it."""
--- a/pondpin/tests/test_stream_truncation.py
+++ b/pondpin/tests/test_stream_truncation.py
@@ -224,6 +224,13 @@
     await upstream.process.wait()
 
 
+async def end_answering(played: Played, upstream: Upstream) -> None:
+    """Connections end first, and the process answers for some ms more."""
+    upstream.listener.close()
+    upstream.order(Order.END_ANSWERING)
+    await upstream.process.wait()
+
+
 async def end_port_first(played: Played, upstream: Upstream) -> None:
     """The port ends before the responses, connections that rest after them."""
     upstream.listener.close()
@@ -345,6 +352,9 @@
     def test_stream_is_not_complete_if_connections_end_before_the_port(self) -> None:
         self.play_streams(end_in_order)
 
+    def test_stream_is_not_complete_if_its_process_answers_until_its_end(self) -> None:
+        self.play_streams(end_answering)
+
     def test_stream_is_not_complete_if_resting_connections_end_last(self) -> None:
         self.play_streams(end_port_first, is_known=True)
 
