--- a/pondpin/tests/test_relay_stall_timeouts.py
+++ b/pondpin/tests/test_relay_stall_timeouts.py
@@ -98,6 +98,7 @@
             started_at = loop.time()
             attempts = AttemptRunner(http, dialect, loop.time)
             is_complete = await attempts.wait_for_end(call, sink, state, timeouts, observer)
+            self.response_end = sink.response_end
             return is_complete, loop.time() - started_at
 
         result: tuple[bool | None, float] = run_virtual(work())
@@ -113,6 +114,11 @@
         self.assertIs(is_complete, True)
         self.assertAlmostEqual(seconds, 3.0, 3)
 
+    def test_a_silence_of_the_upstream_is_no_standstill_of_the_instance(self) -> None:
+        self.wait(False, StallTimeouts(None, None, None))
+        assert self.response_end is not None
+        self.assertIsNone(self.response_end.gap_ended_at)
+
     def test_a_silent_stream_is_awaited_if_it_cannot_be_resumed(self) -> None:
         progress = Progress(events=3, head_sent=True, passed=PassedEvents(ends_unnumbered=True))
         is_complete, seconds = self.wait(True, StallTimeouts(1.0, 1.0, 0.5), progress)
