Name the standstills of the instance in tests

They block the event loop on purpose, as a suspension does, and wait for nothing. python -m pondpin.tests stream_truncation_orders: 33 passed.

--- a/pondpin/tests/test_stream_truncation_orders.py
+++ b/pondpin/tests/test_stream_truncation_orders.py
@@ -125,6 +125,11 @@
         self.assertEqual(played.runs(attempt), 1)
 
 
+def stand_still(seconds: float) -> None:
+    """Block the instance's event loop, as a suspension of its process does."""
+    time.sleep(seconds)
+
+
 def send_stream(
     played: Played, attempt: str, tokens: str = TOKENS_OUT, deadline_ms: str = "5000"
 ) -> asyncio.Task[HttpResponse]:
@@ -233,7 +238,7 @@
                     task = send_stream(played, "a", deadline_ms="9000")
                     lead = await until_amid(played, "a")
                     os.kill(lead.process.pid, signal.SIGKILL)
-                    time.sleep(seconds)
+                    stand_still(seconds)
                     self.assert_no_early_end(await result(task), WHOLE)
 
                 self.play(work, ({}, {}))
@@ -298,7 +303,7 @@
         async def work(played: Played) -> None:
             task = send_stream(played, "a", deadline_ms="9000")
             await until_amid(played, "a", EVENTS - 2)
-            time.sleep(2.0)
+            stand_still(2.0)
             self.assert_sound(played, await task, "a")
 
         self.play(work, ({}, {}))
@@ -410,7 +415,7 @@
                 await start_again(played, holder)
             await until_amid(played, "long0", LOSS_EVENT - 3)
             # The last events, the silence after them and the end wait for the instance together.
-            time.sleep(1.5)
+            stand_still(1.5)
 
         answer = self.play_leased(work, {"born": BORN, "loses_holder_after": LOSS_EVENT})
         self.assert_no_early_end(answer, WHOLE_LEASED)
@@ -418,7 +423,7 @@
     def test_stream_is_not_complete_if_the_silence_before_its_end_was_not_seen(self) -> None:
         async def work(played: Played, lead: Upstream) -> None:
             await until_amid(played, "long0", LOSS_EVENT - 3)
-            time.sleep(1.5)
+            stand_still(1.5)
 
         answer = self.play_leased(work, {"loses_holder_after": LOSS_EVENT})
         self.assert_no_early_end(answer, WHOLE_LEASED)
@@ -437,7 +442,7 @@
     def test_sound_stream_with_leases_survives_a_standstill_before_its_end(self) -> None:
         async def work(played: Played, lead: Upstream) -> None:
             await until_amid(played, "long0", LEASED_EVENTS - 3)
-            time.sleep(1.0)
+            stand_still(1.0)
 
         answer = self.play_leased(work, {"ends_at_once": True})
         assert answer is not None
