--- a/pondpin/tests/test_response_completeness.py
+++ b/pondpin/tests/test_response_completeness.py
@@ -4,6 +4,7 @@
 import itertools
 import unittest
 from dataclasses import replace
+from types import SimpleNamespace
 from typing import Any
 
 from pondpin.body_ends import BodyEnd, ConnectionEnd, Framing
@@ -15,7 +16,8 @@
 )
 from pondpin.relay.attempts.identity_checks import SETTLE_SECONDS, IdentityChecks
 from pondpin.relay.attempts.reading_gaps import STALL_SECONDS, ReadingGaps
-from pondpin.relay.call import AttemptEnd, EndKind, RelayCall
+from pondpin.relay.attempts.retries import Retries
+from pondpin.relay.call import AttemptEnd, EndKind, Progress, RelayCall
 from pondpin.relay.choosing.planner import Plan
 from pondpin.relay.model import EngineReport, ListedUpstream, RouteKind
 from pondpin.relay.response_ends import Doubt, Evidence, Identity, ResponseEnd, describe_end
@@ -190,6 +192,19 @@
 ROUNDING_SECONDS = 1e-6
 
 
+class BlameTest(unittest.TestCase):
+    def test_doubts_about_leases_and_silences_speak_against_no_lead(self) -> None:
+        handler: Any = SimpleNamespace(
+            connector=SimpleNamespace(blames_upstream=lambda upstream, path: True)
+        )
+        retries, plan = Retries(handler), Plan(LEAD, (), None, 1)
+        for doubt in Doubt:
+            found = end_of(CLOSED, doubt=doubt)
+            end = AttemptEnd(EndKind.BROKEN, response_end=found)
+            expected = doubt not in (Doubt.LEASE_LAPSED, Doubt.STOOD_STILL, Doubt.UNSEEN)
+            self.assertIs(retries.blames_upstream(plan, end, Progress()), expected, doubt)
+
+
 class ReadingGapsTest(unittest.TestCase):
     def test_pauses_and_standstills_hide_a_silence(self) -> None:
         gaps = ReadingGaps(0.0)
