Reject responses whose status-line is malformed

Callers saw: an upstream's answer with status 000 reached them as `HTTP/1.1 0 Unknown Status`, safe calls without a retry. So did 099, 99, 600 to 999, 1000, a negative status, and as a 200: 0200, +200, HTTP/2.0, `http/1.1`, and control bytes in the reason phrase.

Cause: Twisted's client parser splits the status-line at spaces and converts the parts with int(). Nothing asked whether the line is one.

Evidence: test_malformed_responses, with the check taken out: 21 of 35 malformed status-lines were taken as answers, 14 failed without a name, and the relayed test got status 0 with the upstream's signature. With the check: 35 of 35 fail with `status_line`, and nine sound ones are served.

Why this works: CheckedConnection sees each line of a head before Twisted does, for all that is read through HttpClient. HeadChecker compares the status-line with the grammar of RFC 9112, section 4, also those of interim responses and after them. A mismatch ends the connection; the outcome of the attempt is unknown, so a safe call is retried and an unsafe one gets 502 and runs once. The fault is in the log line of the attempt and in pondpin_malformed_responses_total.

--- a/pondpin/http_connections.py
+++ b/pondpin/http_connections.py
@@ -10,7 +10,8 @@
 from twisted.web._newclient import HEADER, STATUS, HTTP11ClientProtocol
 from twisted.web.client import HTTPConnectionPool
 
-from pondpin.http_streams import DEFAULT_LIMITS, ResponseFault, ResponseLimitError
+from pondpin.http_streams import DEFAULT_LIMITS, ResponseFault, ResponseFaultError
+from pondpin.response_grammar import HeadChecker
 
 # Idle connections are closed this long before the server's announced time, to avoid a race.
 KEEP_ALIVE_MARGIN_SECONDS = 0.5
@@ -25,7 +26,7 @@
 
     connection_end is set on a response that ends with its connection. keep_alive_seconds: the
     server's idle timeout, None when it sent none. path: the peer through which it goes, empty for a
-    direct one. limits: a head that exceeds them ends the connection.
+    direct one. limits: a head that exceeds them ends the connection, as does a malformed one.
     """
 
     keep_alive_seconds: float | None = None
@@ -35,20 +36,22 @@
     _timed_parser: Any = None
 
     def request(self, request: Any) -> Any:
-        """Send a request; the head of its response is bounded."""
+        """Send a request; the head of its response is bounded and checked."""
         started = super().request(request)
         parser: Any = self._parser
         if parser is not None:
             receive = parser.lineReceived
+            check_line = HeadChecker().check_line
             left = [self.limits.head_lines, self.limits.head_bytes]
 
             def receive_line(line: bytes) -> None:
                 left[0] -= 1
                 left[1] -= len(line)
                 if left[0] < 0:
-                    raise ResponseLimitError(ResponseFault.HEAD_LINES)
+                    raise ResponseFaultError(ResponseFault.HEAD_LINES)
                 if left[1] < 0:
-                    raise ResponseLimitError(ResponseFault.HEAD_BYTES)
+                    raise ResponseFaultError(ResponseFault.HEAD_BYTES)
+                check_line(line)
                 receive(line)
 
             parser.lineReceived = receive_line
@@ -69,7 +72,7 @@
     def _end_slow_head(self, parser: Any) -> None:
         is_current = self._parser is parser
         if is_current and parser.state in (STATUS, HEADER):
-            error = ResponseLimitError(ResponseFault.HEAD_SECONDS)
+            error = ResponseFaultError(ResponseFault.HEAD_SECONDS)
             self._giveUp(Failure(error))  # type: ignore[no-untyped-call]
 
     def _finishResponse(self, rest: bytes) -> None:
--- a/pondpin/http_streams.py
+++ b/pondpin/http_streams.py
@@ -19,13 +19,27 @@
 
 
 class ResponseFault(enum.StrEnum):
-    """Which bound a response exceeded."""
+    """Why a response was ended: a bound that it exceeded, or a part that is malformed."""
 
     HEAD_BYTES = "head_bytes"
     HEAD_LINES = "head_lines"
     HEAD_SECONDS = "head_seconds"
     BODY_BYTES = "body_bytes"
     BUFFERED_BYTES = "buffered_bytes"
+    STATUS_LINE = "status_line"
+
+    @property
+    def is_limit(self) -> bool:
+        """Whether it is a bound of ResponseLimits."""
+        return self not in MALFORMED_PARTS
+
+    @property
+    def description(self) -> str:
+        """For errors and log lines."""
+        return f"{'response exceeds' if self.is_limit else 'malformed response:'} {self.value}"
+
+
+MALFORMED_PARTS = frozenset((ResponseFault.STATUS_LINE,))
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,8 +62,8 @@
 SMALL_BODY_BYTES = 64 << 10
 
 
-class ResponseLimitError(Exception):
-    """A response exceeded a bound."""
+class ResponseFaultError(Exception):
+    """A response exceeded a bound, or is malformed."""
 
     def __init__(self, fault: ResponseFault) -> None:
         super().__init__(fault.value)
@@ -57,8 +71,8 @@
 
 
 def find_fault(error: BaseException) -> ResponseFault | None:
-    """The exceeded bound behind an error of Twisted's client, which wraps the parser's."""
-    if isinstance(error, ResponseLimitError):
+    """The fault behind an error of Twisted's client, which wraps the parser's."""
+    if isinstance(error, ResponseFaultError):
         return error.fault
     for reason in getattr(error, "reasons", ()):
         cause = reason.value if isinstance(reason, Failure) else reason
@@ -108,7 +122,7 @@
     """A call got no complete response; sent: whether any byte of it may have been sent.
 
     refused: the connection was refused. unconfirmed: there was no path to the server, which says
-    nothing of the server itself. fault: the bound that the response exceeded.
+    nothing of the server itself. fault: of the response.
     """
 
     def __init__(
@@ -119,7 +133,7 @@
         unconfirmed: bool = False,
         fault: ResponseFault | None = None,
     ) -> None:
-        super().__init__(cause if fault is None else f"response exceeds {fault.value}")
+        super().__init__(cause if fault is None else fault.description)
         self.fault = fault
         self.sent = sent
         self.refused = refused
--- a/pondpin/metrics.py
+++ b/pondpin/metrics.py
@@ -28,6 +28,10 @@
             "pondpin_responses_over_limit_total",
             "Responses of upstreams that were ended as they exceeded a bound, by bound.",
         )
+        self.malformed_responses = self._counter(
+            "pondpin_malformed_responses_total",
+            "Responses of upstreams that were ended as malformed, by part.",
+        )
         self.response_ends = self._counter(
             "pondpin_response_ends_total",
             "Ends of upstreams' responses, by framing, connection, path, evidence and doubt.",
--- a/pondpin/relay/attempts/passive_health.py
+++ b/pondpin/relay/attempts/passive_health.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from pondpin.clocks import Clock
+from pondpin.http_streams import ResponseFault
 from pondpin.metrics import Metrics
 from pondpin.relay.attempts.attempt_ends import FIRST_SERVER_ERROR, helper_at_fault
 from pondpin.relay.call import AttemptEnd, EndKind
@@ -52,7 +53,7 @@
         result = end.kind.value
         self._metrics.attempts.inc({"upstream": plan.lead.listed.service, "result": result})
         if end.fault is not None:
-            self._metrics.responses_over_limit.inc({"bound": end.fault.value})
+            self._count_fault(end.fault)
         helper = helper_at_fault(plan, end)
         if helper is not None:
             # It may only be leaving; then the list shows it in a moment.
@@ -90,6 +91,12 @@
         else:
             plan.lead.record_success(now)
 
+    def _count_fault(self, fault: ResponseFault) -> None:
+        if fault.is_limit:
+            self._metrics.responses_over_limit.inc({"bound": fault.value})
+        else:
+            self._metrics.malformed_responses.inc({"part": fault.value})
+
     def _record_failure(self, state: UpstreamState, now: float, reason: str, certain: bool) -> None:
         if self._table.record_failure(state, now, certain):
             left = round(state.health.ejected_until - now, 2)
--- a/pondpin/relay/call.py
+++ b/pondpin/relay/call.py
@@ -91,7 +91,7 @@
 
     failed_endpoint: the upstream that caused the failure. A withheld attempt was not sent, because
     a send check failed once its connection was open. unconfirmed: no path to the upstream.
-    response_end: how the response ended, None without one. fault: the bound that it exceeded.
+    response_end: how the response ended, None without one. fault: of the response.
     """
 
     kind: EndKind
--- /dev/null
+++ b/pondpin/tests/test_malformed_responses.py
@@ -0,0 +1,209 @@
+"""Responses that don't match the grammar of HTTP/1.1 are no answers."""
+
+import unittest
+from collections.abc import Awaitable, Callable, Mapping
+from unittest import mock
+
+from pondpin.http_client import HttpClient, HttpResponse
+from pondpin.http_streams import CallFailedError, ResponseFault
+from pondpin.relay.log_events import AttemptEnded, LogEvent
+from pondpin.standins.local_platform import PLAIN, LocalPlatform, sample_entry
+from pondpin.standins.scripted_upstream import ScriptedUpstream
+from pondpin.standins.store_state import UPSTREAMS_PREFIX
+from pondpin.tests.support import RelayTest, ask, run_async, the_loop
+
+NAMED = b"X-Attempt-Id: {attempt}\r\nX-Instance-Signature: s.{attempt}\r\n"
+SOUND = b"HTTP/1.1 200 OK\r\n" + NAMED + b"Content-Length: 2\r\n\r\nok"
+
+
+def with_status_line(line: bytes) -> bytes:
+    """A response that is sound but for its status-line."""
+    return line + SOUND.removeprefix(b"HTTP/1.1 200 OK")
+
+
+MALFORMED_STATUS_LINES = {
+    repr(line): with_status_line(line)
+    for line in (
+        b"HTTP/1.1 000 Zero",
+        b"HTTP/1.1 000",
+        b"HTTP/1.1 099 Low",
+        b"HTTP/1.1 99 Short",
+        b"HTTP/1.1 600 High",
+        b"HTTP/1.1 999 High",
+        b"HTTP/1.1 1000 Long",
+        b"HTTP/1.1 0200 OK",
+        b"HTTP/1.1 +200 OK",
+        b"HTTP/1.1 -20 OK",
+        b"HTTP/1.1 2_0 OK",
+        b"HTTP/1.1 2xx OK",
+        b"HTTP/1.1 \xb2\xb0\xb0 OK",
+        b"HTTP/1.1  200 OK",
+        b"HTTP/1.1\t200\tOK",
+        b"HTTP/1.1 200\tOK",
+        b" HTTP/1.1 200 OK",
+        b"HTTP/1.1 200 O\x00K",
+        b"HTTP/1.1 200 O\x0bK",
+        b"HTTP/1.1 200 O\x7fK",
+        b"HTTP/1.1 200 O\rK",
+        b"HTTP/2.0 200 OK",
+        b"HTTP/0.9 200 OK",
+        b"HTTP/1 200 OK",
+        b"HTTP/1.10 200 OK",
+        b"HTTP/+1.1 200 OK",
+        b"http/1.1 200 OK",
+        b"HTTP 200 OK",
+        b"ICY 200 OK",
+        b"HTTP/1.1",
+        b"200 OK",
+        b"",
+        b"\r\nHTTP/1.1 200 OK",
+    )
+}
+MALFORMED_STATUS_LINES["an invalid interim response"] = b"HTTP/1.1 1xx Early\r\n\r\n" + SOUND
+MALFORMED_STATUS_LINES["an invalid status after an interim response"] = (
+    b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + with_status_line(b"HTTP/1.1 000 Zero")
+)
+SOUND_STATUS_LINES = {
+    line: with_status_line(line)
+    for line in (
+        b"HTTP/1.1 200",
+        b"HTTP/1.1 200 ",
+        b"HTTP/1.1 200  two spaces",
+        b"HTTP/1.1 200 tab\there \xe9\xff",
+        b"HTTP/1.0 200 OK",
+        b"HTTP/1.2 200 OK",
+        b"HTTP/1.1 299 Custom",
+        b"HTTP/1.1 418 I'm a teapot",
+        b"HTTP/1.1 599 Last",
+    )
+}
+
+
+class ClientTest(unittest.TestCase):
+    """All readers of responses use this client."""
+
+    def play(self, work: Callable[[HttpClient, ScriptedUpstream, str], Awaitable[None]]) -> None:
+        async def whole() -> None:
+            client = HttpClient(the_loop()[1], 1.0)
+            upstream = ScriptedUpstream()
+            url = f"http://{await upstream.listen()}/x"
+            try:
+                await work(client, upstream, url)
+            finally:
+                await client.close()
+                await upstream.close()
+
+        run_async(whole())
+
+    def check_fault(self, responses: Mapping[str, bytes], fault: ResponseFault) -> None:
+        """Check that each response ends its connection with a fault."""
+
+        async def work(client: HttpClient, upstream: ScriptedUpstream, url: str) -> None:
+            for name, response in responses.items():
+                upstream.response = response
+                with self.subTest(name):
+                    error = await find_error(client, url)
+                    self.assertTrue(error.sent)
+                    self.assertIs(error.fault, fault)
+
+        self.play(work)
+
+    def check_served(self, responses: Mapping[bytes, bytes], expected: HttpResponse | None) -> None:
+        """Check that each response is received, and equals expected unless that is None."""
+
+        async def work(client: HttpClient, upstream: ScriptedUpstream, url: str) -> None:
+            for name, response in responses.items():
+                upstream.response = response
+                with self.subTest(name):
+                    answer = await client.call("GET", url, {"x-attempt-id": "a1"}, timeout=2.0)
+                    self.assertEqual(answer.body, b"ok")
+                    self.assertEqual(answer.headers["x-attempt-id"], "a1")
+                    if expected is not None:
+                        self.assertEqual(answer, expected)
+
+        self.play(work)
+
+    def test_a_malformed_status_line_is_no_answer(self) -> None:
+        self.check_fault(MALFORMED_STATUS_LINES, ResponseFault.STATUS_LINE)
+
+    def test_sound_status_lines_are_served(self) -> None:
+        self.check_served(SOUND_STATUS_LINES, None)
+
+
+async def find_error(client: HttpClient, url: str) -> CallFailedError:
+    """Make a call that fails; AssertionError if it is answered."""
+    try:
+        answer = await client.call("GET", url, {"x-attempt-id": "a1"}, timeout=2.0)
+    except CallFailedError as error:
+        return error
+    raise AssertionError(f"taken as an answer: {answer}")
+
+
+class RelayedTest(RelayTest):
+    async def add_upstream(self, platform: LocalPlatform, response: bytes) -> ScriptedUpstream:
+        """Add an upstream of plain calls that sends a response; keep its log."""
+        upstream = ScriptedUpstream(response)
+        place = await upstream.listen()
+        # The first by its id, it is chosen among idle upstreams.
+        entry = sample_entry(PLAIN, str(place))
+        platform.store.put(f"{UPSTREAMS_PREFIX}malformed", entry)
+        instance = platform.entries[0]
+        await platform.until(lambda: "malformed" in instance.table.by_id)
+        self.addCleanup(lambda: run_async(upstream.close()))
+        self.events: list[LogEvent] = []
+        self.enterContext(mock.patch.object(instance.log, "write", self.events.append))
+        return upstream
+
+    async def remove_sound(self, platform: LocalPlatform) -> None:
+        """Leave the scripted upstream alone."""
+        for name in ("plain-0", "plain-1"):
+            platform.store.delete(f"servers/{name}")
+        table = platform.entries[0].table
+        await platform.until(lambda: {item.id for item in table.of_service(PLAIN)} == {"malformed"})
+
+    def check_unanswered(self, response: bytes, fault: ResponseFault) -> None:
+        """Check what callers get, beside sound upstreams and without them."""
+
+        async def work(platform: LocalPlatform) -> None:
+            upstream = await self.add_upstream(platform, response)
+            for number in range(24):
+                answer = await ask(platform, "again", f"safe{number}")
+                self.assertEqual((answer.status, "s." in str(answer.headers)), (200, False))
+                answer = await ask(platform, "once", f"unsafe{number}")
+                self.assertIn(answer.status, (200, 502))
+                if answer.status == 502:
+                    self.assertEqual(answer.headers["pondpin-ran"], "outcome unknown")
+            self.assertGreater(sum(upstream.runs_by_attempt.values()), 0)
+            await self.remove_sound(platform)
+            for route in ("again", "once"):
+                answer = await ask(platform, route, f"last-{route}")
+                self.assertEqual(answer.status, 502)
+                self.assertEqual(answer.headers["pondpin-ran"], "outcome unknown")
+                self.assertNotIn("x-instance-signature", answer.headers)
+            self.assertEqual(set(upstream.runs_by_attempt.values()), {1})
+            self.check_recorded(platform, fault, f"last-{route}")
+
+        self.play(work)
+
+    def check_recorded(self, platform: LocalPlatform, fault: ResponseFault, request: str) -> None:
+        """Check the log line of a request, and the counter."""
+        lines = [
+            event
+            for event in self.events
+            if isinstance(event, AttemptEnded) and event.request == request
+        ]
+        self.assertEqual([line.detail for line in lines], [f"malformed response: {fault.value}"])
+        text, _ = platform.entries[0].metrics.render("text/plain")
+        counted = [
+            line
+            for line in text.decode().splitlines()
+            if line.startswith("pondpin_malformed_responses_total{") and f'"{fault.value}"' in line
+        ]
+        self.assertEqual(len(counted), 1, counted)
+
+    def test_status_000_reaches_no_caller(self) -> None:
+        self.check_unanswered(with_status_line(b"HTTP/1.1 000 Zero"), ResponseFault.STATUS_LINE)
+
+
+if __name__ == "__main__":
+    unittest.main()
