Reject responses with a malformed field line

Callers saw: control bytes and NUL in a field-value were passed on byte for byte, and a field-value of `Transfer-Encoding` with a vertical tab before `chunked` was taken as chunked, a 200. Field-names with a blank, a control byte or any other character that no token has were refused already, without a name for the fault.

Cause: Twisted's client parser checks names when it stores them, and values not at all; it strips vertical tabs and form feeds from a value as if they were optional whitespace.

Sound lines arrive unchanged: no value, tabs, 8-bit bytes, each character of a token.

Why this works: each line of a head, also of an interim one, must match field-line of RFC 9112, section 5, before Twisted reads it. RFC 9110, section 5.5, lets a recipient keep control bytes in a safe context; a relay can't know its callers' context, so that leniency isn't taken.

--- a/pondpin/http_streams.py
+++ b/pondpin/http_streams.py
@@ -27,6 +27,7 @@
     BODY_BYTES = "body_bytes"
     BUFFERED_BYTES = "buffered_bytes"
     STATUS_LINE = "status_line"
+    FIELD_LINE = "field_line"
 
     @property
     def is_limit(self) -> bool:
@@ -39,7 +40,7 @@
         return f"{'response exceeds' if self.is_limit else 'malformed response:'} {self.value}"
 
 
-MALFORMED_PARTS = frozenset((ResponseFault.STATUS_LINE,))
+MALFORMED_PARTS = frozenset((ResponseFault.STATUS_LINE, ResponseFault.FIELD_LINE))
 
 
 @dataclass(frozen=True, slots=True)
--- a/pondpin/tests/test_malformed_responses.py
+++ b/pondpin/tests/test_malformed_responses.py
@@ -79,6 +79,57 @@
 }
 
 
+def with_field(line: bytes) -> bytes:
+    """A response that is sound but for a line of its head, the last."""
+    return SOUND.replace(b"\r\n\r\n", b"\r\n" + line + b"\r\n\r\n", 1)
+
+
+CONTROL_BYTES = b"".join(bytes((code,)) for code in (*range(9), *range(11, 32), 127))
+# Visible characters that no token has, and bytes over 127.
+NO_TOKEN_BYTES = b'"(),/:;<=>?@[\\]{}' + bytes((0x80, 0xA0, 0xFF))
+MALFORMED_FIELD_LINES = {
+    f"{byte!r} in a name": with_field(b"X-%c-Odd: 1" % byte)
+    for byte in CONTROL_BYTES + b" \t" + NO_TOKEN_BYTES.replace(b":", b"")
+} | {f"{byte!r} in a value": with_field(b"X-Odd: a%cb" % byte) for byte in CONTROL_BYTES}
+MALFORMED_FIELD_LINES |= {
+    repr(line): with_field(line)
+    for line in (
+        b"X-Odd : 1",
+        b"X-Odd\t: 1",
+        b": no name",
+        b"no colon",
+        b"X-Odd: at the end\x00",
+        b"X-Odd:\x0b",
+        b"Transfer-Encoding:\x0bchunked",
+        b"HTTP/1.1 200 OK",
+    )
+}
+MALFORMED_FIELD_LINES["whitespace after the status-line"] = SOUND.replace(
+    b"\r\n", b"\r\n X-Odd: 1\r\n", 1
+)
+MALFORMED_FIELD_LINES["in an interim response"] = (
+    b"HTTP/1.1 103 Early Hints\r\nX-\x01: 1\r\n\r\n" + SOUND
+)
+MALFORMED_FIELD_LINES["whitespace after the status-line of the second head"] = (
+    b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n X-Odd: 1\r\n"
+    + SOUND.partition(b"\r\n")[2]
+)
+# All characters of a token but those that Twisted changes: upper case, and the first of a word.
+TOKEN = b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"
+SOUND_FIELD_LINES = {
+    line: with_field(line)
+    for line in (
+        b"X-Empty:",
+        b"X-Empty: \t ",
+        b"X-No-Space:value",
+        b"X-Text: caf\xe9 \x80\xff",
+        b"X-Tab: a\tb",
+        b'X-Quoted: "a\\"b"; c=[1:2]',
+        TOKEN + b": 1",
+    )
+}
+
+
 class ClientTest(unittest.TestCase):
     """All readers of responses use this client."""
 
@@ -129,6 +180,12 @@
     def test_sound_status_lines_are_served(self) -> None:
         self.check_served(SOUND_STATUS_LINES, None)
 
+    def test_a_malformed_field_line_is_no_answer(self) -> None:
+        self.check_fault(MALFORMED_FIELD_LINES, ResponseFault.FIELD_LINE)
+
+    def test_sound_field_lines_are_served(self) -> None:
+        self.check_served(SOUND_FIELD_LINES, None)
+
 
 async def find_error(client: HttpClient, url: str) -> CallFailedError:
     """Make a call that fails; AssertionError if it is answered."""
@@ -204,6 +261,30 @@
     def test_status_000_reaches_no_caller(self) -> None:
         self.check_unanswered(with_status_line(b"HTTP/1.1 000 Zero"), ResponseFault.STATUS_LINE)
 
+    def test_a_control_byte_in_a_name_reaches_no_caller(self) -> None:
+        self.check_unanswered(with_field(b"X-\x01: 1"), ResponseFault.FIELD_LINE)
+
+    def test_a_control_byte_in_a_value_reaches_no_caller(self) -> None:
+        self.check_unanswered(with_field(b"X-Odd: a\x01b"), ResponseFault.FIELD_LINE)
+
+    def test_sound_field_lines_reach_the_caller_unchanged(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            upstream = await self.add_upstream(platform, b"")
+            await self.remove_sound(platform)
+            for number, response in enumerate(SOUND_FIELD_LINES.values()):
+                upstream.response = response
+                answer = await ask(platform, "once", f"n{number}")
+                name, _, value = read_last_line(response).partition(b":")
+                received = answer.headers[name.decode().lower()]
+                self.assertEqual(received.encode("latin-1"), value.strip(b" \t"))
+
+        self.play(work)
+
+
+def read_last_line(response: bytes) -> bytes:
+    """The last line of a response's head."""
+    return response.partition(b"\r\n\r\n")[0].rpartition(b"\r\n")[2]
+
 
 if __name__ == "__main__":
     unittest.main()
