Reject heads with lines that end in a bare line feed

Callers saw: a value with a bare line feed in it split a response's head: the fields behind it were passed on as the upstream's own, and `X-Odd: 1\n\nHTTP/1.1 200 OK...` in a value made the rest of the real head the body of a 200 (response splitting).

Cause: Twisted's client parser ends lines at LF and drops a CR before it. RFC 9112, section 2.2, lets a recipient do so.

Now 6 of 6 fail with `line_end`.

Why this works: each line that the parser delivers must still have its CR. The leniency isn't taken: a server that puts text of others into a value and removes CR LF alone would let them write heads.

--- a/pondpin/http_streams.py
+++ b/pondpin/http_streams.py
@@ -28,6 +28,7 @@
     BUFFERED_BYTES = "buffered_bytes"
     STATUS_LINE = "status_line"
     FIELD_LINE = "field_line"
+    LINE_END = "line_end"
 
     @property
     def is_limit(self) -> bool:
@@ -40,7 +41,9 @@
         return f"{'response exceeds' if self.is_limit else 'malformed response:'} {self.value}"
 
 
-MALFORMED_PARTS = frozenset((ResponseFault.STATUS_LINE, ResponseFault.FIELD_LINE))
+MALFORMED_PARTS = frozenset(
+    (ResponseFault.STATUS_LINE, ResponseFault.FIELD_LINE, ResponseFault.LINE_END)
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/pondpin/response_grammar.py
+++ b/pondpin/response_grammar.py
@@ -25,7 +25,9 @@
 
     def check_line(self, line: bytes) -> None:
         """Check the next line, with its CR; raises ResponseFaultError."""
-        line = line.removesuffix(b"\r")
+        if line[-1:] != b"\r":
+            raise ResponseFaultError(ResponseFault.LINE_END)
+        line = line[:-1]
         if self._expects_status:
             self._check_status_line(line)
         elif not line:
--- a/pondpin/tests/test_malformed_responses.py
+++ b/pondpin/tests/test_malformed_responses.py
@@ -114,6 +114,16 @@
     b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n X-Odd: 1\r\n"
     + SOUND.partition(b"\r\n")[2]
 )
+BARE_LINE_FEEDS = {
+    "after the status-line": SOUND.replace(b"\r\n", b"\n", 1),
+    "after a field": with_field(b"X-Odd: 1\nX-More: 2"),
+    "before the end of the head": SOUND.replace(b"\r\n\r\n", b"\r\n\n", 1),
+    "instead of the end of the head": SOUND.replace(b"\r\n\r\n", b"\n\n", 1),
+    "everywhere": SOUND.replace(b"\r\n", b"\n"),
+    "a second response in a value": with_field(
+        b"X-Odd: 1\n\nHTTP/1.1 200 OK\nContent-Length: 2\n\nno"
+    ),
+}
 # All characters of a token but those that Twisted changes: upper case, and the first of a word.
 TOKEN = b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"
 SOUND_FIELD_LINES = {
@@ -183,6 +193,9 @@
     def test_a_malformed_field_line_is_no_answer(self) -> None:
         self.check_fault(MALFORMED_FIELD_LINES, ResponseFault.FIELD_LINE)
 
+    def test_a_bare_line_feed_ends_no_line(self) -> None:
+        self.check_fault(BARE_LINE_FEEDS, ResponseFault.LINE_END)
+
     def test_sound_field_lines_are_served(self) -> None:
         self.check_served(SOUND_FIELD_LINES, None)
 
