Reject heads whose fields delimit the body in more than one way

Callers saw: a response with Content-Length and Transfer-Encoding as a 200, by its chunks; so too `chunked` twice, `chunked` before `gzip` in a second field, chunks in HTTP/1.0, a 204 with a length or chunks, and a 200 behind a 101 that nobody had asked for. Other contradictions were refused without a name for the fault.

Cause: Twisted's client parser looks at the first Transfer-Encoding alone, prefers it to a length whatever the version, and reads on behind each 1xx.

Kept as before: the same length twice or as a list (RFC 9110, section 8.6), a length of 0 in a 204 or an interim response, lengths and chunks announced by 304 and HEAD.

--- a/pondpin/http_streams.py
+++ b/pondpin/http_streams.py
@@ -29,6 +29,7 @@
     STATUS_LINE = "status_line"
     FIELD_LINE = "field_line"
     LINE_END = "line_end"
+    FRAMING = "framing"
 
     @property
     def is_limit(self) -> bool:
@@ -42,7 +43,12 @@
 
 
 MALFORMED_PARTS = frozenset(
-    (ResponseFault.STATUS_LINE, ResponseFault.FIELD_LINE, ResponseFault.LINE_END)
+    (
+        ResponseFault.STATUS_LINE,
+        ResponseFault.FIELD_LINE,
+        ResponseFault.LINE_END,
+        ResponseFault.FRAMING,
+    )
 )
 
 
--- a/pondpin/tests/test_malformed_responses.py
+++ b/pondpin/tests/test_malformed_responses.py
@@ -131,6 +131,78 @@
     "a folded signature": SOUND.replace(b"s.{attempt}", b"s.{attempt}\r\n X-Odd: 1", 1),
     "a folded coding": SOUND.replace(b"Content-Length: 2", b"Transfer-Encoding:\r\n chunked", 1),
 }
+
+
+def with_framing(*lines: bytes, body: bytes = b"", status: bytes = b"HTTP/1.1 200 OK") -> bytes:
+    """A response with the given fields about its body."""
+    fields = b"".join(line + b"\r\n" for line in lines)
+    return status + b"\r\n" + NAMED + fields + b"\r\n" + body
+
+
+CHUNKS = b"2\r\nok\r\n0\r\n\r\n"
+CHUNKED = b"Transfer-Encoding: chunked"
+CONTRADICTORY_FRAMINGS = {
+    f"{fields!r}": with_framing(*fields, body=CHUNKS)
+    for fields in (
+        (b"Content-Length: 2", CHUNKED),
+        (CHUNKED, b"Content-Length: 2"),
+        (CHUNKED, b"Content-Length: 12"),
+        (CHUNKED, CHUNKED),
+        (CHUNKED, b"Transfer-Encoding: gzip"),
+        (b"Transfer-Encoding: gzip", CHUNKED),
+        (b"Transfer-Encoding: gzip, chunked",),
+        (b"Transfer-Encoding: chunked, chunked",),
+        (b"Transfer-Encoding: chunked;q=1",),
+        (b"Transfer-Encoding: identity",),
+        (b"Transfer-Encoding:",),
+        (b'Transfer-Encoding: "chunked"',),
+    )
+} | {
+    f"{fields!r}": with_framing(*fields, body=b"ok")
+    for fields in (
+        (b"Content-Length: 2", b"Content-Length: 3"),
+        (b"Content-Length: 2, 3",),
+        (b"Content-Length: 2,",),
+        (b"Content-Length: 2;",),
+        (b"Content-Length: +2",),
+        (b"Content-Length: -2",),
+        (b"Content-Length: 0x2",),
+        (b"Content-Length: 0_2",),
+        (b"Content-Length: 2 2",),
+        (b"Content-Length: 2.0",),
+        (b"Content-Length: \xb2",),
+        (b"Content-Length:",),
+        (b"Content-Length: " + b"9" * 5000,),
+    )
+}
+CONTRADICTORY_FRAMINGS |= {
+    "chunked in HTTP/1.0": with_framing(CHUNKED, body=CHUNKS, status=b"HTTP/1.0 200 OK"),
+    "chunked 204": with_framing(CHUNKED, body=CHUNKS, status=b"HTTP/1.1 204 None"),
+    "204 with a length": with_framing(
+        b"Content-Length: 2", body=b"ok", status=b"HTTP/1.1 204 None"
+    ),
+    "interim response with a length": with_framing(
+        b"Content-Length: 4", status=b"HTTP/1.1 103 Early Hints", body=b"four" + SOUND
+    ),
+    "chunked interim response": with_framing(
+        CHUNKED, status=b"HTTP/1.1 103 Early Hints", body=SOUND
+    ),
+    "another protocol": with_framing(
+        b"Upgrade: other", status=b"HTTP/1.1 101 Switching Protocols", body=SOUND
+    ),
+    "contradiction after an interim response": b"HTTP/1.1 100 Continue\r\n\r\n"
+    + with_framing(b"Content-Length: 2", CHUNKED, body=CHUNKS),
+}
+SOUND_FRAMINGS = {
+    b"one length": with_framing(b"Content-Length: 2", body=b"ok"),
+    b"the same length twice": with_framing(*(b"Content-Length: 2",) * 2, body=b"ok"),
+    b"a list of the same length": with_framing(b"Content-Length: 2, 2", body=b"ok"),
+    b"a length with zeros": with_framing(b"Content-Length: 0002", body=b"ok"),
+    b"chunks": with_framing(CHUNKED, body=CHUNKS),
+    b"chunks in capitals": with_framing(b"transfer-encoding: CHUNKED", body=CHUNKS),
+    b"interim responses": b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>"
+    + b"\r\nContent-Length: 0\r\n\r\n" + SOUND,
+}  # fmt: skip
 # All characters of a token but those that Twisted changes: upper case, and the first of a word.
 TOKEN = b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"
 SOUND_FIELD_LINES = {
@@ -206,6 +278,29 @@
     def test_a_folded_line_continues_no_field(self) -> None:
         self.check_fault(FOLDED_LINES, ResponseFault.FIELD_LINE)
 
+    def test_contradictory_fields_delimit_no_body(self) -> None:
+        self.check_fault(CONTRADICTORY_FRAMINGS, ResponseFault.FRAMING)
+
+    def test_sound_framings_are_served(self) -> None:
+        self.check_served(SOUND_FRAMINGS, None)
+
+    def test_responses_without_a_body_are_served(self) -> None:
+        async def work(client: HttpClient, upstream: ScriptedUpstream, url: str) -> None:
+            for method, status, lines in (
+                ("GET", 204, ()),
+                ("GET", 204, (b"Content-Length: 0",)),
+                ("GET", 304, (b"Content-Length: 7",)),
+                ("GET", 304, (CHUNKED,)),
+                ("HEAD", 200, (b"Content-Length: 7",)),
+                ("HEAD", 200, (CHUNKED,)),
+            ):
+                upstream.response = with_framing(*lines, status=b"HTTP/1.1 %d Status" % status)
+                with self.subTest(method=method, status=status, lines=lines):
+                    answer = await client.call(method, url, timeout=2.0)
+                    self.assertEqual((answer.status, answer.body), (status, b""))
+
+        self.play(work)
+
     def test_sound_field_lines_are_served(self) -> None:
         self.check_served(SOUND_FIELD_LINES, None)
 
@@ -293,6 +388,10 @@
     def test_a_name_that_begins_with_a_blank_reaches_no_caller(self) -> None:
         self.check_unanswered(FOLDED_LINES["a folded signature"], ResponseFault.FIELD_LINE)
 
+    def test_a_body_of_two_lengths_reaches_no_caller(self) -> None:
+        response = with_framing(b"Content-Length: 2", CHUNKED, body=CHUNKS)
+        self.check_unanswered(response, ResponseFault.FRAMING)
+
     def test_sound_field_lines_reach_the_caller_unchanged(self) -> None:
         async def work(platform: LocalPlatform) -> None:
             upstream = await self.add_upstream(platform, b"")
