Reject malformed chunk lines, and name the fault of a body

Callers saw: a 200 whose chunk lines hold an extension without a name, with a blank in it, or with an open quoted string. Other malformed chunks were refused already, without a name for the fault.

Cause: Twisted's decoder of chunks takes any text without control bytes for an extension.

Why this works: each chunk line must match RFC 9112, section 7.1, before Twisted decodes it. The end of a body carries its fault, so buffered bodies and streams end as broken with its name.

--- a/pondpin/body_ends.py
+++ b/pondpin/body_ends.py
@@ -10,6 +10,8 @@
 from twisted.web.http import PotentialDataLoss
 from twisted.web.iweb import UNKNOWN_LENGTH
 
+from pondpin.http_streams import ResponseFault, find_fault
+
 
 class Framing(enum.StrEnum):
     """How the end of a response's body is marked (RFC 9112, section 6.3)."""
@@ -48,11 +50,16 @@
 
 @dataclass(frozen=True, slots=True)
 class BodyEnd:
-    """The end of a body; is_framed: whether its length or last chunk proves it complete."""
+    """The end of a body.
+
+    is_framed: whether its length or last chunk proves it complete. fault: the malformed part that
+    ended it.
+    """
 
     framing: Framing
     connection: ConnectionEnd
     is_framed: bool
+    fault: ResponseFault | None = None
 
     @property
     def may_be_whole(self) -> bool:
@@ -73,4 +80,5 @@
         return BodyEnd(Framing.CLOSE_DELIMITED, connection, False)
     has_length = getattr(response, "length", UNKNOWN_LENGTH) is not UNKNOWN_LENGTH
     framing = Framing.LENGTH if has_length else Framing.CHUNKED
-    return BodyEnd(framing, connection, reason.check(ResponseDone) is not None)
+    is_framed = reason.check(ResponseDone) is not None
+    return BodyEnd(framing, connection, is_framed, find_fault(reason.value))
--- a/pondpin/buffered_bodies.py
+++ b/pondpin/buffered_bodies.py
@@ -71,7 +71,7 @@
         elif end.may_be_whole:
             self._fail(CallFailedError("the answer is close-delimited", sent=True))
         else:
-            self._fail(CallFailedError("the answer broke off", sent=True))
+            self._fail(CallFailedError("the answer broke off", sent=True, fault=end.fault))
 
     def close(self) -> None:
         """Release the buffer; reset the connection unless the body is complete."""
--- a/pondpin/http_connections.py
+++ b/pondpin/http_connections.py
@@ -11,7 +11,6 @@
 from twisted.web.client import HTTPConnectionPool
 
 from pondpin.http_streams import DEFAULT_LIMITS, ResponseFault, ResponseFaultError
-from pondpin.response_grammar import HeadChecker
 
 # Idle connections are closed this long before the server's announced time, to avoid a race.
 KEEP_ALIVE_MARGIN_SECONDS = 0.5
@@ -38,26 +37,31 @@
     def request(self, request: Any) -> Any:
         """Send a request; the head of its response is bounded and checked."""
         started = super().request(request)
-        parser: Any = self._parser
-        if parser is not None:
-            receive = parser.lineReceived
-            check_line = HeadChecker().check_line
-            left = [self.limits.head_lines, self.limits.head_bytes]
-
-            def receive_line(line: bytes) -> None:
-                left[0] -= 1
-                left[1] -= len(line)
-                if left[0] < 0:
-                    raise ResponseFaultError(ResponseFault.HEAD_LINES)
-                if left[1] < 0:
-                    raise ResponseFaultError(ResponseFault.HEAD_BYTES)
-                check_line(line)
-                receive(line)
-
-            parser.lineReceived = receive_line
+        if self._parser is not None:
+            self._check_head(self._parser)
             self._timed_parser = None
         return started
 
+    def _check_head(self, parser: Any) -> None:
+        # Loaded with the first request.
+        from pondpin.response_grammar import HeadChecker
+
+        receive, check_line = parser.lineReceived, HeadChecker().check_line
+        left = [self.limits.head_lines, self.limits.head_bytes]
+
+        def receive_line(line: bytes) -> None:
+            left[0] -= 1
+            left[1] -= len(line)
+            if left[0] < 0:
+                raise ResponseFaultError(ResponseFault.HEAD_LINES)
+            if left[1] < 0:
+                raise ResponseFaultError(ResponseFault.HEAD_BYTES)
+            check_line(line)
+            receive(line)
+
+        parser.lineReceived = receive_line
+        parser._transferDecoders = {b"chunked": _make_chunk_decoder}
+
     def dataReceived(self, data: bytes) -> None:
         """Receive data; a head that is incomplete by now must end soon."""
         super().dataReceived(data)  # type: ignore[no-untyped-call]
@@ -162,6 +166,13 @@
         super()._putConnection(key, connection)  # type: ignore[no-untyped-call]
 
 
+def _make_chunk_decoder(receive: Callable[[bytes], None], finish: Callable[[bytes], None]) -> Any:
+    # Loaded with the first chunked response.
+    from pondpin.chunked_responses import CheckedChunkDecoder
+
+    return CheckedChunkDecoder(receive, finish)
+
+
 def has_unacknowledged(connection: Any) -> bool:
     """Whether the server's machine has not acknowledged all that was written.
 
--- a/pondpin/http_streams.py
+++ b/pondpin/http_streams.py
@@ -30,6 +30,7 @@
     FIELD_LINE = "field_line"
     LINE_END = "line_end"
     FRAMING = "framing"
+    CHUNK = "chunk"
 
     @property
     def is_limit(self) -> bool:
@@ -48,6 +49,7 @@
         ResponseFault.FIELD_LINE,
         ResponseFault.LINE_END,
         ResponseFault.FRAMING,
+        ResponseFault.CHUNK,
     )
 )
 
@@ -80,13 +82,12 @@
         self.fault = fault
 
 
-def find_fault(error: BaseException) -> ResponseFault | None:
+def find_fault(error: BaseException | None) -> ResponseFault | None:
     """The fault behind an error of Twisted's client, which wraps the parser's."""
     if isinstance(error, ResponseFaultError):
         return error.fault
     for reason in getattr(error, "reasons", ()):
-        cause = reason.value if isinstance(reason, Failure) else reason
-        found = find_fault(cause) if isinstance(cause, BaseException) else None
+        found = find_fault(reason.value if isinstance(reason, Failure) else reason)
         if found is not None:
             return found
     return None
--- a/pondpin/relay/attempts/attempt.py
+++ b/pondpin/relay/attempts/attempt.py
@@ -237,9 +237,9 @@
         if sink.fault is not None:
             return AttemptEnd(EndKind.INVALID, sink.fault, response_end=sink.response_end)
         if not whole:
-            return AttemptEnd(
-                EndKind.BROKEN, "the stream broke off", response_end=sink.response_end
-            )
+            fault = sink.response_end.body.fault if sink.response_end is not None else None
+            detail = "the stream broke off" if fault is None else fault.description
+            return AttemptEnd(EndKind.BROKEN, detail, response_end=sink.response_end, fault=fault)
         if not progress.head_sent:
             # Nothing was sent, so this may still turn out to be incomplete and be retried.
             response = BufferedResponse(head.status, head.headers, sink.rest)
--- a/pondpin/response_grammar.py
+++ b/pondpin/response_grammar.py
@@ -7,11 +7,12 @@
 
 # Tabs, visible characters and 8-bit bytes: a field-value or reason-phrase (RFC 9110, section 5.5).
 _TEXT = rb"[\t \x21-\x7e\x80-\xff]*"
+TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 # RFC 9112, section 4. The space after the status code may be missing if no reason follows. A minor
 # version above 1 is served as 1 (RFC 9110, section 2.5).
 _STATUS_LINE = re.compile(rb"HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: " + _TEXT + rb")?")
 # RFC 9112, section 5: a token, no whitespace before the colon, and no folded lines.
-_FIELD_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):(" + _TEXT + rb")")
+FIELD_LINE = re.compile(rb"(" + TOKEN + rb"):(" + _TEXT + rb")")
 # More digits are no length of a body that can be received.
 _LENGTH = re.compile(rb"[ \t]*([0-9]{1,18})[ \t]*")
 _WHITESPACE = b" \t"
@@ -51,7 +52,7 @@
         self._minor_version, self._status = int(found[1]), int(found[2])
 
     def _check_field_line(self, line: bytes) -> None:
-        found = _FIELD_LINE.fullmatch(line)
+        found = FIELD_LINE.fullmatch(line)
         if found is None:
             raise ResponseFaultError(ResponseFault.FIELD_LINE)
         name = found[1].lower()
--- a/pondpin/tests/test_malformed_responses.py
+++ b/pondpin/tests/test_malformed_responses.py
@@ -203,6 +203,41 @@
     b"interim responses": b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>"
     + b"\r\nContent-Length: 0\r\n\r\n" + SOUND,
 }  # fmt: skip
+MALFORMED_CHUNKS = {
+    f"{body!r}": with_framing(CHUNKED, body=body)
+    for body in (
+        b"2;\r\nok\r\n0\r\n\r\n",
+        b"2;=1\r\nok\r\n0\r\n\r\n",
+        b"2;a b\r\nok\r\n0\r\n\r\n",
+        b"2;a=\r\nok\r\n0\r\n\r\n",
+        b'2;a="b\r\nok\r\n0\r\n\r\n',
+        b"2;a=\xff\r\nok\r\n0\r\n\r\n",
+        b"2;a=b\nc\r\nok\r\n0\r\n\r\n",
+        b"2;a\x00\r\nok\r\n0\r\n\r\n",
+        b"2\r\nok\r\n0;a b\r\n\r\n",
+        b"+2\r\nok\r\n0\r\n\r\n",
+        b"-2\r\nok\r\n0\r\n\r\n",
+        b" 2\r\nok\r\n0\r\n\r\n",
+        b"2 \r\nok\r\n0\r\n\r\n",
+        b"0x2\r\nok\r\n0\r\n\r\n",
+        b"0_2\r\nok\r\n0\r\n\r\n",
+        b"\r\nok\r\n0\r\n\r\n",
+        b"2\nok\r\n0\r\n\r\n",
+        b"2\r\nok0\r\n\r\n",
+        b"2\r\nok\n0\r\n\r\n",
+        b"2\r\noker\r\n0\r\n\r\n",
+        b"2" * 2000 + b"\r\n",
+    )
+}
+SOUND_CHUNKS = {
+    body: with_framing(CHUNKED, body=body)
+    for body in (
+        b"1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
+        b"0002\r\nok\r\n000\r\n\r\n",
+        b'2;a;b=c;d="e f";g = h\r\nok\r\n0;last\r\n\r\n',
+        b"2\r\nok\r\n0\r\nX-Sum: 1\r\nX-Empty:\r\nX-Text: caf\xe9\r\n\r\n",
+    )
+}
 # All characters of a token but those that Twisted changes: upper case, and the first of a word.
 TOKEN = b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"
 SOUND_FIELD_LINES = {
@@ -284,6 +319,12 @@
     def test_sound_framings_are_served(self) -> None:
         self.check_served(SOUND_FRAMINGS, None)
 
+    def test_a_malformed_chunk_is_no_part_of_an_answer(self) -> None:
+        self.check_fault(MALFORMED_CHUNKS, ResponseFault.CHUNK)
+
+    def test_sound_chunks_and_trailers_are_served(self) -> None:
+        self.check_served(SOUND_CHUNKS, None)
+
     def test_responses_without_a_body_are_served(self) -> None:
         async def work(client: HttpClient, upstream: ScriptedUpstream, url: str) -> None:
             for method, status, lines in (
