--- a/pondpin/http_streams.py
+++ b/pondpin/http_streams.py
@@ -31,6 +31,7 @@
     LINE_END = "line_end"
     FRAMING = "framing"
     CHUNK = "chunk"
+    TRAILER = "trailer"
 
     @property
     def is_limit(self) -> bool:
@@ -50,6 +51,7 @@
         ResponseFault.LINE_END,
         ResponseFault.FRAMING,
         ResponseFault.CHUNK,
+        ResponseFault.TRAILER,
     )
 )
 
--- a/pondpin/tests/test_malformed_responses.py
+++ b/pondpin/tests/test_malformed_responses.py
@@ -229,6 +229,20 @@
         b"2" * 2000 + b"\r\n",
     )
 }
+MALFORMED_TRAILERS = {
+    f"{trailers!r}": with_framing(CHUNKED, body=b"2\r\nok\r\n0\r\n" + trailers + b"\r\n\r\n")
+    for trailers in (
+        b"no colon",
+        b"X-Odd : 1",
+        b" X-Odd: 1",
+        b"X-Odd: 1\r\n folded",
+        b"X-\x01: 1",
+        b"X-Odd: a\x00b",
+        b"X-Odd: a\nX-More: b",
+        # The next response, behind a body without its last line.
+        SOUND.partition(b"\r\n\r\n")[0],
+    )
+}
 SOUND_CHUNKS = {
     body: with_framing(CHUNKED, body=body)
     for body in (
@@ -322,6 +336,9 @@
     def test_a_malformed_chunk_is_no_part_of_an_answer(self) -> None:
         self.check_fault(MALFORMED_CHUNKS, ResponseFault.CHUNK)
 
+    def test_a_malformed_trailer_ends_no_answer(self) -> None:
+        self.check_fault(MALFORMED_TRAILERS, ResponseFault.TRAILER)
+
     def test_sound_chunks_and_trailers_are_served(self) -> None:
         self.check_served(SOUND_CHUNKS, None)
 
@@ -433,6 +450,11 @@
         response = with_framing(b"Content-Length: 2", CHUNKED, body=CHUNKS)
         self.check_unanswered(response, ResponseFault.FRAMING)
 
+    def test_a_response_in_the_trailers_of_another_reaches_no_caller(self) -> None:
+        head = SOUND.partition(b"\r\n\r\n")[0]
+        response = with_framing(CHUNKED, body=b"2\r\nok\r\n0\r\n" + head + b"\r\n\r\nok")
+        self.check_unanswered(response, ResponseFault.TRAILER)
+
     def test_sound_field_lines_reach_the_caller_unchanged(self) -> None:
         async def work(platform: LocalPlatform) -> None:
             upstream = await self.add_upstream(platform, b"")
