Refuse new requests that would outlast the drain of a stop

Callers saw: requests that arrived after SIGTERM and ran longer than what was left of the grace were taken, passed on, and ended as 502 at its end, unsafe ones with an unknown outcome.

Cause: the forecast of a plain call's run was a share of its route's target, whatever its calls took.

Evidence: test_new_requests_that_outlast_the_drain_are_refused_as_not_run, whose workers take 1.8 s where 1.6 s are left: before, 502 for a safe and an unsafe call at the end of the drain; now both get 503, not run, at once, and no worker runs them. Calls of 0.5 s are served, before and now.

Another instance takes what is refused; a cut request may have run.

--- a/pondpin/relay/attempts/handler.py
+++ b/pondpin/relay/attempts/handler.py
@@ -253,7 +253,7 @@
         finally:
             self.planner.end_attempt(plan, key)
             answered = end is not None and end.kind is EndKind.ANSWERED
-            self.placer.end_slot(call, progress, self.clock() - began if answered else None)
+            self._end_run(call, progress, self.clock() - began if answered else None)
             if renewal is not None and group is not None:
                 renewal.cancel()
                 self.leases().release(group)
@@ -274,6 +274,12 @@
         await self.crash_guard.wait_for_exoneration(call, progress, end)
         return end
 
+    def _end_run(self, call: RelayCall, progress: Progress, run_seconds: float | None) -> None:
+        """End an attempt's slot; run_seconds: of one that was answered."""
+        self.placer.end_slot(call, progress, run_seconds)
+        if run_seconds is not None and call.metadata.prompt_tokens <= 0:
+            self.placer.run_times.record(call.route.name, run_seconds, self.clock())
+
     def _keep_leases(
         self, group: "LeaseGroup | None", plan: Plan, progress: Progress
     ) -> "asyncio.Future[None] | None":
--- a/pondpin/relay/attempts/placer.py
+++ b/pondpin/relay/attempts/placer.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from pondpin.availability import BlockReason, find_unavailability
@@ -11,6 +11,7 @@
 from pondpin.codes import Code
 from pondpin.errors import PondpinError
 from pondpin.relay.attempts.attempt_ends import RETRY_SECONDS
+from pondpin.relay.attempts.run_times import RunTimes
 from pondpin.relay.attempts.send_checks import SendChecks
 from pondpin.relay.call import Progress, RelayCall, Wait, WaitPlace
 from pondpin.relay.choosing.jobs import make_job
@@ -47,6 +48,7 @@
     clock: Clock
     rng: random.Random
     drain_ends_at: Callable[[], float | None] = lambda: None
+    run_times: RunTimes = field(default_factory=RunTimes)
 
     async def place(self, call: RelayCall, progress: Progress) -> tuple[Plan, "LeaseGroup | None"]:
         """Plan an attempt that passes the send checks; long prompts may queue."""
@@ -81,8 +83,10 @@
 
         delay = plan.choice.start_delay if plan.choice is not None else 0.0
         wait = Wait(WaitPlace.PLACEMENT, lambda now: delay, plan.prefill_seconds)
+        now = self.clock()
+        longest_run = self.run_times.longest(call.route.name, now)
         try:
-            check_drain(call, progress, wait, ends_at, self.clock())
+            check_drain(call, progress, wait, ends_at, now, longest_run)
         except PondpinError:
             if group is not None:
                 self.leases().release(group)
--- a/pondpin/relay/attempts/shutdown.py
+++ b/pondpin/relay/attempts/shutdown.py
@@ -15,10 +15,17 @@
 STOP_DETAIL = "the instance stops"
 
 
-def can_finish(call: RelayCall, wait: Wait, ends_at: float, now: float) -> bool:
-    """Whether a waiting request is forecast to be answered by ends_at, the end of the drain."""
-    waits = max(0.0, wait.forecast(now))
-    return now + waits + run_seconds(call, wait.first_seconds) <= ends_at
+def can_finish(
+    call: RelayCall, wait: Wait, ends_at: float, now: float, longest_run: float = 0.0
+) -> bool:
+    """Whether a request that was not sent is forecast to end by ends_at, the end of the drain.
+
+    longest_run: seconds that a recent call of its route ran; beyond its deadline it doesn't run.
+    """
+    starts_at = now + max(0.0, wait.forecast(now))
+    seconds = run_seconds(call, wait.first_seconds)
+    longest = min(longest_run, max(0.0, call.deadline - starts_at))
+    return starts_at + max(seconds, longest) <= ends_at
 
 
 def run_seconds(call: RelayCall, first_seconds: float | None) -> float:
@@ -37,14 +44,19 @@
 
 
 def check_drain(
-    call: RelayCall, progress: Progress, wait: Wait, ends_at: float, now: float
+    call: RelayCall,
+    progress: Progress,
+    wait: Wait,
+    ends_at: float,
+    now: float,
+    longest_run: float = 0.0,
 ) -> None:
     """Raise PondpinError if a request can't be answered before the drain ends.
 
     A started stream continues in any case: its caller has a part of the answer and resumes
     elsewhere when it breaks off.
     """
-    if not progress.events and not can_finish(call, wait, ends_at, now):
+    if not progress.events and not can_finish(call, wait, ends_at, now, longest_run):
         raise _refusal(progress)
 
 
@@ -55,7 +67,8 @@
         wait = served.progress.wait
         if wait is None or served.progress.events or served.cancel_reason is not None:
             continue
-        if not can_finish(served.call, wait, ends_at, now):
+        longest_run = handler.placer.run_times.longest(served.call.route.name, now)
+        if not can_finish(served.call, wait, ends_at, now, longest_run):
             served.cancel(CancelReason.STOPPING)
             refused.append(wait.place.value)
     if refused:
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -289,6 +289,7 @@
         self.crash_guard.step(steady_now())
         self.lazy.expire()
         self.handler.planner.expire()
+        self.handler.placer.run_times.expire(steady_now())
 
     def _instance_count(self) -> int:
         """Silent peers count, as they may be alive."""
--- a/pondpin/tests/test_relay_shutdown.py
+++ b/pondpin/tests/test_relay_shutdown.py
@@ -14,6 +14,7 @@
 
 from pondpin.http_client import HttpResponse
 from pondpin.http_reply import Reply
+from pondpin.relay.attempts.run_times import MAX_RUNS, RECENT_SECONDS, RunTimes
 from pondpin.relay.attempts.shutdown import can_finish, check_drain
 from pondpin.relay.call import Progress, Wait, WaitPlace
 from pondpin.relay.entry import RelayEntry
@@ -45,6 +46,8 @@
 # The engines are forecast to prefill it for some 9 s.
 BLOCKING_TOKENS = 590_000
 QUEUED_TOKENS = 100_000
+# Of plain calls, unsafe and safe.
+ROUTES = ("once", "again")
 
 
 class ShutdownTest(RelayTest):
@@ -221,6 +224,53 @@
     return any(item.is_receiving_body for channel in channels for item in channel._channel.requests)
 
 
+class NewRequestsTest(RelayTest):
+    limits = RelayLimits(grace_seconds=2.0)
+
+    async def run_before(self, platform: LocalPlatform, seconds: float) -> None:
+        """Let the instance learn how long the routes of plain calls run."""
+        for worker in platform.workers_by_id.values():
+            worker.call_seconds = seconds
+        answers = await asyncio.gather(*(ask(platform, route, route) for route in ROUTES))
+        self.assertEqual([answer.status for answer in answers], [200, 200])
+
+    async def ask_while_stopping(
+        self, platform: LocalPlatform
+    ) -> "tuple[list[HttpResponse], float]":
+        """Send a request of each route once a stop has begun; the answers, and seconds to them."""
+        entry = platform.entries[0]
+        stopping = asyncio.create_task(entry.drain_and_stop())
+        await platform.until(lambda: entry.caller_server.stopping)
+        began = steady_now()
+        calls = [ask(platform, route, f"late-{route}") for route in ROUTES]
+        answers = await asyncio.gather(*calls)
+        seconds = steady_now() - began
+        await stopping
+        platform.entries.clear()
+        return answers, seconds
+
+    def test_new_requests_that_outlast_the_drain_are_refused_as_not_run(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            await self.run_before(platform, 1.8)
+            answers, seconds = await self.ask_while_stopping(platform)
+            for answer in answers:
+                self.assertEqual(answer.status, 503)
+                self.assertEqual(answer.headers["pondpin-ran"], "not run")
+                self.assertEqual(json.loads(answer.body)["error"]["name"], "DRAINING")
+            self.assertLess(seconds, 1.6)
+            self.assertEqual(runs(platform, "late-once") + runs(platform, "late-again"), 0)
+
+        self.play(work)
+
+    def test_new_requests_that_fit_into_the_drain_are_served(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            await self.run_before(platform, 0.5)
+            answers, _ = await self.ask_while_stopping(platform)
+            self.assertEqual([answer.status for answer in answers], [200, 200])
+
+        self.play(work)
+
+
 class ServedToTheEndTest(ShutdownTest):
     def test_calls_that_can_be_served_in_time_are_served(self) -> None:
         # Guards against refusals of requests whose upstreams are free before the drain ends.
@@ -334,6 +384,32 @@
         wait = Wait(WaitPlace.PLACEMENT)
         check_drain(make_call(5000), Progress(events=3), wait, 100.0, 200.0)
 
+    def test_a_new_request_must_fit_as_the_longest_recent_run_of_its_route(self) -> None:
+        call = make_call(5000)
+        wait = Wait(WaitPlace.PLACEMENT)
+        self.assertTrue(can_finish(call, wait, 110.0, 100.0, longest_run=9.0))
+        self.assertFalse(can_finish(call, wait, 110.0, 100.0, longest_run=11.0))
+        # Its deadline is before the end of the drain.
+        self.assertTrue(can_finish(call, wait, call.deadline, call.deadline - 5.0, longest_run=9.0))
+
+
+class RunTimesTest(unittest.TestCase):
+    def test_the_longest_recent_run_counts(self) -> None:
+        times = RunTimes()
+        for at, seconds in enumerate((2.0, 7.0, 3.0, 1.0)):
+            times.record("a", seconds, float(at))
+        self.assertEqual(times.longest("a", 4.0), 7.0)
+        self.assertEqual(times.longest("a", 1.5 + RECENT_SECONDS), 3.0)
+        self.assertEqual(times.longest("b", 4.0), 0.0)
+
+    def test_runs_are_bounded(self) -> None:
+        times = RunTimes()
+        for number in range(10 * MAX_RUNS):
+            times.record("a", 1000.0 - number, float(number))
+        self.assertLessEqual(len(times._runs_by_route["a"]), MAX_RUNS)
+        times.expire(10 * MAX_RUNS + RECENT_SECONDS)
+        self.assertEqual(times._runs_by_route, {})
+
 
 class StopLogTest(unittest.TestCase):
     def test_a_stop_that_left_requests_unanswered_is_found(self) -> None:
