Don't close connections that were just accepted as idle

Callers saw: of new connections that arrived 3 s or more after SIGTERM, 0.5 to 3 in 100 were closed before their first byte was read; the others got 503.

Cause: each poll of the drain closes the connections without a request. One that was accepted since the poll before has none yet. The close at the end of the drain did the same.

Evidence: test_a_connection_that_was_just_accepted_is_not_closed_before_its_request and ..._accepted_at_the_end_of_the_drain_gets_an_answer: before, both connections were closed without an answer; now both get 503, not run.

Why this works: is_idle counts a connection as idle once a request on it was answered, or 1 s after it was accepted, and not while the first line of a request is received. Connections still in the kernel's queue when the port closes are reset as before.

--- a/pondpin/http_server.py
+++ b/pondpin/http_server.py
@@ -24,6 +24,8 @@
 CLOSE_DELAY_SECONDS = 1.0
 # The caller of a stopping instance finds another one at once.
 STOPPING_RETRY_SECONDS = 0.05
+# A new connection may take this long to send its first request before it counts as idle.
+FIRST_REQUEST_SECONDS = 1.0
 # Smaller bodies are read before their heads are checked: most requests are admitted.
 UNCHECKED_BODY_BYTES = 16 << 10
 # A request with one of these may be a retry: whether earlier attempts ran is not known here.
@@ -72,6 +74,7 @@
     def __init__(self, channel: http.HTTPChannel, queued: Any = None) -> None:
         super().__init__(channel)
         self.server = cast("WebFactory", channel.factory).server
+        cast(Any, channel).awaits_first_request = False
         self.held_bytes = 0
         self.refused = False
         self._is_head_checked = False
@@ -212,6 +215,13 @@
         self.server.clock.callLater(CLOSE_DELAY_SECONDS, channel.loseConnection)
 
 
+def is_idle(channel: Any, now: float) -> bool:
+    """Whether a connection has no request in progress, and its first one is not about to arrive."""
+    if channel.requests or channel._buffer:
+        return False
+    return not channel.awaits_first_request or now - channel.accepted_at >= FIRST_REQUEST_SECONDS
+
+
 class WebFactory(http.HTTPFactory):
     """Factory of channels with bounded requests."""
 
@@ -225,6 +235,8 @@
         channel.requestFactory = BoundedRequest
         # The inner channel checks it, not the one that negotiates the protocol.
         channel._channel.totalHeadersSize = self.server.limits.header_bytes
+        channel._channel.awaits_first_request = True
+        channel._channel.accepted_at = self.server.clock.seconds()
         channel.timeOut = self.server.limits.idle_seconds
         self.server.channels.add(channel)
         return channel
@@ -281,11 +293,12 @@
                 inner.setTimeout(seconds)
 
     def close_idle(self) -> None:
-        """Close connections without a request in progress."""
+        """Close idle connections."""
+        now = self.clock.seconds()
         for channel in list(self.channels):
             inner = channel._channel
             # loseConnection sends buffered bytes first.
-            if inner.transport is not None and not inner.requests:
+            if inner.transport is not None and is_idle(inner, now):
                 inner.loseConnection()
 
     async def close(self) -> None:
--- a/pondpin/server_shutdown.py
+++ b/pondpin/server_shutdown.py
@@ -6,7 +6,7 @@
 from pondpin.clocks import Clock
 from pondpin.codes import Code
 from pondpin.errors import PondpinError
-from pondpin.http_server import STOPPING_RETRY_SECONDS, BoundedRequest, WebServer
+from pondpin.http_server import STOPPING_RETRY_SECONDS, BoundedRequest, WebServer, is_idle
 
 POLL_SECONDS = 0.01
 
@@ -31,14 +31,16 @@
 async def close_connections(server: WebServer, until: float, clock: Clock) -> int:
     """Close connections once their replies are written; abort those left at a given time.
 
-    Returns how many were aborted. A caller that reads slowly gets its reply if it reads it by then.
+    Returns how many were aborted. A caller that reads slowly gets its reply if it reads it by then,
+    and one that has just connected may still send a request, to be refused.
     """
     while True:
         channels = [item for item in list(server.channels) if _is_connected(item)]
         if not channels:
             return 0
+        now = server.clock.seconds()
         for channel in channels:
-            if all(request.refused for request in channel._channel.requests):
+            if _is_done(channel._channel, now):
                 # Sends buffered bytes first.
                 channel._channel.loseConnection()
         if clock() >= until:
@@ -48,6 +50,13 @@
     return len(channels)
 
 
+def _is_done(channel: Any, now: float) -> bool:
+    """Whether a connection serves refused requests alone, or is idle."""
+    if channel.requests:
+        return all(request.refused for request in channel.requests)
+    return is_idle(channel, now)
+
+
 def _is_connected(channel: Any) -> bool:
     transport = channel._channel.transport
     return transport is not None and bool(transport.connected)
--- a/pondpin/tests/test_http_server.py
+++ b/pondpin/tests/test_http_server.py
@@ -10,7 +10,13 @@
 from twisted.internet.testing import StringTransport
 
 from pondpin.http_reply import IncomingRequest, Reply
-from pondpin.http_server import BodyBudget, ServerLimits, WebFactory, WebServer
+from pondpin.http_server import (
+    FIRST_REQUEST_SECONDS,
+    BodyBudget,
+    ServerLimits,
+    WebFactory,
+    WebServer,
+)
 from pondpin.tests.support import run_async
 
 LIMITS = ServerLimits(body_bytes=100, bodies_held_bytes=150, send_seconds=5.0, idle_seconds=60.0)
@@ -44,6 +50,29 @@
         return received
 
 
+class IdleTest(unittest.TestCase):
+    def test_a_new_connection_is_idle_only_after_a_while(self) -> None:
+        channel = Channel()
+        channel.clock.advance(FIRST_REQUEST_SECONDS - 0.1)
+        channel.server.close_idle()
+        self.assertFalse(channel.transport.disconnecting)
+        channel.clock.advance(0.2)
+        channel.server.close_idle()
+        self.assertTrue(channel.transport.disconnecting)
+
+    def test_a_connection_is_idle_once_its_request_is_answered(self) -> None:
+        channel = Channel()
+        channel.send(b"GET / HTTP/1.1\r\n\r\n")
+        channel.server.close_idle()
+        self.assertTrue(channel.transport.disconnecting)
+
+    def test_a_connection_on_which_a_request_begins_is_not_idle(self) -> None:
+        channel = Channel()
+        channel.send(b"GET / HTTP/1.1\r\n\r\nGET")
+        channel.server.close_idle()
+        self.assertFalse(channel.transport.disconnecting)
+
+
 class LimitsTest(unittest.TestCase):
     def test_a_slow_sender_gets_an_error_and_is_disconnected(self) -> None:
         channel = Channel()
--- a/pondpin/tests/test_relay_shutdown.py
+++ b/pondpin/tests/test_relay_shutdown.py
@@ -271,6 +271,58 @@
         self.play(work)
 
 
+class NewConnectionsTest(ShutdownTest):
+    async def connect(
+        self, platform: LocalPlatform
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection; returns once it is accepted."""
+        place, server = platform.callers[0], platform.entries[0].caller_server
+        before = len(server.channels)
+        connection = await asyncio.open_connection(place.host, place.port)
+        await platform.until(lambda: len(server.channels) > before)
+        return connection
+
+    def test_a_connection_that_was_just_accepted_is_not_closed_before_its_request(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            fail_next(platform, WorkerFault.HANG)
+            open_call = asyncio.create_task(ask(platform, "again", x_deadline_ms="9000"))
+            await platform.until(lambda: busy(platform))
+            server = platform.entries[0].caller_server
+            polls = self.enterContext(
+                mock.patch.object(server, "close_idle", wraps=server.close_idle)
+            )
+            stopping = await self.stop(platform)
+            reader, writer = await self.connect(platform)
+            before = polls.call_count
+            await platform.until(lambda: polls.call_count >= before + 2)
+            writer.write(head("late", 0))
+            answer = await reader.read()
+            self.assertIn(b" 503 ", answer.partition(b"\r\n")[0])
+            self.assertIn(b"pondpin-ran: not run", answer.lower())
+            writer.close()
+            await asyncio.gather(open_call, stopping)
+            platform.entries.clear()
+
+        with mock.patch("pondpin.relay.entry.BALANCER_REMOVAL_SECONDS", 0.0):
+            self.play(work)
+
+    def test_a_connection_that_was_accepted_at_the_end_of_the_drain_gets_an_answer(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            entry = platform.entries[0]
+            reader, writer = await self.connect(platform)
+            stopping = asyncio.create_task(entry.stop())
+            await platform.until(lambda: entry.drain_ends_at is not None)
+            writer.write(head("late", 0))
+            answer = await reader.read()
+            self.assertIn(b" 503 ", answer.partition(b"\r\n")[0])
+            writer.close()
+            await stopping
+            platform.entries.clear()
+
+        with mock.patch("pondpin.relay.draining.FLUSH_SECONDS", 5.0):
+            self.play(work)
+
+
 class ServedToTheEndTest(ShutdownTest):
     def test_calls_that_can_be_served_in_time_are_served(self) -> None:
         # Guards against refusals of requests whose upstreams are free before the drain ends.
