Test responses that arrive before a long upload was read

An upstream sends a part of a body, without a length, with one, or in chunks, and then resets, closes or half-closes its connection, while 4 MB are being written: at once, after 0.05 or 0.6 s, after a quarter, nearly all or all of the body was read. Whole answers (200, 401, 413, 503) in the same timings, and on kept connections.

--- a/pondpin/standins/scripted_upstream.py
+++ b/pondpin/standins/scripted_upstream.py
@@ -20,6 +20,7 @@
     """What happens to a connection once the response is written."""
 
     KEEP = "keep"
+    HALF_CLOSE = "half close"
     CLOSE = "close"
     RESET = "reset"
 
@@ -29,7 +30,7 @@
     """Answers each request with response; fields may be changed.
 
     read_share: of a request's body that is read before the response is written. delay: seconds
-    before it. With After.KEEP the rest of the body is read afterwards.
+    before it. With After.KEEP and After.HALF_CLOSE the rest of the body is read afterwards.
     """
 
     response: bytes = b""
@@ -79,7 +80,9 @@
             await asyncio.sleep(self.delay)
         writer.write(self.response.replace(ATTEMPT, attempt))
         await writer.drain()
-        if self.after is not After.KEEP:
+        if self.after is After.HALF_CLOSE:
+            writer.write_eof()
+        elif self.after is not After.KEEP:
             self._end(writer)
             return False
         self.bodies.append(body + await reader.readexactly(length - read))
