Bound the memory of a forecast by slots, not by the reported load

Callers saw: a worker that reports a load of 10^12 requests in X-Instance-Load made each further request for its slots fail with MemoryError, a 500; a smaller one, such as 10^9, takes 8 GB and ends the instance with all its requests.

Cause: the forecast of waits listed one end for each request without a grant that the load proves.

Evidence: HugeLoadTest: MemoryError before; now under 1 MiB.

Why this works: forecast_waits keeps as many of the latest ends as there are slots, so ends of the same time beyond that number change no wait.

--- a/pondpin/overload/slot_queue.py
+++ b/pondpin/overload/slot_queue.py
@@ -230,10 +230,11 @@
             (grant.forecast_seconds, now - grant.granted_at)
             for grant in self._grant_by_key.values()
         )
-        # Of requests without a grant the age isn't known.
-        free_in += [self.hold.mean / 2] * self.foreign.count
+        # Of requests without a grant the age isn't known. Those beyond the slots change no wait.
+        slots = self.slots + self.ahead
+        free_in += [self.hold.mean / 2] * min(self.foreign.count, slots)
         waits = forecast_waits(
-            self.slots + self.ahead,
+            slots,
             free_in,
             self._order(),
             lambda queued: self.hold.forecast(queued.item.cost_seconds),
--- a/pondpin/tests/test_slot_queue.py
+++ b/pondpin/tests/test_slot_queue.py
@@ -1,5 +1,6 @@
 """The queue of one upstream's slots: each test names the failure that it guards against."""
 
+import tracemalloc
 import unittest
 
 from hypothesis import given
@@ -22,6 +23,19 @@
     return {decision.key: decision.outcome for decision in decisions}
 
 
+class HugeLoadTest(unittest.TestCase):
+    def test_a_huge_reported_load_takes_no_memory(self) -> None:
+        """Guards against an instance that runs out of memory as an upstream reports its load."""
+        queue = SlotQueue(2, HOLD)
+        queue.request(ask(1), 0.0)
+        queue.observe_load(10**12, 0, 0.1)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        self.assertEqual(outcomes(queue.request(ask(2, wait=5.0), 0.2)), {2: WAITING})
+        _, peak = tracemalloc.get_traced_memory()
+        self.assertLess(peak, 1 << 20)
+
+
 class OrderTest(unittest.TestCase):
     """Two slots; a third request waits half a second or more for one of them."""
 
