Read numbers of any length in fields

Callers saw: a response whose X-Instance-Load has more than 4,300 digits was lost, and its caller got a 500 of pondpin; so did a request with such an X-Token-Usage.

Cause: Python refuses to convert longer numbers, and nothing expected a ValueError from a field.

Now a load of any length is served or refused as not run, and a prompt of any length is one that no engine takes.

Why this works: a count over 10^12 counts as that, by its number of digits, before it is converted.

--- a/pondpin/platform/headers.py
+++ b/pondpin/platform/headers.py
@@ -40,6 +40,8 @@
 BEARER = b"bearer "
 MISDIRECTED = 421
 MS_PER_SECOND = 1000.0
+# Of tokens or requests.
+MAX_COUNT = 10**12
 
 # Hop-by-hop headers.
 CONNECTION_HEADERS = frozenset(
@@ -68,8 +70,16 @@
         return None
 
 
-def _parse_ints(text: bytes) -> list[int]:
-    return [int(part) for part in text.split(b",") if part.strip().isdigit()]
+def _parse_counts(text: bytes) -> list[int]:
+    return [_parse_count(part.strip()) for part in text.split(b",") if part.strip().isdigit()]
+
+
+def _parse_count(digits: bytes) -> int:
+    """Parse a decimal number; one over MAX_COUNT counts as that."""
+    significant = digits.lstrip(b"0")
+    if len(significant) > len(str(MAX_COUNT)):
+        return MAX_COUNT
+    return min(MAX_COUNT, int(significant or b"0"))
 
 
 def _read_segments(header: bytes) -> PromptSegments:
@@ -100,7 +110,7 @@
         bearer = _first(headers, b"authorization")
         key = bearer[len(BEARER) :].strip() if bearer.lower().startswith(BEARER) else b""
         milliseconds = _parse_number(_first(headers, DEADLINE))
-        tokens = _parse_ints(_first(headers, TOKEN_USAGE))
+        tokens = _parse_counts(_first(headers, TOKEN_USAGE))
         return RequestMetadata(
             attempt_id=_first(headers, ATTEMPT_ID).decode("latin-1"),
             host=_first(headers, b"host").decode("latin-1").partition(":")[0].lower(),
@@ -206,7 +216,7 @@
 
 
 def _parse_load(text: bytes) -> Load | None:
-    numbers = _parse_ints(text)
+    numbers = _parse_counts(text)
     if len(numbers) < 3:
         return None
     return Load(running=numbers[0], waiting=numbers[1], slots=numbers[2])
