Bound the Retry-After that callers get

Callers saw: after an upstream answered 503 with a Retry-After of 400 digits, each request that found no other upstream got a 500 with an unknown outcome, safe and unsafe, until the rest was lifted.

Cause: a rest has no upper bound, so such a value is infinite; the refusal failed to round it.

Evidence: test_a_rest_without_end_is_refused_as_not_run: 500 before; now 503, not run, sent to no worker.

Why this works: a delay over 2^31 s is sent as that, as RFC 9111, section 1.2.2, does with delta-seconds. The rest itself isn't shortened.

--- a/pondpin/http_reply.py
+++ b/pondpin/http_reply.py
@@ -14,6 +14,8 @@
     from pondpin.http_server import BoundedRequest
 
 JSON = "application/json"
+# Longer delays, also infinite ones, are sent as this (RFC 9111, section 1.2.2).
+MAX_RETRY_SECONDS = float(1 << 31)
 
 
 class ErrorBody(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=False):
@@ -37,6 +39,7 @@
 def describe_error(error: PondpinError, request: str = "") -> ErrorAnswer:
     """The JSON document of an error."""
     info = INFO_BY_CODE[error.code]
+    delay = error.retry_after
     return ErrorAnswer(
         ErrorBody(
             code=int(error.code),
@@ -44,7 +47,7 @@
             message=error.detail or info.meaning,
             ran=error.ran.value,
             retry=info.retry,
-            retry_after=error.retry_after,
+            retry_after=None if delay is None else min(MAX_RETRY_SECONDS, delay),
             request=request,
         )
     )
@@ -176,8 +179,8 @@
         """Send an error; fractions: the caller accepts a fractional Retry-After."""
         headers = {"content-type": JSON, "pondpin-ran": error.ran.value} | (extra or {})
         if error.retry_after is not None:
-            rounded = str(max(1, round(error.retry_after)))
-            headers["retry-after"] = f"{error.retry_after:.2f}" if fractions else rounded
+            seconds = min(MAX_RETRY_SECONDS, error.retry_after)
+            headers["retry-after"] = f"{seconds:.2f}" if fractions else str(max(1, round(seconds)))
         body = msgspec.json.encode(describe_error(error, request))
         self.send(error.status, headers, body)
 
--- a/pondpin/tests/test_odd_fields.py
+++ b/pondpin/tests/test_odd_fields.py
@@ -111,6 +111,24 @@
 
         self.play(work)
 
+    def test_a_rest_without_end_is_refused_as_not_run(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            upstream = await self.replace_workers(platform)
+            upstream.response = self.response(b"Retry-After", b"9" * 400, b"503 Busy")
+            await ask(platform, "again", "rests")
+            # The rest is known now, and no upstream is left.
+            for route in ("again", "once"):
+                answer = await ask(platform, route, f"later-{route}")
+                self.assertEqual(answer.status, 503)
+                self.assertEqual(answer.headers["pondpin-ran"], "not run")
+                self.assertGreater(float(answer.headers["retry-after"]), 2e9)
+            self.assertEqual(set(upstream.runs_by_attempt), {"rests"})
+            for controller in platform.entries[0].controllers:
+                self.assertEqual(controller.failures, 0, type(controller).__name__)
+            await upstream.close()
+
+        self.play(work)
+
     def test_a_token_usage_of_many_digits_is_a_prompt_that_no_engine_takes(self) -> None:
         async def work(platform: LocalPlatform) -> None:
             for value in DIGITS[:2]:
