Ignore a deadline that is not a number

Callers saw: a 500 with an unknown outcome for a request whose X-Deadline-Ms is `nan`.

Cause: the value was taken as a number, and each comparison with it is false.

Evidence: test_a_deadline_that_is_no_number_is_ignored: 500 before, 200 now, as for any other text.

Why this works: the parser of such fields returns no number for it.

--- a/pondpin/platform/headers.py
+++ b/pondpin/platform/headers.py
@@ -1,5 +1,6 @@
 """Translates headers of requests and responses."""
 
+import math
 from collections.abc import Callable, Iterable, Sequence
 
 from pondpin.http_streams import StreamedResponse
@@ -64,10 +65,12 @@
 
 
 def _parse_number(text: bytes) -> float | None:
+    """Parse a number, which may be infinite; None if absent or invalid."""
     try:
-        return float(text)
+        number = float(text)
     except ValueError:
         return None
+    return None if math.isnan(number) else number
 
 
 def _parse_counts(text: bytes) -> list[int]:
--- a/pondpin/tests/test_odd_fields.py
+++ b/pondpin/tests/test_odd_fields.py
@@ -111,6 +111,15 @@
 
         self.play(work)
 
+    def test_a_deadline_that_is_no_number_is_ignored(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            for value in ("nan", "-nan", "NaN", "many", "1e400", "9" * 400):
+                for route in ("again", "once"):
+                    answer = await ask(platform, route, f"{route}{value[:9]}", x_deadline_ms=value)
+                    self.assertEqual(answer.status, 200, value[:20])
+
+        self.play(work)
+
     def test_a_rest_without_end_is_refused_as_not_run(self) -> None:
         async def work(platform: LocalPlatform) -> None:
             upstream = await self.replace_workers(platform)
