Treat deeply nested JSON as invalid wherever it is read

On the callers' own interface such a body got a 500.

Cause: msgspec raises RecursionError, which is no ValueError, also for a field that nobody reads. Only the configuration and the list's entries caught it.

Evidence: test_response_readers with the handling taken out: 15 of the readers of JSON and the parser of callers' bodies raise RecursionError; now each is a failed call, or MALFORMED_JSON.

Why this works: decode_json turns it into msgspec's DecodeError, which every reader handles. pondpinctl names a document that isn't JSON instead of ending with a traceback.

The module also sends ten malformed responses to each of the 28 readers (store, peers, liveness checks, reports, orders and leases, engines, services, operators): 279 reads fail as malformed. With the checks of heads and chunks taken out, 182 of them were taken as responses.

--- a/pondpin/engine_client.py
+++ b/pondpin/engine_client.py
@@ -17,6 +17,7 @@
 )
 from pondpin.http_client import HttpClient, HttpResponse
 from pondpin.http_streams import BodyCheck, CallFailedError, StreamedResponse
+from pondpin.json_decoding import decode_json, decode_json_as
 from pondpin.notice_headers import AddressNoticeHandler, ignore_notice, response_notice
 
 STREAMS_PATH = "/v1/streams"
@@ -169,7 +170,7 @@
 
 def _decode(body: bytes, kind: type[M]) -> M:
     try:
-        return msgspec.json.decode(body, type=kind)
+        return decode_json_as(kind, body)
     except msgspec.MsgspecError as error:
         raise CallFailedError(f"answer not understood: {error}", sent=True) from None
 
@@ -193,6 +194,6 @@
         if not event.startswith(EVENT_START):
             raise CallFailedError("not an event of a stream", sent=True)
         try:
-            return self._decoder.decode(event[len(EVENT_START) :])
+            return decode_json(self._decoder.decode, event[len(EVENT_START) :])
         except msgspec.MsgspecError as error:
             raise CallFailedError(f"frame not understood: {error}", sent=True) from None
--- a/pondpin/filters/request_parsing.py
+++ b/pondpin/filters/request_parsing.py
@@ -10,6 +10,7 @@
 from pondpin.codes import Code
 from pondpin.configuration import Configuration
 from pondpin.errors import PondpinError
+from pondpin.json_decoding import decode_json_as
 from pondpin.prompts import BLOCK_TOKENS, count_tokens, hash_prefixes
 
 LABELS_HEADER = "pondpin-labels"
@@ -51,7 +52,7 @@
 def decode_body(body: bytes, kind: type[Body]) -> Body:
     """Decode a JSON body; raises PondpinError with a code for bad JSON, UTF-8 or fields."""
     try:
-        return msgspec.json.decode(body, type=kind)
+        return decode_json_as(kind, body)
     except msgspec.ValidationError as error:
         raise PondpinError(Code.INVALID_FIELD, str(error)) from None
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
--- a/pondpin/platform/documents.py
+++ b/pondpin/platform/documents.py
@@ -145,7 +145,7 @@
 
     def configuration(self, value: bytes) -> RelayConfiguration:
         """Decode the configuration; raises ValueError."""
-        wire = _decode(_CONFIGURATION, value)
+        wire = decode_document(_CONFIGURATION, value)
         routes: dict[str, list[Route]] = defaultdict(list)
         for route in wire.routes:
             routes[route.host].append(_decode_route(route))
@@ -170,7 +170,7 @@
 
         The list has other writers; entries in other formats are rejected.
         """
-        wire = _decode(_SERVER, value)
+        wire = decode_document(_SERVER, value)
         endpoint = parse_endpoint(wire.address)
         _, _, name = key.partition("/")
         if not name or "/" in name or not endpoint.port:
@@ -190,12 +190,12 @@
         )
 
 
-def _decode(decoder: "msgspec.json.Decoder[Wire]", value: bytes) -> Wire:
-    try:
-        return decoder.decode(value)
-    except RecursionError:
-        # E.g. a hundred thousand brackets in an unread field.
-        raise ValueError("nested too deeply") from None
+def decode_document(decoder: "msgspec.json.Decoder[Wire]", value: bytes) -> Wire:
+    """Decode a document; raises ValueError."""
+    # Loaded with the first document.
+    from pondpin.json_decoding import decode_json
+
+    return decode_json(decoder.decode, value)
 
 
 def _decode_accounts(tenants: tuple[WireTenant, ...]) -> dict[str, ClientAccount]:
--- a/pondpin/platform/order_store.py
+++ b/pondpin/platform/order_store.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from pondpin.http_streams import CallFailedError
+from pondpin.platform.documents import decode_document
 from pondpin.platform.store import (
     CONFIGURATION_KEY,
     HISTORY_GONE,
@@ -72,7 +73,7 @@
             return OperatorChanges(unknown, (), None, epoch)
         check_status(response.status)
         try:
-            changes = _EVENTS.decode(response.body)
+            changes = decode_document(_EVENTS, response.body)
             events = [(_ORDER.decode(raw), raw) for raw in changes.events]
         except ValueError as error:
             raise CallFailedError(f"invalid events: {error}", sent=True) from None
@@ -98,7 +99,7 @@
             response = await self._get(f"kv-range?pathPrefix={EVACUATIONS_PREFIX}{start}", stall)
             check_status(response.status)
             try:
-                page = _RANGE.decode(response.body)
+                page = decode_document(_RANGE, response.body)
             except ValueError as error:
                 raise CallFailedError(f"invalid range: {error}", sent=True) from None
             epoch = parse_source_head(response.headers).epoch
--- a/pondpin/platform/reports.py
+++ b/pondpin/platform/reports.py
@@ -5,6 +5,7 @@
 from pondpin.body_checks import ignore_body, is_unused_or_json
 from pondpin.http_client import HttpClient
 from pondpin.http_streams import SMALL_BODY_BYTES, CallFailedError
+from pondpin.platform.documents import decode_document
 from pondpin.platform.headers import head_observer
 from pondpin.relay.model import EngineReport, ResponseHead
 from pondpin.relay.ports import HeadCallback
@@ -23,6 +24,9 @@
     born: int | None = None
 
 
+_REPORT = msgspec.json.Decoder(WireReport)
+
+
 class PlatformReports:
     """Implements ReportPort over the upstreams' report call."""
 
@@ -44,7 +48,7 @@
         if response.status != OK:
             raise CallFailedError(f"status {response.status}", sent=True)
         try:
-            report = msgspec.json.decode(response.body, type=WireReport)
+            report = decode_document(_REPORT, response.body)
         except msgspec.MsgspecError as error:
             raise CallFailedError(f"invalid report: {error}", sent=True) from None
         return EngineReport(report.active, report.queued, report.born)
--- a/pondpin/platform/store.py
+++ b/pondpin/platform/store.py
@@ -8,6 +8,7 @@
 
 from pondpin.http_client import HttpClient, HttpResponse
 from pondpin.http_streams import CallFailedError, StreamedResponse
+from pondpin.platform.documents import decode_document
 from pondpin.relay.ports import (
     ConfigurationChange,
     ConfigurationRead,
@@ -79,9 +80,9 @@
 def _decode_page(body: bytes) -> WireRange:
     """Decode a page; raises ValueError. Invalid items don't hide the others."""
     try:
-        return _RANGE.decode(body)
+        return decode_document(_RANGE, body)
     except ValueError:
-        raw = _RAW_RANGE.decode(body)
+        raw = decode_document(_RAW_RANGE, body)
     items = []
     for item in raw.items:
         try:
@@ -133,7 +134,9 @@
             return ConfigurationRead(None, epoch)
         check_status(response.status)
         try:
-            return ConfigurationRead(_decode_item(ITEM_DECODER.decode(response.body), epoch), epoch)
+            return ConfigurationRead(
+                _decode_item(decode_document(ITEM_DECODER, response.body), epoch), epoch
+            )
         except ValueError as error:
             raise CallFailedError(f"invalid item: {error}", sent=True) from None
 
@@ -146,7 +149,7 @@
             return ConfigurationChange(None, None, epoch)
         check_status(response.status)
         try:
-            changes = _EVENTS.decode(response.body)
+            changes = decode_document(_EVENTS, response.body)
             writes = [item for item in changes.events if item.key == CONFIGURATION_KEY]
             return change_by(writes, changes.at, epoch)
         except ValueError as error:
--- a/pondpin/platform_client.py
+++ b/pondpin/platform_client.py
@@ -8,6 +8,7 @@
 from pondpin.body_checks import is_unused_or_json
 from pondpin.http_client import HttpClient
 from pondpin.http_streams import CallFailedError
+from pondpin.json_decoding import decode_json_as
 from pondpin.platform_protocol import (
     CONFIGURATION_PATH,
     EPOCH_HEADER,
@@ -81,6 +82,6 @@
         if answer.status != OK:
             raise CallFailedError(f"status {answer.status}", sent=True)
         try:
-            return msgspec.json.decode(answer.body, type=InstanceList)
+            return decode_json_as(InstanceList, answer.body)
         except msgspec.MsgspecError as error:
             raise CallFailedError(f"list not understood: {error}", sent=True) from None
--- a/pondpin/service_client.py
+++ b/pondpin/service_client.py
@@ -9,6 +9,7 @@
 from pondpin.calls import WholeAnswer
 from pondpin.http_client import HttpClient
 from pondpin.http_streams import CallFailedError, StreamedResponse
+from pondpin.json_decoding import decode_json_as
 from pondpin.notice_headers import AddressNoticeHandler, ignore_notice, response_notice
 
 IDEMPOTENCY_HEADER = "idempotency-key"
@@ -89,6 +90,6 @@
             close_delimited_if=is_json_document,
         )
         try:
-            return msgspec.json.decode(answer.body, type=ServiceReport)
+            return decode_json_as(ServiceReport, answer.body)
         except msgspec.MsgspecError as error:
             raise CallFailedError(f"answer not understood: {error}", sent=True) from None
--- a/pondpin/tools/operator_client.py
+++ b/pondpin/tools/operator_client.py
@@ -1,6 +1,5 @@
 """Calls of the operators' HTTP, for pondpinctl and pondpin-report."""
 
-import json
 import os
 import sys
 from collections.abc import Callable, Coroutine
@@ -13,6 +12,7 @@
 from pondpin.http_client import HttpClient
 from pondpin.http_reply import ErrorAnswer
 from pondpin.http_streams import CallFailedError
+from pondpin.json_decoding import decode_json, decode_json_as
 from pondpin.runtime import ParsedCommand, run
 from pondpin.secure_endpoints import SecureEndpoints
 from pondpin.tools.log_commands import PROGRAM
@@ -62,7 +62,11 @@
 
     async def get_json(self, address: str, path: str) -> Any:
         """Read a JSON document; raises OperatorError."""
-        return json.loads(await self.get(address, path))
+        body = await self.get(address, path)
+        try:
+            return decode_json(msgspec.json.decode, body)
+        except msgspec.DecodeError as error:
+            raise OperatorError(f"{address} sent no JSON document: {error}") from None
 
     async def _call(self, method: str, address: str, path: str) -> bytes:
         scheme = "https" if os.environ.get(AUTHORITY_VARIABLE) else "http"
@@ -75,7 +79,7 @@
         if answer.status == OK:
             return answer.body
         try:
-            error_body = msgspec.json.decode(answer.body, type=ErrorAnswer).error
+            error_body = decode_json_as(ErrorAnswer, answer.body).error
             detail = f"{error_body.code} {error_body.name}: {error_body.message}"
         except msgspec.MsgspecError:
             detail = f"status {answer.status}"
