Test garbage, extensions, trailers, comments and surplus bytes without end

Bytes that are no head, an extension of a chunk, trailers, comments between events and bytes after a whole response, each without end, through the client; an event and comments without end through a relayed stream, beside which other calls are served.

--- a/pondpin/standins/endless.py
+++ b/pondpin/standins/endless.py
@@ -23,10 +23,26 @@
     LINE = "a header line"
     EVENT = "one event of a stream"
     STATUS = "a status line"
+    GARBAGE = "bytes that are no head"
+    CHUNK_EXTENSION = "an extension of a chunk"
+    TRAILERS = "trailers"
+    COMMENTS = "comments between events"
+    AFTER = "bytes after a whole response"
 
 
 OK_HEAD = b"HTTP/1.1 200 OK\r\nx-attempt-id: %s\r\nx-instance-signature: s.%s\r\n"
 EVENTS_HEAD = OK_HEAD + b"content-type: text/event-stream\r\n\r\n"
+CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
+WITHOUT_HEAD = (Endless.INTERIM, Endless.STATUS, Endless.GARBAGE)
+# What follows OK_HEAD before the endless part.
+REST_BY_KIND = {
+    Endless.BODY: b"\r\n",
+    Endless.CHUNKS: CHUNKED,
+    Endless.LINE: b"x-long: ",
+    Endless.CHUNK_EXTENSION: CHUNKED + b"1;",
+    Endless.TRAILERS: CHUNKED + b"1\r\nx\r\n0\r\n",
+    Endless.AFTER: b"content-length: 2\r\n\r\nok",
+}
 PART_BY_KIND = {
     Endless.BODY: b"b" * PART_BYTES,
     Endless.CHUNKS: b"%x\r\n" % PART_BYTES + b"c" * PART_BYTES + b"\r\n",
@@ -37,20 +53,20 @@
     Endless.LINE: b"l" * PART_BYTES,
     Endless.EVENT: b"e" * PART_BYTES,
     Endless.STATUS: b"s" * PART_BYTES,
+    Endless.GARBAGE: bytes(range(256)) * (PART_BYTES // 256),
+    Endless.CHUNK_EXTENSION: b"x" * PART_BYTES,
+    Endless.TRAILERS: b"x-more: 1\r\n" * (PART_BYTES // 11),
+    Endless.COMMENTS: b": comment\n\n" * (PART_BYTES // 11),
+    Endless.AFTER: b"a" * PART_BYTES,
 }
 
 
 def _head(kind: Endless, attempt: bytes) -> bytes:
-    head = OK_HEAD % (attempt, attempt)
-    if kind in (Endless.INTERIM, Endless.STATUS):
+    if kind in WITHOUT_HEAD:
         return b""
-    if kind is Endless.BODY:
-        return head + b"\r\n"
-    if kind is Endless.CHUNKS:
-        return head + b"transfer-encoding: chunked\r\n\r\n"
-    if kind is Endless.EVENT:
+    if kind in (Endless.EVENT, Endless.COMMENTS):
         return EVENTS_HEAD % (attempt, attempt)
-    return head + (b"x-long: " if kind is Endless.LINE else b"")
+    return OK_HEAD % (attempt, attempt) + REST_BY_KIND.get(kind, b"")
 
 
 @dataclass
--- a/pondpin/tests/test_endless_responses.py
+++ b/pondpin/tests/test_endless_responses.py
@@ -1,6 +1,7 @@
 """Responses without end: each is ended at a bound, and other requests go on."""
 
 import asyncio
+import contextlib
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -10,7 +11,7 @@
 from pondpin.http_client import HttpClient
 from pondpin.http_streams import BufferBudget, CallFailedError, ResponseFault, ResponseLimits
 from pondpin.standins.endless import Endless, EndlessServer
-from pondpin.standins.local_platform import PLAIN, LocalPlatform, sample_entry
+from pondpin.standins.local_platform import ENGINES, PLAIN, LocalPlatform, sample_entry
 from pondpin.standins.store_state import UPSTREAMS_PREFIX
 from pondpin.tests.support import RelayTest, ask, run_async, the_loop
 
@@ -24,6 +25,10 @@
     Endless.FOLDED: ResponseFault.FIELD_LINE,
     Endless.INTERIM: ResponseFault.HEAD_LINES,
     Endless.SLOW_HEAD: ResponseFault.HEAD_SECONDS,
+    Endless.GARBAGE: ResponseFault.LINE_END,
+    Endless.CHUNK_EXTENSION: ResponseFault.CHUNK,
+    Endless.TRAILERS: ResponseFault.TRAILER,
+    Endless.COMMENTS: ResponseFault.BODY_BYTES,
 }
 # The parser has a bound of its own for a line.
 LONG_LINES = (Endless.LINE, Endless.STATUS)
@@ -45,7 +50,7 @@
 
     def test_each_endless_response_ends_at_its_bound(self) -> None:
         async def work(client: HttpClient, server: EndlessServer, url: str) -> None:
-            for kind in Endless:
+            for kind in set(Endless) - {Endless.AFTER}:
                 for fresh in (False, True):
                     server.kind = kind
                     with self.assertRaises(CallFailedError, msg=kind) as raised:
@@ -60,6 +65,18 @@
 
         self.play(work)
 
+    def test_bytes_after_a_whole_response_end_its_connection(self) -> None:
+        async def work(client: HttpClient, server: EndlessServer, url: str) -> None:
+            server.kind = Endless.AFTER
+            for _ in range(3):
+                answer = await client.call("GET", url, timeout=10.0)
+                self.assertEqual((answer.status, answer.body), (200, b"ok"))
+            async with asyncio.timeout(5.0):
+                while server.open_connections:
+                    await asyncio.sleep(0.01)
+
+        self.play(work)
+
     def test_a_call_may_have_a_smaller_bound(self) -> None:
         async def work(client: HttpClient, server: EndlessServer, url: str) -> None:
             with self.assertRaises(CallFailedError) as raised:
@@ -150,6 +167,32 @@
 
             self.play(work)
 
+    def test_an_endless_event_or_comment_ends_its_stream_alone(self) -> None:
+        for kind in (Endless.EVENT, Endless.COMMENTS):
+
+            async def work(platform: LocalPlatform, kind: Endless = kind) -> None:
+                server = EndlessServer(kind)
+                platform.list_worker("endless", ENGINES, str(await server.listen()), "north")
+                for name in ("engine-0", "engine-1"):
+                    platform.store.delete(f"{UPSTREAMS_PREFIX}{name}")
+                entry = platform.entries[0]
+                await platform.until(
+                    lambda: {item.id for item in entry.table.of_service(ENGINES)} == {"endless"}
+                )
+                try:
+                    stream = asyncio.create_task(ask(platform, "stream", x_deadline_ms="1500"))
+                    await platform.until(lambda: server.sent_bytes > LIMITS.body_bytes)
+                    self.assertEqual((await ask(platform, "again", "other")).status, 200)
+                    with contextlib.suppress(CallFailedError):
+                        self.assertGreaterEqual((await stream).status, 500)
+                    await platform.until(lambda: not entry.handler.served)
+                    await platform.until(lambda: not server.open_connections)
+                    self.assertEqual(entry.http.budget.held, 0)
+                finally:
+                    await server.close()
+
+            self.play(work)
+
     def test_a_request_at_an_endless_upstream_may_have_run(self) -> None:
         async def work(platform: LocalPlatform) -> None:
             server = await self.add_endless(platform, Endless.HEADERS)
