Count open runs in the forecast of a stopping instance

Cause: only answered runs told how long others take.

Evidence: RunTimesTest and test_new_requests_of_a_route_whose_calls_all_still_run_are_refused fail without the ages of open runs: the longest run is then 2.0 s where an open one has run for 9.0 s.

Why this works: a run that is open for some time takes at least that long.

--- a/pondpin/relay/attempts/handler.py
+++ b/pondpin/relay/attempts/handler.py
@@ -234,6 +234,8 @@
         progress.last_upstream, progress.last_life = plan.lead.id, plan.lead.life
         began = self.clock()
         run = self.crash_guard.begin(call, progress, plan)
+        is_plain = call.metadata.prompt_tokens <= 0
+        plain_run = self.placer.run_times.begin(call.route.name, began) if is_plain else None
         end: AttemptEnd | None = None
         try:
             self.send_checks.check_key(call)
@@ -253,7 +255,9 @@
         finally:
             self.planner.end_attempt(plan, key)
             answered = end is not None and end.kind is EndKind.ANSWERED
-            self._end_run(call, progress, self.clock() - began if answered else None)
+            self.placer.end_slot(call, progress, self.clock() - began if answered else None)
+            if plain_run is not None:
+                self.placer.run_times.end(plain_run, answered, self.clock())
             if renewal is not None and group is not None:
                 renewal.cancel()
                 self.leases().release(group)
@@ -274,12 +278,6 @@
         await self.crash_guard.wait_for_exoneration(call, progress, end)
         return end
 
-    def _end_run(self, call: RelayCall, progress: Progress, run_seconds: float | None) -> None:
-        """End an attempt's slot; run_seconds: of one that was answered."""
-        self.placer.end_slot(call, progress, run_seconds)
-        if run_seconds is not None and call.metadata.prompt_tokens <= 0:
-            self.placer.run_times.record(call.route.name, run_seconds, self.clock())
-
     def _keep_leases(
         self, group: "LeaseGroup | None", plan: Plan, progress: Progress
     ) -> "asyncio.Future[None] | None":
--- a/pondpin/tests/test_relay_shutdown.py
+++ b/pondpin/tests/test_relay_shutdown.py
@@ -234,6 +234,27 @@
         answers = await asyncio.gather(*(ask(platform, route, route) for route in ROUTES))
         self.assertEqual([answer.status for answer in answers], [200, 200])
 
+    def test_new_requests_of_a_route_whose_calls_all_still_run_are_refused(self) -> None:
+        async def work(platform: LocalPlatform) -> None:
+            for worker in platform.workers_by_id.values():
+                worker.call_seconds = 60.0
+            entry = platform.entries[0]
+            open_calls = [asyncio.create_task(ask(platform, route, route)) for route in ROUTES]
+            await platform.until(lambda: self.oldest_run(entry) >= 1.7)
+            answers, _ = await self.ask_while_stopping(platform)
+            for answer in answers:
+                self.assertEqual(answer.status, 503)
+                self.assertEqual(answer.headers["pondpin-ran"], "not run")
+            # They were sent before the stop.
+            for answer in await asyncio.gather(*open_calls):
+                self.assertEqual(answer.status, 502)
+
+        self.play(work)
+
+    def oldest_run(self, entry: RelayEntry) -> float:
+        """The shorter of the routes' longest runs."""
+        return min(entry.handler.placer.run_times.longest(name, steady_now()) for name in ROUTES)
+
     async def ask_while_stopping(
         self, platform: LocalPlatform
     ) -> "tuple[list[HttpResponse], float]":
@@ -446,10 +467,25 @@
 
 
 class RunTimesTest(unittest.TestCase):
+    def run_for(self, times: RunTimes, seconds: float, at: float) -> None:
+        """Record a run of a route that was answered."""
+        times.end(times.begin("a", at - seconds), True, at)
+
+    def test_an_open_run_counts_by_its_age(self) -> None:
+        times = RunTimes()
+        self.run_for(times, 2.0, 100.0)
+        first, second = times.begin("a", 100.0), times.begin("a", 103.0)
+        self.assertEqual(times.longest("a", 109.0), 9.0)
+        times.end(first, False, 109.0)
+        self.assertEqual(times.longest("a", 109.0), 6.0)
+        times.end(second, False, 109.0)
+        self.assertEqual(times.longest("a", 109.0), 2.0)
+
     def test_the_longest_recent_run_counts(self) -> None:
         times = RunTimes()
         for at, seconds in enumerate((2.0, 7.0, 3.0, 1.0)):
-            times.record("a", seconds, float(at))
+            self.run_for(times, seconds, float(at))
+        times.end(times.begin("a", -90.0), False, 3.0)
         self.assertEqual(times.longest("a", 4.0), 7.0)
         self.assertEqual(times.longest("a", 1.5 + RECENT_SECONDS), 3.0)
         self.assertEqual(times.longest("b", 4.0), 0.0)
@@ -457,7 +493,7 @@
     def test_runs_are_bounded(self) -> None:
         times = RunTimes()
         for number in range(10 * MAX_RUNS):
-            times.record("a", 1000.0 - number, float(number))
+            self.run_for(times, 1000.0 - number, float(number))
         self.assertLessEqual(len(times._runs_by_route["a"]), MAX_RUNS)
         times.expire(10 * MAX_RUNS + RECENT_SECONDS)
         self.assertEqual(times._runs_by_route, {})
