--- a/pondpin/soak/run.py
+++ b/pondpin/soak/run.py
@@ -245,8 +245,10 @@
                 "POST", url, headers, call.body, timeout=REQUEST_SECONDS + 4
             )
             status, body = answer.status, answer.body
-        except CallFailedError:
+        except CallFailedError as error:
             status, body = 0, b""
+            if error.fault is not None and not error.fault.is_limit:
+                self.findings.add("a reply matches the grammar", f"{call.attempt}: {error}")
         self.seen.append(Seen(call.attempt, call.route, status, body, key_ended))
         number = int(call.attempt.partition(".")[0].removeprefix("relay-"))
         self.partitions.record(number, sent_at, status, body)
