--- a/pondpin/relay/attempts/handler.py
+++ b/pondpin/relay/attempts/handler.py
@@ -351,6 +351,11 @@
 
         return Retries(self)
 
+    def expire(self) -> None:
+        """Drop records that are too old to matter."""
+        self.planner.expire()
+        self.placer.run_times.expire(self.clock())
+
     def window(self, service: str) -> RetryWindow:
         """The retry budget of a service."""
         window = self._windows.get(service)
--- a/pondpin/relay/entry.py
+++ b/pondpin/relay/entry.py
@@ -288,8 +288,7 @@
     def _maintain(self) -> None:
         self.crash_guard.step(steady_now())
         self.lazy.expire()
-        self.handler.planner.expire()
-        self.handler.placer.run_times.expire(steady_now())
+        self.handler.expire()
 
     def _instance_count(self) -> int:
         """Silent peers count, as they may be alive."""
