Share the scripted upstream's set-up among tests

use_scripted_upstream in tests/support.py replaces five copies of it, and the malformed forms of the soak's spoiled responses move to standins/misbehaviour.py. The seven modules that use them: 59 tests passed.

--- a/pondpin/standins/worker.py
+++ b/pondpin/standins/worker.py
@@ -18,6 +18,7 @@
     ABORT_SECONDS,
     abort_after_write,
     close_raw,
+    write_malformed,
     write_raw,
 )
 from pondpin.standins.wishes import ColdSpan, Wishes
@@ -61,20 +62,6 @@
 )
 
 
-# Responses with WorkerFault.SPOILED, in turn; %b stands for the attempt id.
-SPOILED_LINES = b"X-Attempt-Id: %b\r\nX-Instance-Signature: spoiled.%b\r\n"
-SPOILED_END = b"Content-Length: 7\r\n\r\nspoiled"
-SPOILED_RESPONSES = (
-    b"\x00\x01 no answer\r\n\r\n" * 3,
-    b"HTTP/1.1 000 Zero\r\n" + SPOILED_LINES + SPOILED_END,
-    b"HTTP/1.1 200 OK\r\n" + SPOILED_LINES + b"X-\x01: 1\r\n" + SPOILED_END,
-    b"HTTP/1.1 200 OK\r\n" + SPOILED_LINES + b" X-Odd: 1\r\n" + SPOILED_END,
-    b"HTTP/1.1 200 OK\n" + SPOILED_LINES + SPOILED_END,
-    b"HTTP/1.1 200 OK\r\n" + SPOILED_LINES + b"Transfer-Encoding: chunked\r\n"
-    b"Content-Length: 7\r\n\r\n7\r\nspoiled\r\n0\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\n" + SPOILED_LINES + b"Transfer-Encoding: chunked\r\n\r\n"
-    b"7\r\nspoiled\r\n0\r\nno field\r\n\r\n",
-)
 # What brings no head, or one that nobody signed.
 MUTE = (WorkerFault.HANG, WorkerFault.RESET, WorkerFault.SPOILED, WorkerFault.UNSIGNED)
 
@@ -350,12 +337,6 @@
         else:
             self.working -= 1
 
-    def _spoil(self, reply: Reply, attempt: bytes) -> None:
-        """Send a response that is none by the grammar of HTTP."""
-        response = SPOILED_RESPONSES[self.spoiled % len(SPOILED_RESPONSES)]
-        self.spoiled += 1
-        write_raw(reply, response % (attempt, attempt) if b"%b" in response else response)
-
     async def _run(
         self, incoming: IncomingRequest, reply: Reply, attempt: str, fault: WorkerFault
     ) -> None:
@@ -366,7 +347,8 @@
             reply.abort()
             return
         if fault is WorkerFault.SPOILED:
-            self._spoil(reply, attempt.encode())
+            write_malformed(reply, attempt, self.spoiled)
+            self.spoiled += 1
             return
         signature = f"{self.id}.{attempt}"
         headers = self._marked({"x-attempt-id": attempt, "x-instance-signature": signature})
--- a/pondpin/tests/support.py
+++ b/pondpin/tests/support.py
@@ -24,9 +24,11 @@
     ServiceSpec,
     key_hash,
 )
+from pondpin.standins.local_platform import CENTERS, PLAIN, LocalPlatform
 from pondpin.standins.local_platform import HOST as RELAY_HOST
 from pondpin.standins.local_platform import KEY as RELAY_KEY
-from pondpin.standins.local_platform import LocalPlatform
+from pondpin.standins.scripted_upstream import ScriptedUpstream
+from pondpin.standins.store_state import UPSTREAMS_PREFIX
 from pondpin.standins.worker import Worker, WorkerFault
 from pondpin.tools.balancer import Balancer
 from pondpin.tools.caller import Caller, OnceCaller, Question
@@ -238,6 +240,22 @@
         run_async(whole())
 
 
+async def use_scripted_upstream(
+    platform: LocalPlatform, response: bytes = b"", name: str = "scripted"
+) -> ScriptedUpstream:
+    """Replace the plain workers of a platform by an upstream that sends a response."""
+    upstream = ScriptedUpstream(response)
+    place = platform.place_by_id[name] = await upstream.listen()
+    for other in ("plain-0", "plain-1"):
+        platform.store.delete(f"{UPSTREAMS_PREFIX}{other}")
+    platform.list_worker(name, PLAIN, str(place), CENTERS[0])
+    tables = [entry.table for entry in platform.entries]
+    await platform.until(
+        lambda: all({item.id for item in table.of_service(PLAIN)} == {name} for table in tables)
+    )
+    return upstream
+
+
 async def ask(
     platform: LocalPlatform,
     route: str,
--- a/pondpin/tests/test_early_responses.py
+++ b/pondpin/tests/test_early_responses.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 
 from pondpin.http_client import HttpResponse
-from pondpin.standins.local_platform import PLAIN, LocalPlatform, sample_configuration
+from pondpin.standins.local_platform import LocalPlatform, sample_configuration
 from pondpin.standins.scripted_upstream import After, ScriptedUpstream
-from pondpin.tests.support import RelayTest, ask
+from pondpin.tests.support import RelayTest, ask, use_scripted_upstream
 
 BODY = bytes(range(256)) * (16 << 10)
 LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 2 * len(BODY)}
@@ -59,15 +59,8 @@
 class EarlyTest(RelayTest):
     async def replace_workers(self, platform: LocalPlatform) -> ScriptedUpstream:
         """Replace the plain workers by a scripted one; allow long bodies."""
-        upstream = ScriptedUpstream()
-        place = await upstream.listen()
-        for name in ("plain-0", "plain-1"):
-            platform.store.delete(f"servers/{name}")
-        platform.list_worker("early", PLAIN, str(place), "north")
+        upstream = await use_scripted_upstream(platform)
         entry = platform.entries[0]
-        await platform.until(
-            lambda: {item.id for item in entry.table.of_service(PLAIN)} == {"early"}
-        )
         routes = sample_configuration()["routes"]
         revision = platform.publish(2, limits=LIMITS, routes=routes)
         await platform.until(lambda: entry.publication.revision == revision)
@@ -86,7 +79,7 @@
         """Send a long body; the upstream's health is as at the start."""
         upstream.after, upstream.read_share = timing.after, timing.read_share
         upstream.delay = timing.delay
-        state = platform.entries[0].table.by_id["early"]
+        state = platform.entries[0].table.by_id["scripted"]
         state.health = type(state.health)()
         self.attempt = next(self.names)
         return await ask(platform, route, self.attempt, body=BODY)
--- a/pondpin/tests/test_malformed_responses.py
+++ b/pondpin/tests/test_malformed_responses.py
@@ -9,7 +9,6 @@
 from pondpin.http_client import HttpClient
 from pondpin.http_streams import CallFailedError, ResponseFault
 from pondpin.relay.log_events import AttemptEnded, LogEvent
-from pondpin.relay.upstreams.table import UpstreamTable
 from pondpin.standins.local_platform import (
     ENGINES,
     HOST,
@@ -43,7 +42,7 @@
     with_framing,
     with_status_line,
 )
-from pondpin.tests.support import RelayTest, ask, run_async, the_loop
+from pondpin.tests.support import RelayTest, ask, run_async, the_loop, use_scripted_upstream
 
 
 class ClientTest(unittest.TestCase):
@@ -254,9 +253,8 @@
             async def work(
                 platform: LocalPlatform, name: str = name, response: bytes = response
             ) -> None:
-                upstream = await self.replace_workers(platform)
+                upstream = await use_scripted_upstream(platform, SOUND)
                 platform.cut_from_workers(0, Cut.REFUSE)
-                upstream.response = SOUND
                 self.assertEqual((await ask(platform, "once", "sound")).status, 200)
                 upstream.response = response
                 answer = await ask(platform, "once", "malformed")
@@ -268,22 +266,6 @@
 
             self.play(work)
 
-    async def replace_workers(self, platform: LocalPlatform) -> ScriptedUpstream:
-        """Replace the plain workers by a scripted one."""
-        upstream = ScriptedUpstream()
-        place = platform.place_by_id["malformed"] = await upstream.listen()
-        for name in ("plain-0", "plain-1"):
-            platform.store.delete(f"{UPSTREAMS_PREFIX}{name}")
-        platform.list_worker("malformed", PLAIN, str(place), "north")
-        tables = [entry.table for entry in platform.entries]
-        await platform.until(lambda: all(plain_names(table) == {"malformed"} for table in tables))
-        return upstream
-
-
-def plain_names(table: UpstreamTable) -> set[str]:
-    """The upstreams of plain calls."""
-    return {item.id for item in table.of_service(PLAIN)}
-
 
 class StreamTest(RelayTest):
     def test_a_malformed_chunk_does_not_complete_a_stream(self) -> None:
--- a/pondpin/tests/test_odd_fields.py
+++ b/pondpin/tests/test_odd_fields.py
@@ -4,9 +4,8 @@
 
 from pondpin.platform.headers import MAX_COUNT, PlatformDialect
 from pondpin.relay.model import Load
-from pondpin.standins.local_platform import PLAIN, LocalPlatform
-from pondpin.standins.scripted_upstream import ScriptedUpstream
-from pondpin.tests.support import RelayTest, ask
+from pondpin.standins.local_platform import LocalPlatform
+from pondpin.tests.support import RelayTest, ask, use_scripted_upstream
 
 # Python converts no number of more than 4,300 digits.
 DIGITS = (b"9" * 5000, b"9" * 400, b"0" * 5000 + b"1")
@@ -77,17 +76,6 @@
 
 
 class RelayedTest(RelayTest):
-    async def replace_workers(self, platform: LocalPlatform) -> ScriptedUpstream:
-        """Replace the plain workers by a scripted one."""
-        upstream = ScriptedUpstream()
-        place = await upstream.listen()
-        for name in ("plain-0", "plain-1"):
-            platform.store.delete(f"servers/{name}")
-        platform.list_worker("odd", PLAIN, str(place), "north")
-        table = platform.entries[0].table
-        await platform.until(lambda: {item.id for item in table.of_service(PLAIN)} == {"odd"})
-        return upstream
-
     def response(self, name: bytes, value: bytes, status: bytes = b"200 OK") -> bytes:
         """A response with a field of an odd value."""
         return (
@@ -97,7 +85,7 @@
 
     def test_a_load_of_many_digits_is_no_internal_error(self) -> None:
         async def work(platform: LocalPlatform) -> None:
-            upstream = await self.replace_workers(platform)
+            upstream = await use_scripted_upstream(platform)
             for number, value in enumerate(ODD_VALUES):
                 upstream.response = self.response(b"X-Instance-Load", value)
                 for route in ("again", "once"):
@@ -122,7 +110,7 @@
 
     def test_a_rest_without_end_is_refused_as_not_run(self) -> None:
         async def work(platform: LocalPlatform) -> None:
-            upstream = await self.replace_workers(platform)
+            upstream = await use_scripted_upstream(platform)
             upstream.response = self.response(b"Retry-After", b"9" * 400, b"503 Busy")
             await ask(platform, "again", "rests")
             # The rest is known now, and no upstream is left.
--- a/pondpin/tests/test_odd_requests.py
+++ b/pondpin/tests/test_odd_requests.py
@@ -4,9 +4,9 @@
 import unittest
 
 from pondpin.response_grammar import FIELD_LINE
-from pondpin.standins.local_platform import HOST, KEY, PLAIN, LocalPlatform
+from pondpin.standins.local_platform import HOST, KEY, LocalPlatform
 from pondpin.standins.scripted_upstream import ScriptedUpstream
-from pondpin.tests.support import RelayTest
+from pondpin.tests.support import RelayTest, use_scripted_upstream
 
 OK = (
     b"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Instance-Signature: s\r\n"
@@ -64,17 +64,6 @@
 
 
 class OddRequestTest(RelayTest):
-    async def replace_workers(self, platform: LocalPlatform) -> ScriptedUpstream:
-        """Replace the plain workers by a scripted one."""
-        upstream = ScriptedUpstream(OK)
-        place = await upstream.listen()
-        for name in ("plain-0", "plain-1"):
-            platform.store.delete(f"servers/{name}")
-        platform.list_worker("scripted", PLAIN, str(place), "north")
-        table = platform.entries[0].table
-        await platform.until(lambda: {item.id for item in table.of_service(PLAIN)} == {"scripted"})
-        return upstream
-
     async def send(self, platform: LocalPlatform, request: bytes) -> bytes:
         """Send bytes on a connection; all that the caller gets."""
         place = platform.callers[0]
@@ -100,7 +89,7 @@
 
     def test_an_invalid_request_reaches_no_upstream(self) -> None:
         async def work(platform: LocalPlatform) -> None:
-            upstream = await self.replace_workers(platform)
+            upstream = await use_scripted_upstream(platform, OK)
             requests = [START + FIELDS + line + b"\r\n\r\nhello" + SECOND for line in REFUSED_LINES]
             requests += [start + FIELDS + b"\r\n" + SECOND for start in REFUSED_STARTS]
             for request in requests:
@@ -115,7 +104,7 @@
 
     def test_an_odd_value_reaches_the_upstream_as_one_field(self) -> None:
         async def work(platform: LocalPlatform) -> None:
-            upstream = await self.replace_workers(platform)
+            upstream = await use_scripted_upstream(platform, OK)
             for value in KEPT_VALUES:
                 upstream.heads.clear()
                 with self.subTest(value=value):
@@ -130,7 +119,7 @@
 
     def test_a_folded_or_extended_request_is_framed_anew(self) -> None:
         async def work(platform: LocalPlatform) -> None:
-            upstream = await self.replace_workers(platform)
+            upstream = await use_scripted_upstream(platform, OK)
             chunked = b"Transfer-Encoding: chunked\r\n\r\n"
             for rest, body in (
                 (b"X-Odd: a\r\n b\r\nContent-Length: 5\r\n\r\nhello", b"hello"),
--- a/pondpin/tests/test_random_responses.py
+++ b/pondpin/tests/test_random_responses.py
@@ -14,9 +14,9 @@
 
 from pondpin.http_streams import ResponseFaultError
 from pondpin.response_grammar import HeadChecker
-from pondpin.standins.local_platform import HOST, KEY, PLAIN, LocalPlatform
-from pondpin.standins.scripted_upstream import ATTEMPT, ScriptedUpstream
-from pondpin.tests.support import RelayTest
+from pondpin.standins.local_platform import HOST, KEY, LocalPlatform
+from pondpin.standins.scripted_upstream import ATTEMPT
+from pondpin.tests.support import RelayTest, use_scripted_upstream
 
 SEED = 75
 HEADS = 300
@@ -138,20 +138,9 @@
 
 
 class RelayedTest(RelayTest):
-    async def replace_workers(self, platform: LocalPlatform) -> ScriptedUpstream:
-        """Replace the plain workers by a scripted one."""
-        upstream = ScriptedUpstream()
-        place = await upstream.listen()
-        for name in ("plain-0", "plain-1"):
-            platform.store.delete(f"servers/{name}")
-        platform.list_worker("random", PLAIN, str(place), "north")
-        table = platform.entries[0].table
-        await platform.until(lambda: {item.id for item in table.of_service(PLAIN)} == {"random"})
-        return upstream
-
     async def send(self, platform: LocalPlatform, attempt: str, route: str) -> bytes:
         """Send a request on a connection of its own; all that its caller gets."""
-        state = platform.entries[0].table.by_id["random"]
+        state = platform.entries[0].table.by_id["scripted"]
         state.health = type(state.health)()
         place = platform.callers[0]
         reader, writer = await asyncio.open_connection(place.host, place.port)
@@ -166,7 +155,7 @@
 
     def test_what_reaches_a_caller_matches_the_grammar(self) -> None:
         async def work(platform: LocalPlatform) -> None:
-            upstream = await self.replace_workers(platform)
+            upstream = await use_scripted_upstream(platform)
             rng = random.Random(SEED)
             for number in range(HEADS):
                 sound = make_response(rng)
